--- /dev/null
+++ b/src/bookkeeping/ws-book.h
@@ -0,0 +1,168 @@
+/* The replica of the stored state, with the soft facts that a node adds to it.
+
+   Everything durable comes in through ws_book_apply: one key, one value, one version. An older
+   version of a key never replaces a newer one, so a node's own writes may be applied as soon as
+   they are answered and the watch may repeat them later. */
+#pragma once
+
+#include "bookkeeping/ws-keys.h"
+#include "coordination/ws-epoch.h"
+#include "protocol/ws-cloud.h"
+#include "protocol/ws-report.h"
+
+#define WS_CHUNK_TASKS 128
+
+typedef enum { WS_JOB_ACTIVE, WS_JOB_DONE, WS_JOB_CANCELLED } WsJobState;
+
+typedef struct {
+  guint task;
+  guint machine;
+  guint64 attempt;
+  gint64 at_ms; /* wall clock of the assignment */
+  /* soft: */
+  WsTaskState state;
+  gboolean stopping; /* a stop is wanted, so that something else gets the room or the machine */
+  gboolean launched; /* a launch was sent; only its owner knows */
+} WsAssignment;
+
+typedef struct {
+  guint64 attempts; /* the last attempt number given out */
+  GArray *on;       /* of WsAssignment */
+  guint8 done[WS_CHUNK_TASKS / 8];
+  guint done_count;
+} WsChunk;
+
+typedef struct {
+  guint index;
+  char *id;
+  WsJobState state;
+  WsSubmission *spec; /* NULL once the record has shrunk to its final form */
+  guint tasks;
+  guint team;
+  guint image;
+  guint zone; /* WS_NONE: any */
+  guint home; /* a node, or WS_NONE: the leader */
+  gint64 at_ms; /* wall clock */
+  GPtrArray *chunks; /* of WsChunk or NULL */
+  guint done_count;
+  guint on_count;
+  /* soft: */
+  guint errors;
+  gint64 retry_ms;
+  gint64 unplaced_ms; /* since when its home could not place it; 0: it could */
+} WsJob;
+
+typedef struct {
+  guint job;
+  guint task;
+} WsTaskRef;
+
+typedef struct {
+  guint index;
+  const char *name;
+  gboolean stored; /* there is a record: the machine is ours, and is charged for */
+  guint type;      /* in catalog order, WS_NONE: unknown */
+  char *type_name;
+  guint zone;
+  gboolean spot;
+  gint64 at_ms; /* wall clock of the rental */
+  gboolean marked;
+  char *mark_why;
+  gboolean mark_now; /* without drain: nothing on it can be talked to */
+  GArray *tasks;     /* of WsTaskRef */
+  WsAmount used;
+  /* soft: */
+  char *endpoint;
+  gint64 heard_ms; /* when its last report came, here or at a peer; 0: never */
+  gint64 up_ms;
+  guint64 session;
+  guint64 seq;
+  guint64 token;
+  gint64 notice_ms; /* when the cloud takes it; 0: no notice */
+  gint64 empty_ms;  /* since when nothing is on it; 0: something is */
+  GArray *images;   /* of guint, oldest first */
+  guint bad_jobs;   /* jobs that failed here since one last succeeded */
+  guint last_bad_job;
+  guint doubts;     /* direct launches without an answer */
+  gint64 doubt_ms;
+  guint64 doubt_token;
+  guint64 doubt_session;
+  gint64 status_ms; /* when it was last asked for its status */
+  guint status_failed;
+  gint64 redirected_ms;
+  gint64 direct_ms;
+  gboolean marking; /* its mark is being written */
+  gint64 stop_after_ms; /* the next stop of a drain */
+  guint stop_backoff_ms;
+} WsMachine;
+
+typedef struct {
+  char *request;
+  char *type;
+  char *zone;
+  gboolean spot;
+  guint count;
+} WsRent;
+
+typedef struct {
+  guint64 version;
+  gboolean present;
+} WsKeyVersion;
+
+typedef struct {
+  const WsSettings *settings;
+  GHashTable *versions; /* key -> WsKeyVersion */
+  guint removed;        /* removed keys still among the versions */
+  guint64 revision;     /* everything up to here has been applied */
+  WsEpoch epoch;
+  guint64 leader_incarnation;
+  guint leader_node; /* of the leader key, WS_NONE: none */
+  GArray *members;   /* of WsMember: who holds a lease now */
+  GPtrArray *jobs;   /* of WsJob */
+  GHashTable *job_index;
+  GPtrArray *active; /* of WsJob: not in final form */
+  GPtrArray *machines;
+  GHashTable *machine_index;
+  GPtrArray *rents; /* of WsRent */
+  WsAmount *team_use;
+  WsNames images;
+  GPtrArray *catalog; /* of WsType, NULL: not known yet */
+} WsBook;
+
+WsBook *ws_book_new(const WsSettings *settings);
+void ws_book_free(WsBook *book);
+/* value NULL: removed. Returns whether anything changed. */
+gboolean ws_book_apply(WsBook *book, const char *key, const json_t *value, guint64 version);
+/* Forgets what is not among the keys that were read with the revision. */
+void ws_book_forget_missing(WsBook *book, GHashTable *read, guint64 revision);
+/* The version for a condition: 0 if the key does not exist. */
+guint64 ws_book_version(const WsBook *book, const char *key);
+void ws_book_advance(WsBook *book, guint64 revision);
+void ws_book_set_catalog(WsBook *book, GPtrArray *catalog);
+
+WsJob *ws_book_job(const WsBook *book, guint index);
+WsJob *ws_book_find_job(const WsBook *book, const char *id);
+WsMachine *ws_book_machine(const WsBook *book, guint index);
+WsMachine *ws_book_find_machine(const WsBook *book, const char *name);
+WsMachine *ws_book_get_machine(WsBook *book, const char *name); /* made if missing */
+void ws_book_describe_machine(WsBook *book, WsMachine *machine, const char *type, const char *zone,
+                              gboolean spot);
+guint ws_book_owner(const WsBook *book, const WsMachine *machine);
+const WsType *ws_book_type(const WsBook *book, guint type);
+guint ws_book_find_team(const WsBook *book, const char *name);
+guint ws_book_find_zone(const WsBook *book, const char *name);
+
+WsChunk *ws_job_chunk(const WsJob *job, guint task);
+WsAssignment *ws_job_assignment(const WsJob *job, guint task);
+gboolean ws_job_task_done(const WsJob *job, guint task);
+guint ws_job_chunk_count(const WsJob *job);
+json_t *ws_job_encode(const WsJob *job, WsJobState state, const char *home);
+json_t *ws_job_encode_final(const WsJob *job, WsJobState state);
+
+WsChunk *ws_chunk_copy(const WsChunk *chunk); /* NULL: an empty one */
+void ws_chunk_free(WsChunk *chunk);
+json_t *ws_chunk_encode(const WsChunk *chunk, const WsBook *book);
+json_t *ws_amount_encode(const WsAmount *amount);
+json_t *ws_machine_encode(const char *type, const char *zone, gboolean spot, gint64 at_ms);
+json_t *ws_rent_encode(const WsRent *rent);
+json_t *ws_mark_encode(const char *why, gboolean now);
--- /dev/null
+++ b/src/bookkeeping/ws-keys.c
@@ -0,0 +1,19 @@
+#include "bookkeeping/ws-keys.h"
+
+char *
+ws_key(const char *prefix, const char *name)
+{
+  return g_strconcat(prefix, name, NULL);
+}
+
+char *
+ws_key_job(const char *id)
+{
+  return ws_key(WS_KEYS_JOB, id);
+}
+
+char *
+ws_key_chunk(const char *id, guint chunk)
+{
+  return g_strdup_printf(WS_KEYS_TASKS "%s/%u", id, chunk);
+}
--- /dev/null
+++ b/src/core/ws-core.c
@@ -0,0 +1,232 @@
+#include "core/ws-core-private.h"
+
+#include <string.h>
+
+typedef struct {
+  WsReply reply;
+  gpointer data;
+} Call;
+
+WsCore *
+ws_core_new(const WsSettings *settings, const WsProperties *properties, guint64 incarnation)
+{
+  WsCore *core = g_new0(WsCore, 1);
+  core->settings = settings;
+  core->properties = properties;
+  core->incarnation = incarnation;
+  core->book = ws_book_new(settings);
+  core->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+  core->store = ws_store_new(settings);
+  core->members = ws_members_new();
+  core->assign = ws_assign_new();
+  core->fleet = ws_fleet_new(settings);
+  core->plan = ws_plan_new();
+  core->peers = g_new0(WsPeer, settings->nodes->len);
+  return core;
+}
+
+void
+ws_core_free(WsCore *core)
+{
+  WsOutput *output;
+  while ((output = ws_core_pop(core)) != NULL)
+    ws_output_free(output);
+  g_hash_table_unref(core->calls);
+  ws_store_free(core->store);
+  ws_members_free(core->members);
+  ws_assign_free(core->assign);
+  ws_fleet_free(core->fleet);
+  ws_plan_free(core->plan);
+  ws_book_free(core->book);
+  g_free(core->peers);
+  g_free(core);
+}
+
+WsOutput *
+ws_core_pop(WsCore *core)
+{
+  return g_queue_pop_head(&core->outputs);
+}
+
+void
+ws_output_free(WsOutput *output)
+{
+  g_free(output->url);
+  free(output->body); /* jansson's */
+  g_free(output);
+}
+
+void
+ws_call(WsCore *core, const char *method, const char *address, const char *path, json_t *body,
+        guint timeout_ms, WsReply reply, gpointer data)
+{
+  guint64 *key = g_new(guint64, 1);
+  *key = ++core->next_call;
+  Call *call = g_new0(Call, 1);
+  *call = (Call){ reply, data };
+  g_hash_table_insert(core->calls, key, call);
+  WsOutput *output = g_new0(WsOutput, 1);
+  output->call = *key;
+  output->method = method;
+  output->url = g_strdup_printf("http://%s%s", address, path);
+  output->body = ws_json_text(body);
+  output->timeout_ms = timeout_ms;
+  json_decref(body);
+  g_queue_push_tail(&core->outputs, output);
+}
+
+void
+ws_answer(WsCore *core, gpointer request, guint status, json_t *body, guint retry_after_s)
+{
+  WsOutput *output = g_new0(WsOutput, 1);
+  output->is_answer = TRUE;
+  output->request = request;
+  output->status = status;
+  output->body = ws_json_text(body);
+  output->retry_after_s = retry_after_s;
+  json_decref(body);
+  g_queue_push_tail(&core->outputs, output);
+}
+
+void
+ws_answer_reason(WsCore *core, gpointer request, guint status, const char *reason)
+{
+  ws_answer(core, request, status, json_pack("{s:s}", "error", reason), 0);
+}
+
+void
+ws_answer_later(WsCore *core, gpointer request, guint retry_after_s)
+{
+  ws_answer(core, request, 503, json_pack("{s:s}", "error", "not now, please come back"),
+            retry_after_s);
+}
+
+gboolean
+ws_entitled(const WsCore *core)
+{
+  return ws_store_loaded(core)
+         && ws_epoch_has(&core->book->epoch, core->settings->self, core->incarnation);
+}
+
+gboolean
+ws_is_leader(const WsCore *core)
+{
+  return ws_entitled(core) && core->book->epoch.leader == core->settings->self;
+}
+
+gboolean
+ws_owns(const WsCore *core, const WsMachine *machine)
+{
+  return ws_entitled(core) && ws_book_owner(core->book, machine) == core->settings->self;
+}
+
+static void
+set_time(WsCore *core, gint64 now_ms, gint64 wall_ms)
+{
+  core->now = MAX(core->now, now_ms);
+  core->wall = wall_ms;
+}
+
+/* After an epoch change everything that rested on the old split starts afresh. */
+static void
+notice_epoch(WsCore *core)
+{
+  if (core->epoch_seen == core->book->epoch.number)
+    return;
+  core->epoch_seen = core->book->epoch.number;
+  core->epoch_ms = core->now;
+  core->plan_due = TRUE;
+  core->wants_epoch = FALSE;
+  for (guint i = 0; i < core->book->machines->len; i++) {
+    WsMachine *machine = ws_book_machine(core->book, i);
+    machine->redirected_ms = 0;
+    machine->status_failed = 0;
+    machine->marking = FALSE;
+  }
+  g_info("epoch %" G_GUINT64_FORMAT ": %u members, leader %s", core->epoch_seen,
+         core->book->epoch.members->len,
+         core->book->epoch.leader != WS_NONE
+             ? ws_settings_node(core->settings, core->book->epoch.leader)->name
+             : "none");
+}
+
+static void
+settle(WsCore *core)
+{
+  notice_epoch(core);
+  ws_plan_tick(core);
+  ws_assign_pump(core);
+  ws_store_pump(core);
+}
+
+void
+ws_core_tick(WsCore *core, gint64 now_ms, gint64 wall_ms)
+{
+  set_time(core, now_ms, wall_ms);
+  ws_store_tick(core);
+  ws_members_tick(core);
+  ws_mesh_tick(core);
+  if (core->now >= core->upkeep_ms && ws_store_loaded(core)) {
+    core->upkeep_ms = core->now + 250;
+    ws_workers_tick(core);
+    ws_giveback_tick(core);
+    ws_fleet_tick(core);
+    core->plan_due = TRUE;
+  }
+  settle(core);
+}
+
+static gboolean
+is_ready(const WsCore *core)
+{
+  return ws_entitled(core) && !ws_mesh_alone_refused(core);
+}
+
+static void
+api_request(WsCore *core, const char *method, const char *path, const char *body, gsize length,
+            gpointer request)
+{
+  if (strcmp(path, "/ready") == 0) {
+    if (strcmp(method, "GET") != 0)
+      ws_answer_reason(core, request, 405, "only GET here");
+    else if (is_ready(core))
+      ws_answer(core, request, 200, json_pack("{s:b}", "ready", 1), 0);
+    else
+      ws_answer_later(core, request, 1);
+  } else if (strcmp(path, "/v1/report") == 0) {
+    if (strcmp(method, "POST") != 0)
+      ws_answer_reason(core, request, 405, "only POST here");
+    else
+      ws_workers_report(core, body, length, request);
+  } else {
+    ws_users_request(core, method, path, body, length, request);
+  }
+}
+
+void
+ws_core_request(WsCore *core, gint64 now_ms, gint64 wall_ms, WsDoor door, const char *method,
+                const char *path, const char *body, gsize length, gpointer request)
+{
+  set_time(core, now_ms, wall_ms);
+  if (door == WS_DOOR_API)
+    api_request(core, method, path, body, length, request);
+  else
+    ws_mesh_request(core, path, body, length, request);
+  settle(core);
+}
+
+void
+ws_core_reply(WsCore *core, gint64 now_ms, gint64 wall_ms, guint64 id, guint status,
+              const char *body, gsize length)
+{
+  set_time(core, now_ms, wall_ms);
+  gpointer key, value;
+  if (!g_hash_table_steal_extended(core->calls, &id, &key, &value))
+    return;
+  Call *call = value;
+  g_autoptr(json_t) message = status != 0 ? ws_json_parse(body, length) : NULL;
+  call->reply(core, status, message, call->data);
+  g_free(key);
+  g_free(call);
+  settle(core);
+}
--- /dev/null
+++ b/src/core/ws-core.h
@@ -0,0 +1,37 @@
+/* The core: inputs in, outputs out. It has no clock, no socket and no randomness; every input
+   names the time, and what is to be sent or answered is taken from ws_core_pop. */
+#pragma once
+
+#include "protocol/ws-properties.h"
+#include "protocol/ws-settings.h"
+
+typedef struct _WsCore WsCore;
+
+typedef enum { WS_DOOR_API, WS_DOOR_MESH } WsDoor;
+
+typedef struct {
+  gboolean is_answer;
+  /* an answer to a request */
+  gpointer request;
+  guint status;
+  guint retry_after_s;
+  /* a call */
+  guint64 call;
+  const char *method;
+  char *url;
+  guint timeout_ms;
+  /* both */
+  char *body;
+} WsOutput;
+
+/* incarnation: never the same for two runs of one node. */
+WsCore *ws_core_new(const WsSettings *settings, const WsProperties *properties, guint64 incarnation);
+void ws_core_free(WsCore *core);
+void ws_core_tick(WsCore *core, gint64 now_ms, gint64 wall_ms);
+void ws_core_request(WsCore *core, gint64 now_ms, gint64 wall_ms, WsDoor door, const char *method,
+                     const char *path, const char *body, gsize length, gpointer request);
+/* status 0: no response. */
+void ws_core_reply(WsCore *core, gint64 now_ms, gint64 wall_ms, guint64 call, guint status,
+                   const char *body, gsize length);
+WsOutput *ws_core_pop(WsCore *core);
+void ws_output_free(WsOutput *output);
--- /dev/null
+++ b/src/core/ws-demand.c
@@ -0,0 +1,207 @@
+/* How many machines of which kind the tasks without room call for. */
+#include "core/ws-core-private.h"
+
+/* An array's waiting tasks may follow each other on one place for about this long. */
+#define PATIENCE_S 100.0
+
+typedef struct {
+  guint type;
+  guint zone;
+  gboolean spot;
+  WsAmount room;
+  gboolean is_new;
+} Virtual;
+
+struct _WsDemand {
+  WsCore *core;
+  GArray *machines; /* of Virtual: booting, on order, or wanted */
+  guint *by_zone;   /* machines there are, by zone */
+};
+
+static void
+add_virtual(WsDemand *demand, guint type, guint zone, gboolean spot, const WsAmount *room,
+            gboolean is_new)
+{
+  Virtual made = { type, zone, spot, *room, is_new };
+  g_array_append_val(demand->machines, made);
+}
+
+/* A place whose array task ends some time soon is worth half a place of a new machine. */
+static void
+add_running(WsDemand *demand, const WsMachine *machine)
+{
+  const WsBook *book = demand->core->book;
+  WsAmount soon = { 0 };
+  for (guint i = 0; i < machine->tasks->len; i++) {
+    const WsJob *job = ws_book_job(book, g_array_index(machine->tasks, WsTaskRef, i).job);
+    if (job->spec->kind == WS_KIND_ARRAY)
+      ws_amount_add(&soon, &job->spec->need, 1);
+  }
+  soon.cpus /= 2;
+  soon.gpus /= 2;
+  soon.memory /= 2;
+  if (soon.cpus > 0)
+    add_virtual(demand, machine->type, machine->zone, machine->spot, &soon, FALSE);
+}
+
+static guint
+find_type(const WsBook *book, const char *name)
+{
+  for (guint t = 0; t < book->catalog->len; t++)
+    if (g_strcmp0(ws_book_type(book, t)->name, name) == 0)
+      return t;
+  return WS_NONE;
+}
+
+static void
+add_rents(WsDemand *demand)
+{
+  const WsBook *book = demand->core->book;
+  for (guint i = 0; i < book->rents->len; i++) {
+    const WsRent *rent = g_ptr_array_index(book->rents, i);
+    guint type = find_type(book, rent->type), zone = ws_book_find_zone(book, rent->zone);
+    for (guint n = 0; n < rent->count && type != WS_NONE && zone != WS_NONE; n++)
+      add_virtual(demand, type, zone, rent->spot, &ws_book_type(book, type)->room, FALSE);
+  }
+}
+
+static gboolean
+is_booting(const WsCore *core, const WsMachine *machine)
+{
+  double age_s = (double)(core->wall - machine->at_ms) / 1000.0;
+  return machine->heard_ms == 0 && age_s < 2.0 * ws_book_type(core->book, machine->type)->boot_s;
+}
+
+WsDemand *
+ws_demand_new(WsCore *core)
+{
+  const WsBook *book = core->book;
+  WsDemand *demand = g_new0(WsDemand, 1);
+  demand->core = core;
+  demand->machines = g_array_new(FALSE, FALSE, sizeof(Virtual));
+  demand->by_zone = g_new0(guint, core->settings->zones->len);
+  for (guint i = 0; i < book->machines->len; i++) {
+    const WsMachine *machine = ws_book_machine(book, i);
+    if (!machine->stored || machine->type == WS_NONE || machine->zone == WS_NONE)
+      continue;
+    demand->by_zone[machine->zone]++;
+    if (machine->marked)
+      continue;
+    if (is_booting(core, machine))
+      add_virtual(demand, machine->type, machine->zone, machine->spot,
+                  &ws_book_type(book, machine->type)->room, FALSE);
+    else if (ws_machine_up(core, machine))
+      add_running(demand, machine);
+  }
+  add_rents(demand);
+  return demand;
+}
+
+/* What the task takes of a place that is there for a while: less, if others can follow it. */
+static WsAmount
+share(const WsJob *job)
+{
+  WsAmount need = job->spec->need;
+  if (job->spec->kind == WS_KIND_SERVICE)
+    return need;
+  double part = CLAMP((job->spec->estimate_s + 5.0) / PATIENCE_S, 0.2, 1.0);
+  need.cpus = (gint64)((double)need.cpus * part);
+  need.gpus = (gint64)((double)need.gpus * part);
+  need.memory = (gint64)((double)need.memory * part);
+  return need;
+}
+
+static gboolean
+zone_fits(const WsJob *job, guint zone, guint wanted)
+{
+  return (job->spec->zone == NULL || job->zone == zone) && (wanted == WS_NONE || wanted == zone);
+}
+
+static gboolean
+put_in(WsDemand *demand, const WsJob *job, guint zone, const WsAmount *need)
+{
+  for (guint i = 0; i < demand->machines->len; i++) {
+    Virtual *machine = &g_array_index(demand->machines, Virtual, i);
+    if ((machine->spot && !job->spec->spot) || !zone_fits(job, machine->zone, zone)
+        || !ws_type_allowed(job->spec, ws_book_type(demand->core->book, machine->type))
+        || !ws_amount_fits(need, &machine->room))
+      continue;
+    ws_amount_add(&machine->room, need, -1);
+    return TRUE;
+  }
+  return FALSE;
+}
+
+/* The zone with fewest machines that may have one more, or WS_NONE. */
+static guint
+pick_zone(const WsDemand *demand, const WsJob *job, guint wanted, guint type, gboolean spot)
+{
+  guint best = WS_NONE;
+  char **zones = ws_book_type(demand->core->book, type)->zones;
+  for (; *zones != NULL; zones++) {
+    guint zone = ws_book_find_zone(demand->core->book, *zones);
+    if (zone == WS_NONE || !zone_fits(job, zone, wanted)
+        || ws_fleet_no_capacity(demand->core, type, zone, spot))
+      continue;
+    if (best == WS_NONE || demand->by_zone[zone] < demand->by_zone[best])
+      best = zone;
+  }
+  return best;
+}
+
+static gboolean
+want_new(WsDemand *demand, const WsJob *job, guint wanted, gboolean spot, const WsAmount *need)
+{
+  const WsBook *book = demand->core->book;
+  guint best = WS_NONE, best_zone = WS_NONE;
+  for (guint t = 0; t < book->catalog->len; t++) {
+    const WsType *type = ws_book_type(book, t);
+    if (!ws_type_allowed(job->spec, type) || !ws_amount_fits(&job->spec->need, &type->room))
+      continue;
+    guint zone = pick_zone(demand, job, wanted, t, spot);
+    if (zone == WS_NONE || (best != WS_NONE && type->price >= ws_book_type(book, best)->price))
+      continue;
+    best = t;
+    best_zone = zone;
+  }
+  if (best == WS_NONE)
+    return FALSE;
+  WsAmount room = ws_book_type(book, best)->room;
+  ws_amount_add(&room, need, -1);
+  add_virtual(demand, best, best_zone, spot, &room, TRUE);
+  demand->by_zone[best_zone]++;
+  return TRUE;
+}
+
+void
+ws_demand_add(WsDemand *demand, const WsJob *job, guint zone)
+{
+  WsAmount need = share(job);
+  if (put_in(demand, job, zone, &need))
+    return;
+  if (!(job->spec->spot && want_new(demand, job, zone, TRUE, &need)))
+    want_new(demand, job, zone, FALSE, &need);
+}
+
+/* Hands over what is wanted, counted by kind. */
+void
+ws_demand_end(WsDemand *demand)
+{
+  for (guint i = 0; i < demand->machines->len; i++) {
+    Virtual first = g_array_index(demand->machines, Virtual, i);
+    guint count = 0;
+    for (guint k = i; first.is_new && k < demand->machines->len; k++) {
+      Virtual *other = &g_array_index(demand->machines, Virtual, k);
+      if (!other->is_new || other->type != first.type || other->zone != first.zone
+          || other->spot != first.spot)
+        continue;
+      other->is_new = FALSE;
+      count++;
+    }
+    if (count > 0)
+      ws_fleet_need(demand->core, first.type, first.zone, first.spot, count);
+  }
+  g_array_unref(demand->machines);
+  g_free(demand->by_zone);
+  g_free(demand);
+}
--- /dev/null
+++ b/src/core/ws-fleet.c
@@ -0,0 +1,458 @@
+/* The cloud, which only the leader calls: prices, rentals, lists and returns.
+
+   A rental is intended in the state service before the cloud is asked, and every machine has a
+   record from the moment it is known until the cloud has confirmed its return. So a new leader
+   knows what to ask again and what is still charged. */
+#include "core/ws-core-private.h"
+
+#include <string.h>
+
+#define CATALOG_MS 60000
+#define FIRST_NO_CAPACITY_MS 5000
+#define MOST_NO_CAPACITY_MS 40000
+#define RETRY_MS 1500
+#define MOST_A_RENTAL 10
+#define BOOT_PATIENCE 3.0
+
+typedef struct {
+  gint64 until_ms;
+  guint backoff_ms;
+} Scarce;
+
+struct _WsFleet {
+  WsRate rate;
+  GHashTable *scarce;  /* kind -> Scarce */
+  GHashTable *gone;    /* names whose return was confirmed */
+  guint64 requests;
+  gint64 catalog_ms;
+  gboolean catalog_asked;
+  gint64 list_ms;
+  gboolean listing;
+  char *list_after;
+  gboolean returning;
+  gint64 return_ms;
+  guint return_backoff_ms;
+  gboolean intending;
+  GHashTable *renting; /* requests on their way */
+  GHashTable *rent_retry; /* request -> time */
+};
+
+WsFleet *
+ws_fleet_new(const WsSettings *settings)
+{
+  WsFleet *fleet = g_new0(WsFleet, 1);
+  ws_rate_init(&fleet->rate, settings->cloud_rps * 0.8, settings->cloud_rps);
+  fleet->scarce = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+  fleet->gone = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+  fleet->renting = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+  fleet->rent_retry = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  return fleet;
+}
+
+void
+ws_fleet_free(WsFleet *fleet)
+{
+  g_hash_table_unref(fleet->scarce);
+  g_hash_table_unref(fleet->gone);
+  g_hash_table_unref(fleet->renting);
+  g_hash_table_unref(fleet->rent_retry);
+  g_free(fleet->list_after);
+  g_free(fleet);
+}
+
+gboolean
+ws_fleet_gone(const WsCore *core, const char *machine)
+{
+  return g_hash_table_contains(core->fleet->gone, machine);
+}
+
+/* Where the cloud had nothing to rent. */
+
+static gpointer
+kind(guint type, guint zone, gboolean spot)
+{
+  return GUINT_TO_POINTER(type << 16 | zone << 1 | (spot ? 1u : 0u));
+}
+
+gboolean
+ws_fleet_no_capacity(const WsCore *core, guint type, guint zone, gboolean spot)
+{
+  const Scarce *scarce = g_hash_table_lookup(core->fleet->scarce, kind(type, zone, spot));
+  return scarce != NULL && core->now < scarce->until_ms;
+}
+
+static void
+note_capacity(WsCore *core, guint type, guint zone, gboolean spot, gboolean enough)
+{
+  gpointer key = kind(type, zone, spot);
+  if (enough) {
+    g_hash_table_remove(core->fleet->scarce, key);
+    return;
+  }
+  Scarce *scarce = g_hash_table_lookup(core->fleet->scarce, key);
+  if (scarce == NULL) {
+    scarce = g_new0(Scarce, 1);
+    g_hash_table_insert(core->fleet->scarce, key, scarce);
+  }
+  scarce->backoff_ms = CLAMP(scarce->backoff_ms * 2, FIRST_NO_CAPACITY_MS, MOST_NO_CAPACITY_MS);
+  scarce->until_ms = core->now + scarce->backoff_ms;
+}
+
+/* Machines get their record. */
+
+static void
+on_adopted(WsCore *core, WsTxnResult result, gpointer data)
+{
+  WsMachine *machine = ws_book_machine(core->book, GPOINTER_TO_UINT(data));
+  machine->marking = FALSE;
+  if (result == WS_TXN_OK)
+    g_info("machine %s wasn't expected; it is used or given back", machine->name);
+  core->plan_due = TRUE;
+}
+
+void
+ws_fleet_adopt(WsCore *core, WsMachine *machine, gint64 at_ms)
+{
+  if (machine->marking || machine->type_name == NULL || machine->zone == WS_NONE
+      || ws_fleet_gone(core, machine->name) || !ws_entitled(core))
+    return;
+  machine->marking = TRUE;
+  g_autofree char *key = ws_key(WS_KEYS_MACHINE, machine->name);
+  WsTxn *txn = ws_txn_new();
+  ws_txn_if(txn, core->book, WS_KEY_EPOCH);
+  ws_txn_if_version(txn, key, 0);
+  ws_txn_set(txn, key,
+             ws_machine_encode(machine->type_name,
+                               g_ptr_array_index(core->settings->zones, machine->zone),
+                               machine->spot, at_ms));
+  ws_txn_commit(core, txn, WS_FIRST_REST, on_adopted, GUINT_TO_POINTER(machine->index));
+}
+
+/* Prices. */
+
+static void
+on_catalog_kept(WsCore *core, WsTxnResult result, gpointer data)
+{
+  (void)data;
+  core->plan_due = TRUE;
+  if (result != WS_TXN_OK)
+    core->fleet->catalog_ms = core->now + RETRY_MS;
+}
+
+static void
+on_catalog(WsCore *core, guint status, const json_t *body, gpointer data)
+{
+  (void)data;
+  WsFleet *fleet = core->fleet;
+  GPtrArray *catalog = status == 200 ? ws_catalog_parse(body) : NULL;
+  fleet->catalog_asked = FALSE;
+  fleet->catalog_ms = core->now + (catalog != NULL ? CATALOG_MS : RETRY_MS);
+  if (catalog == NULL) {
+    g_info("the cloud gave no catalog (status %u)", status);
+    return;
+  }
+  g_ptr_array_unref(catalog);
+  WsTxn *txn = ws_txn_new();
+  ws_txn_if(txn, core->book, WS_KEY_EPOCH);
+  ws_txn_set(txn, WS_KEY_CATALOG, json_incref((json_t *)body));
+  ws_txn_commit(core, txn, WS_FIRST_TASK, on_catalog_kept, NULL);
+}
+
+static void
+keep_catalog(WsCore *core)
+{
+  WsFleet *fleet = core->fleet;
+  if (fleet->catalog_asked || core->now < fleet->catalog_ms
+      || !ws_rate_take(&fleet->rate, 1.0, core->now))
+    return;
+  fleet->catalog_asked = TRUE;
+  ws_call(core, "GET", core->settings->cloud_addr, "/catalog", NULL, 3000, on_catalog, NULL);
+}
+
+/* Rentals: intent, request, records. */
+
+static void
+on_intended(WsCore *core, WsTxnResult result, gpointer data)
+{
+  (void)result;
+  (void)data;
+  core->fleet->intending = FALSE;
+}
+
+void
+ws_fleet_need(WsCore *core, guint type, guint zone, gboolean spot, guint machines)
+{
+  WsFleet *fleet = core->fleet;
+  if (fleet->intending || core->book->rents->len >= 4)
+    return;
+  fleet->intending = TRUE;
+  g_autofree char *request = g_strdup_printf("r-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT,
+                                             core->book->epoch.number, ++fleet->requests);
+  g_autofree char *key = ws_key(WS_KEYS_RENT, request);
+  WsRent rent = { .type = ws_book_type(core->book, type)->name,
+                  .zone = g_ptr_array_index(core->settings->zones, zone),
+                  .spot = spot,
+                  .count = MIN(machines, MOST_A_RENTAL) };
+  g_info("renting %u %s machines of type %s in %s", rent.count, spot ? "spot" : "ordinary",
+         rent.type, rent.zone);
+  WsTxn *txn = ws_txn_new();
+  ws_txn_if(txn, core->book, WS_KEY_EPOCH);
+  ws_txn_if_version(txn, key, 0);
+  ws_txn_set(txn, key, ws_rent_encode(&rent));
+  ws_txn_commit(core, txn, WS_FIRST_TASK, on_intended, NULL);
+}
+
+static WsRent *
+find_rent(const WsCore *core, const char *request)
+{
+  for (guint i = 0; i < core->book->rents->len; i++) {
+    WsRent *rent = g_ptr_array_index(core->book->rents, i);
+    if (strcmp(rent->request, request) == 0)
+      return rent;
+  }
+  return NULL;
+}
+
+static void
+retry_rent(WsCore *core, const char *request)
+{
+  gint64 *at_ms = g_new(gint64, 1);
+  *at_ms = core->now + RETRY_MS;
+  g_hash_table_insert(core->fleet->rent_retry, g_strdup(request), at_ms);
+}
+
+static void
+on_rent_closed(WsCore *core, WsTxnResult result, gpointer data)
+{
+  char *request = data;
+  if (result != WS_TXN_OK)
+    retry_rent(core, request);
+  g_hash_table_remove(core->fleet->renting, request);
+  core->plan_due = TRUE;
+  g_free(request);
+}
+
+/* The intent goes and the machines get their records in one transaction. */
+static void
+close_rent(WsCore *core, const WsRent *rent, GPtrArray *names)
+{
+  g_autofree char *key = ws_key(WS_KEYS_RENT, rent->request);
+  WsTxn *txn = ws_txn_new();
+  ws_txn_if(txn, core->book, WS_KEY_EPOCH);
+  ws_txn_remove(txn, key);
+  for (guint i = 0; names != NULL && i < names->len; i++) {
+    const char *name = g_ptr_array_index(names, i);
+    g_autofree char *record = ws_key(WS_KEYS_MACHINE, name);
+    if (ws_book_version(core->book, record) == 0 && !ws_fleet_gone(core, name)) {
+      ws_txn_if_version(txn, record, 0);
+      ws_txn_set(txn, record, ws_machine_encode(rent->type, rent->zone, rent->spot, core->wall));
+    }
+  }
+  ws_txn_commit(core, txn, WS_FIRST_TASK, on_rent_closed, g_strdup(rent->request));
+}
+
+static void
+on_rented(WsCore *core, guint status, const json_t *body, gpointer data)
+{
+  g_autofree char *request = data;
+  const WsRent *rent = find_rent(core, request);
+  g_autoptr(GPtrArray) names = status == 200 ? ws_names_parse(body) : NULL;
+  gboolean scarce = status == 503
+                    && g_strcmp0(json_string_value(json_object_get(body, "error")), "no capacity") == 0;
+  if (rent == NULL || (names == NULL && !scarce && status != 400)) {
+    retry_rent(core, request);
+    g_hash_table_remove(core->fleet->renting, request);
+    return;
+  }
+  guint zone = ws_book_find_zone(core->book, rent->zone);
+  guint count = names != NULL ? names->len : 0;
+  for (guint t = 0; core->book->catalog != NULL && t < core->book->catalog->len; t++)
+    if (strcmp(ws_book_type(core->book, t)->name, rent->type) == 0)
+      note_capacity(core, t, zone, rent->spot, count >= rent->count);
+  g_info("the cloud rented %u of %u %s machines in %s", count, rent->count,
+         rent->spot ? "spot" : "ordinary", rent->zone);
+  close_rent(core, rent, names);
+}
+
+static void
+send_rent(WsCore *core, const WsRent *rent)
+{
+  WsFleet *fleet = core->fleet;
+  const gint64 *retry_ms = g_hash_table_lookup(fleet->rent_retry, rent->request);
+  if (g_hash_table_contains(fleet->renting, rent->request)
+      || (retry_ms != NULL && core->now < *retry_ms) || !ws_rate_take(&fleet->rate, 1.0, core->now))
+    return;
+  g_hash_table_add(fleet->renting, g_strdup(rent->request));
+  ws_call(core, "POST", core->settings->cloud_addr, "/machines",
+          ws_rental_encode(rent->request, rent->type, rent->zone, rent->spot, rent->count), 4000,
+          on_rented, g_strdup(rent->request));
+}
+
+/* Lists: what is there and has no record, or has failed. */
+
+static void
+take_listed(WsCore *core, const WsListed *listed)
+{
+  if (ws_fleet_gone(core, listed->id))
+    return;
+  WsMachine *machine = ws_book_get_machine(core->book, listed->id);
+  if (!machine->stored) {
+    ws_book_describe_machine(core->book, machine, listed->type, listed->zone, listed->spot);
+    ws_fleet_adopt(core, machine, core->wall - (gint64)(listed->age_s * 1000.0));
+    return;
+  }
+  if (machine->endpoint == NULL && listed->endpoint != NULL)
+    machine->endpoint = g_strdup(listed->endpoint);
+  if (listed->failed && !ws_machine_up(core, machine))
+    ws_giveback_mark(core, machine, "failed", TRUE);
+}
+
+static void
+on_list(WsCore *core, guint status, const json_t *body, gpointer data)
+{
+  (void)data;
+  WsFleet *fleet = core->fleet;
+  gboolean more = FALSE;
+  g_autoptr(GPtrArray) machines = status == 200 ? ws_listing_parse(body, &more) : NULL;
+  fleet->listing = FALSE;
+  fleet->list_ms = core->now + (gint64)(core->settings->list_lag_s * 1000.0);
+  g_clear_pointer(&fleet->list_after, g_free);
+  if (machines == NULL || !ws_is_leader(core))
+    return;
+  for (guint i = 0; i < machines->len; i++)
+    take_listed(core, g_ptr_array_index(machines, i));
+  if (more && machines->len > 0) {
+    fleet->list_after
+        = g_strdup(((WsListed *)g_ptr_array_index(machines, machines->len - 1))->id);
+    fleet->list_ms = core->now;
+  }
+}
+
+static void
+keep_list(WsCore *core)
+{
+  WsFleet *fleet = core->fleet;
+  if (fleet->listing || core->now < fleet->list_ms || !ws_rate_take(&fleet->rate, 1.0, core->now))
+    return;
+  fleet->listing = TRUE;
+  g_autofree char *path = fleet->list_after == NULL
+                              ? g_strdup("/machines?page=500")
+                              : g_strdup_printf("/machines?from=%s&page=500", fleet->list_after);
+  ws_call(core, "GET", core->settings->cloud_addr, path, NULL, 4000, on_list, NULL);
+}
+
+/* Returns, and the end of marks. */
+
+static void
+on_cleared(WsCore *core, WsTxnResult result, gpointer data)
+{
+  WsMachine *machine = ws_book_machine(core->book, GPOINTER_TO_UINT(data));
+  machine->marking = FALSE;
+  if (result == WS_TXN_OK)
+    g_info("machine %s is returned and its mark cleared", machine->name);
+}
+
+static void
+clear_mark(WsCore *core, WsMachine *machine)
+{
+  if (machine->marking)
+    return;
+  machine->marking = TRUE;
+  g_autofree char *mark = ws_key(WS_KEYS_MARK, machine->name);
+  g_autofree char *record = ws_key(WS_KEYS_MACHINE, machine->name);
+  WsTxn *txn = ws_txn_new();
+  ws_txn_if(txn, core->book, WS_KEY_EPOCH);
+  ws_txn_remove(txn, mark);
+  ws_txn_remove(txn, record);
+  ws_txn_commit(core, txn, WS_FIRST_REST, on_cleared, GUINT_TO_POINTER(machine->index));
+}
+
+/* A machine that the cloud has taken back is gone with everything on it. */
+static void
+finish_return(WsCore *core, WsMachine *machine)
+{
+  for (guint i = 0; i < machine->tasks->len; i++) {
+    const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, i);
+    WsJob *job = ws_book_job(core->book, ref->job);
+    const WsAssignment *a = ws_job_assignment(job, ref->task);
+    if (a != NULL)
+      ws_assign_release(core, job, a, FALSE);
+  }
+  if (machine->tasks->len == 0)
+    clear_mark(core, machine);
+}
+
+static void
+on_returned(WsCore *core, guint status, const json_t *body, gpointer data)
+{
+  (void)body;
+  GPtrArray *names = data;
+  WsFleet *fleet = core->fleet;
+  fleet->returning = FALSE;
+  if (status == 200) {
+    fleet->return_backoff_ms = 0;
+    for (guint i = 0; i < names->len; i++)
+      g_hash_table_add(fleet->gone, g_strdup(g_ptr_array_index(names, i)));
+  } else {
+    guint least = (guint)(core->properties->backoff_min_s * 1000.0);
+    guint most = (guint)(core->properties->backoff_max_s * 1000.0);
+    fleet->return_backoff_ms = CLAMP(fleet->return_backoff_ms * 2, least, most);
+    fleet->return_ms = core->now + fleet->return_backoff_ms;
+    g_info("the cloud took no return (status %u): again in %u ms", status,
+           fleet->return_backoff_ms);
+  }
+  g_ptr_array_unref(names);
+}
+
+static void
+keep_returns(WsCore *core)
+{
+  WsFleet *fleet = core->fleet;
+  GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+  for (guint i = 0; i < core->book->machines->len; i++) {
+    WsMachine *machine = ws_book_machine(core->book, i);
+    if (!machine->marked)
+      continue;
+    if (ws_fleet_gone(core, machine->name))
+      finish_return(core, machine);
+    else if ((machine->mark_now || machine->tasks->len == 0) && names->len < 100)
+      g_ptr_array_add(names, g_strdup(machine->name));
+  }
+  if (names->len == 0 || fleet->returning || core->now < fleet->return_ms
+      || !ws_rate_take(&fleet->rate, 1.0, core->now)) {
+    g_ptr_array_unref(names);
+    return;
+  }
+  fleet->returning = TRUE;
+  ws_call(core, "POST", core->settings->cloud_addr, "/machines/return", ws_return_encode(names),
+          4000, on_returned, names);
+}
+
+/* A machine that doesn't come up is charged all the same. */
+static void
+keep_boots(WsCore *core)
+{
+  for (guint i = 0; i < core->book->machines->len; i++) {
+    WsMachine *machine = ws_book_machine(core->book, i);
+    if (!machine->stored || machine->marked || machine->heard_ms > 0 || machine->type == WS_NONE
+        || machine->tasks->len > 0 || core->now - core->epoch_ms < 10000)
+      continue;
+    double boot_s = ws_book_type(core->book, machine->type)->boot_s;
+    if ((double)(core->wall - machine->at_ms) / 1000.0 > BOOT_PATIENCE * boot_s + 5.0)
+      ws_giveback_mark(core, machine, "never up", TRUE);
+  }
+}
+
+void
+ws_fleet_tick(WsCore *core)
+{
+  if (!ws_is_leader(core) || !ws_store_ok(core))
+    return;
+  keep_returns(core);
+  keep_catalog(core);
+  for (guint i = 0; i < core->book->rents->len; i++)
+    send_rent(core, g_ptr_array_index(core->book->rents, i));
+  keep_list(core);
+  if (core->book->catalog != NULL)
+    keep_boots(core);
+}
--- /dev/null
+++ b/src/core/ws-giveback.c
@@ -0,0 +1,151 @@
+/* Giving machines back: hold, mark, close, drain, return, clear.
+
+   The owner elects a machine that was empty for the hold and, if the budget allows it, writes the
+   mark; from then on the machine is closed. The leader returns what is marked and empty (see
+   ws-fleet.c) and clears the mark once the cloud has confirmed. Marks outlive every controller, so
+   whoever leads goes on with them. */
+#include "core/ws-core-private.h"
+
+#include <string.h>
+
+static const WsBudget *
+budget_for(const WsCore *core, const WsMachine *machine)
+{
+  for (guint i = 0; i < core->properties->budgets->len; i++) {
+    const WsBudget *budget = g_ptr_array_index(core->properties->budgets, i);
+    if (g_strcmp0(budget->type, machine->type_name) == 0
+        && ws_book_find_zone(core->book, budget->zone) == machine->zone)
+      return budget;
+  }
+  return NULL;
+}
+
+/* Silent and marked machines are unavailable. */
+static gboolean
+budget_allows(const WsCore *core, const WsMachine *machine)
+{
+  const WsBudget *budget = budget_for(core, machine);
+  guint total = 0, unavailable = 0;
+  if (budget == NULL)
+    return TRUE;
+  for (guint i = 0; i < core->book->machines->len; i++) {
+    const WsMachine *other = ws_book_machine(core->book, i);
+    if (!other->stored || other->zone != machine->zone
+        || g_strcmp0(other->type_name, machine->type_name) != 0)
+      continue;
+    total++;
+    unavailable += other->marked || other->marking || !ws_machine_up(core, other) ? 1 : 0;
+  }
+  return unavailable + 1 <= ws_budget_allowed(budget, total);
+}
+
+/* A cut makes every machine of the zone unavailable; nothing is given back there until it heals. */
+static gboolean
+zone_is_whole(const WsCore *core, guint zone)
+{
+  for (guint n = 0; n < core->settings->nodes->len; n++) {
+    const char *name = ws_settings_node(core->settings, n)->zone;
+    if (ws_book_find_zone(core->book, name) == zone && ws_epoch_has_node(&core->book->epoch, n)
+        && !ws_mesh_reaches(core, n))
+      return FALSE;
+  }
+  return TRUE;
+}
+
+typedef struct {
+  guint machine;
+  char *why;
+} Marking;
+
+static void
+on_marked(WsCore *core, WsTxnResult result, gpointer data)
+{
+  Marking *marking = data;
+  WsMachine *machine = ws_book_machine(core->book, marking->machine);
+  machine->marking = FALSE;
+  core->plan_due = TRUE;
+  if (result == WS_TXN_OK)
+    g_info("machine %s is marked: %s", machine->name, marking->why);
+  g_free(marking->why);
+  g_free(marking);
+}
+
+void
+ws_giveback_mark(WsCore *core, WsMachine *machine, const char *why, gboolean now)
+{
+  if (machine->marking || (machine->marked && (!now || machine->mark_now)) || !ws_store_ok(core))
+    return;
+  machine->marking = TRUE;
+  Marking *marking = g_new0(Marking, 1);
+  *marking = (Marking){ machine->index, g_strdup(why) };
+  g_autofree char *key = ws_key(WS_KEYS_MARK, machine->name);
+  g_autofree char *record = ws_key(WS_KEYS_MACHINE, machine->name);
+  WsTxn *txn = ws_txn_new();
+  ws_txn_if(txn, core->book, WS_KEY_EPOCH);
+  ws_txn_if(txn, core->book, key);
+  ws_txn_if(txn, core->book, record);
+  ws_txn_set(txn, key, ws_mark_encode(why, now));
+  ws_txn_commit(core, txn, WS_FIRST_REST, on_marked, marking);
+}
+
+/* Stops go one at a time per service, and back off while one of its tasks is down already. */
+gboolean
+ws_giveback_may_stop(WsCore *core, WsMachine *machine, WsJob *job, const WsAssignment *assignment)
+{
+  if (job->spec->kind != WS_KIND_SERVICE || assignment->state < WS_TASK_RUNNING)
+    return TRUE;
+  if (core->now < machine->stop_after_ms)
+    return FALSE;
+  guint down = job->tasks - job->on_count;
+  if (down == 0) {
+    machine->stop_backoff_ms = 0;
+    machine->stop_after_ms = core->now + (gint64)(core->properties->backoff_min_s * 1000.0);
+    return TRUE;
+  }
+  guint least = (guint)(core->properties->backoff_min_s * 1000.0);
+  guint most = (guint)(core->properties->backoff_max_s * 1000.0);
+  machine->stop_backoff_ms = CLAMP(machine->stop_backoff_ms * 2, least, most);
+  machine->stop_after_ms = core->now + machine->stop_backoff_ms;
+  g_debug("the stop of a task of %s on %s backs off for %u ms", job->id, machine->name,
+          machine->stop_backoff_ms);
+  return FALSE;
+}
+
+static void
+elect(WsCore *core, WsMachine *machine)
+{
+  if (machine->tasks->len > 0 || !ws_machine_up(core, machine)) {
+    machine->empty_ms = 0;
+    return;
+  }
+  if (machine->empty_ms == 0)
+    machine->empty_ms = core->now;
+  if (core->now - machine->empty_ms < (gint64)(core->properties->hold_s * 1000.0))
+    return;
+  if (!zone_is_whole(core, machine->zone) || !budget_allows(core, machine)) {
+    g_debug("machine %s is idle, but its budget or its zone allows no give-back", machine->name);
+    return;
+  }
+  ws_giveback_mark(core, machine, "idle", FALSE);
+}
+
+static void
+tend(WsCore *core, WsMachine *machine)
+{
+  if (machine->notice_ms > 0 && !machine->marked)
+    ws_giveback_mark(core, machine, "notice", FALSE);
+  else if (machine->bad_jobs >= 2 && !machine->marked)
+    ws_giveback_mark(core, machine, "faulty", FALSE);
+  else if (!machine->marked)
+    elect(core, machine);
+}
+
+void
+ws_giveback_tick(WsCore *core)
+{
+  for (guint i = 0; i < core->book->machines->len; i++) {
+    WsMachine *machine = ws_book_machine(core->book, i);
+    if (machine->stored && ws_owns(core, machine))
+      tend(core, machine);
+  }
+}
--- /dev/null
+++ b/src/core/ws-members.c
@@ -0,0 +1,194 @@
+/* This node's lease, the election, and the epochs that the leader writes. */
+#include "core/ws-core-private.h"
+
+#include "protocol/ws-words.h"
+
+#define LEASE_MS 4000
+#define RENEW_MS 900
+#define EPOCH_PAUSE_MS 400
+#define FORCED_EPOCH_PAUSE_MS 10000
+
+struct _WsMembers {
+  guint64 lease; /* 0: none */
+  gboolean is_listed; /* the member key is written under this lease */
+  gboolean asking;
+  gint64 next_ms;
+  gboolean electing;
+  gboolean writing_epoch;
+  gint64 epoch_next_ms;
+  gint64 forced_next_ms;
+};
+
+WsMembers *
+ws_members_new(void)
+{
+  return g_new0(WsMembers, 1);
+}
+
+void
+ws_members_free(WsMembers *members)
+{
+  g_free(members);
+}
+
+static json_t *
+identity(const WsCore *core, gboolean with_name)
+{
+  json_t *value = json_pack("{s:I}", "incarnation", (json_int_t)core->incarnation);
+  if (with_name)
+    json_object_set_new(
+        value, "node",
+        json_string(ws_settings_node(core->settings, core->settings->self)->name));
+  return value;
+}
+
+static void
+lose_lease(WsCore *core)
+{
+  WsMembers *members = core->members;
+  if (members->lease != 0)
+    g_info("this node's lease has ended");
+  members->lease = 0;
+  members->is_listed = FALSE;
+}
+
+static void
+on_lease(WsCore *core, guint status, const json_t *body, gpointer data)
+{
+  (void)data;
+  WsMembers *members = core->members;
+  members->asking = FALSE;
+  members->next_ms = core->now + 200;
+  if (status == 200 && ws_json_count(body, W_LEASE, &members->lease))
+    members->next_ms = core->now;
+}
+
+static void
+on_listed(WsCore *core, WsTxnResult result, gpointer data)
+{
+  (void)data;
+  WsMembers *members = core->members;
+  members->asking = FALSE;
+  members->is_listed = result == WS_TXN_OK;
+  members->next_ms = core->now + (members->is_listed ? RENEW_MS : 200);
+  if (result == WS_TXN_REFUSED)
+    lose_lease(core);
+}
+
+static void
+on_renewed(WsCore *core, guint status, const json_t *body, gpointer data)
+{
+  (void)body;
+  (void)data;
+  WsMembers *members = core->members;
+  members->asking = FALSE;
+  members->next_ms = core->now + (status == 200 ? RENEW_MS : 300);
+  if (status == 404)
+    lose_lease(core);
+}
+
+static void
+keep_lease(WsCore *core)
+{
+  WsMembers *members = core->members;
+  if (members->asking || core->now < members->next_ms)
+    return;
+  members->asking = TRUE;
+  if (members->lease == 0) {
+    ws_store_call(core, WS_FIRST_LEASE, "POST", "/holds", json_pack("{s:i}", "ttl_ms", LEASE_MS), 0,
+                  1000, on_lease, NULL);
+  } else if (!members->is_listed) {
+    WsTxn *txn = ws_txn_new();
+    g_autofree char *key = ws_key(
+        WS_KEYS_MEMBER, ws_settings_node(core->settings, core->settings->self)->name);
+    ws_txn_set_leased(txn, key, identity(core, FALSE), members->lease);
+    ws_txn_commit(core, txn, WS_FIRST_LEASE, on_listed, NULL);
+  } else {
+    g_autofree char *path
+        = g_strdup_printf("/holds/%" G_GUINT64_FORMAT "/renew", members->lease);
+    ws_store_call(core, WS_FIRST_LEASE, "POST", path, NULL, 0, 800, on_renewed, NULL);
+  }
+}
+
+static gboolean
+holds_leader_key(const WsCore *core)
+{
+  return core->book->leader_node == core->settings->self
+         && core->book->leader_incarnation == core->incarnation;
+}
+
+static void
+on_elected(WsCore *core, WsTxnResult result, gpointer data)
+{
+  (void)data;
+  core->members->electing = FALSE;
+  if (result == WS_TXN_OK)
+    g_info("elected leader");
+  else if (result == WS_TXN_REFUSED)
+    core->members->next_ms = core->now;
+}
+
+/* An old incarnation of this node may still hold the key until its lease runs out: its place is
+   taken at once, since one name never runs twice. */
+static void
+stand_for_leader(WsCore *core)
+{
+  WsMembers *members = core->members;
+  if (!members->is_listed || members->electing || holds_leader_key(core))
+    return;
+  if (core->book->leader_node != WS_NONE && core->book->leader_node != core->settings->self)
+    return;
+  members->electing = TRUE;
+  WsTxn *txn = ws_txn_new();
+  ws_txn_if(txn, core->book, WS_KEY_LEADER);
+  ws_txn_set_leased(txn, WS_KEY_LEADER, identity(core, TRUE), members->lease);
+  ws_txn_commit(core, txn, WS_FIRST_LEASE, on_elected, NULL);
+}
+
+static void
+on_epoch(WsCore *core, WsTxnResult result, gpointer data)
+{
+  (void)data;
+  core->members->writing_epoch = FALSE;
+  core->members->epoch_next_ms = core->now + (result == WS_TXN_OK ? EPOCH_PAUSE_MS : 200);
+}
+
+static gboolean
+forced(WsCore *core)
+{
+  if (!core->wants_epoch || core->now < core->members->forced_next_ms)
+    return FALSE;
+  core->members->forced_next_ms = core->now + FORCED_EPOCH_PAUSE_MS;
+  g_info("a higher token is needed to end a doubt");
+  return TRUE;
+}
+
+static void
+keep_epoch(WsCore *core)
+{
+  WsMembers *members = core->members;
+  const WsEpoch *epoch = &core->book->epoch;
+  if (!holds_leader_key(core) || members->writing_epoch || core->now < members->epoch_next_ms
+      || core->book->members->len == 0)
+    return;
+  if (epoch->number > 0 && epoch->leader == core->settings->self
+      && ws_epoch_same_members(epoch, core->book->members) && !forced(core))
+    return;
+  members->writing_epoch = TRUE;
+  WsEpoch next = { epoch->number + 1, core->settings->self, core->book->members };
+  WsTxn *txn = ws_txn_new();
+  ws_txn_if(txn, core->book, WS_KEY_EPOCH);
+  ws_txn_if(txn, core->book, WS_KEY_LEADER);
+  ws_txn_set(txn, WS_KEY_EPOCH, ws_epoch_encode(&next, core->settings));
+  ws_txn_commit(core, txn, WS_FIRST_LEASE, on_epoch, NULL);
+}
+
+void
+ws_members_tick(WsCore *core)
+{
+  keep_lease(core);
+  if (!ws_store_loaded(core))
+    return;
+  stand_for_leader(core);
+  keep_epoch(core);
+}
--- /dev/null
+++ b/src/core/ws-preempt.c
@@ -0,0 +1,83 @@
+/* Which tasks may be stopped to make room, and which are cheapest to stop. */
+#include "core/ws-core-private.h"
+
+static gboolean
+beyond_guarantee(const WsCore *core, const WsJob *victim)
+{
+  const WsTeamSettings *team = g_ptr_array_index(core->settings->teams, victim->team);
+  WsAmount use = core->book->team_use[victim->team];
+  ws_amount_add(&use, &victim->spec->need, -1);
+  return (team->guarantee.gpus > 0 && use.gpus >= team->guarantee.gpus)
+         || (team->guarantee.cpus > 0 && use.cpus >= team->guarantee.cpus)
+         || (team->guarantee.gpus == 0 && team->guarantee.cpus == 0);
+}
+
+gboolean
+ws_preempt_allowed(const WsCore *core, const WsJob *job, gboolean guaranteed, const WsJob *victim)
+{
+  /* A service's task is never worth stopping for an array's. */
+  if (victim->state != WS_JOB_ACTIVE || victim->spec->kind == WS_KIND_SERVICE)
+    return FALSE;
+  if (job->spec->priority < victim->spec->priority)
+    return TRUE;
+  return guaranteed && job->team != victim->team && beyond_guarantee(core, victim);
+}
+
+/* The cheapest task on the machine that may be stopped and is not yet: the youngest one. */
+static WsAssignment *
+cheapest(const WsCore *core, const WsJob *job, gboolean guaranteed, const WsMachine *machine,
+         gint64 younger_than_ms, WsJob **owner)
+{
+  WsAssignment *best = NULL;
+  for (guint i = 0; i < machine->tasks->len; i++) {
+    const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, i);
+    WsJob *victim = ws_book_job(core->book, ref->job);
+    WsAssignment *a = ws_job_assignment(victim, ref->task);
+    if (a == NULL || a->stopping || a->at_ms >= younger_than_ms
+        || !ws_preempt_allowed(core, job, guaranteed, victim))
+      continue;
+    if (best == NULL || a->at_ms > best->at_ms) {
+      best = a;
+      *owner = victim;
+    }
+  }
+  return best;
+}
+
+double
+ws_preempt_cost(const WsCore *core, const WsJob *job, gboolean guaranteed, const WsMachine *machine,
+                const WsSlot *slot)
+{
+  WsAmount room = slot->free;
+  double cost = 0.0;
+  gint64 younger_than_ms = G_MAXINT64;
+  ws_amount_add(&room, &slot->coming, 1);
+  while (!ws_amount_fits(&job->spec->need, &room)) {
+    WsJob *victim = NULL;
+    const WsAssignment *a = cheapest(core, job, guaranteed, machine, younger_than_ms, &victim);
+    if (a == NULL)
+      return -1.0;
+    younger_than_ms = a->at_ms;
+    ws_amount_add(&room, &victim->spec->need, 1);
+    cost += 5.0 + (double)(core->wall - a->at_ms) / 1000.0;
+  }
+  return cost;
+}
+
+void
+ws_preempt(WsCore *core, const WsJob *job, gboolean guaranteed, WsMachine *machine, WsSlot *slot)
+{
+  WsAmount room = slot->free;
+  ws_amount_add(&room, &slot->coming, 1);
+  while (!ws_amount_fits(&job->spec->need, &room)) {
+    WsJob *victim = NULL;
+    WsAssignment *a = cheapest(core, job, guaranteed, machine, G_MAXINT64, &victim);
+    if (a == NULL)
+      return;
+    a->stopping = TRUE;
+    ws_amount_add(&room, &victim->spec->need, 1);
+    ws_amount_add(&slot->coming, &victim->spec->need, 1);
+    if (ws_owns(core, machine))
+      ws_workers_halt_now(core, victim, a);
+  }
+}
--- /dev/null
+++ b/src/core/ws-store.c
@@ -0,0 +1,395 @@
+/* The state service: paced calls, the replica's watch, and reads that are known to be current. */
+#include "core/ws-core-private.h"
+
+#include "protocol/ws-words.h"
+
+#define LONG_WAIT_MS 8000
+#define GIVE_UP_MS 1500
+
+typedef struct {
+  const char *method;
+  char *path;
+  json_t *body;
+  guint writes;
+  guint timeout_ms;
+  WsReply reply;
+  gpointer data;
+} Queued;
+
+typedef struct {
+  WsReadDone done;
+  gpointer data;
+  gint64 asked_ms;
+  guint64 revision; /* to wait for */
+} Read;
+
+struct _WsStore {
+  GQueue queues[WS_FIRST_LEVELS];
+  WsRate requests;
+  WsRate writes;
+  gint64 watch_pause_ms;
+  gint64 watch_opened_ms;
+  gint64 watch_retry_ms;
+  gboolean watching;
+  gboolean loaded;
+  gboolean loading;
+  gint64 load_retry_ms;
+  guint64 load_revision; /* of the first page */
+  GHashTable *load_keys;
+  char *load_last;
+  gint64 good_ms;  /* last useful answer */
+  gint64 bad_ms;   /* since when there are only bad ones; 0: not so */
+  GArray *asked;   /* of Read: not yet sent */
+  GArray *sent;    /* of Read: the read is on its way */
+  GArray *waiting; /* of Read: the replica must reach a revision */
+  gboolean reading;
+};
+
+WsStore *
+ws_store_new(const WsSettings *settings)
+{
+  WsStore *store = g_new0(WsStore, 1);
+  double share = 0.9 / settings->nodes->len;
+  double requests = settings->state_rps * share, writes = settings->state_write_rps * share;
+  ws_rate_init(&store->requests, requests, requests);
+  ws_rate_init(&store->writes, writes, MAX(writes, (double)settings->state_txn_ops));
+  /* Changes gather while the watch is closed: it takes at most a third of this node's requests. */
+  store->watch_pause_ms = (gint64)(3000.0 / requests);
+  store->asked = g_array_new(FALSE, FALSE, sizeof(Read));
+  store->sent = g_array_new(FALSE, FALSE, sizeof(Read));
+  store->waiting = g_array_new(FALSE, FALSE, sizeof(Read));
+  return store;
+}
+
+static void
+queued_free(gpointer data)
+{
+  Queued *queued = data;
+  g_free(queued->path);
+  json_decref(queued->body);
+  g_free(queued);
+}
+
+void
+ws_store_free(WsStore *store)
+{
+  for (guint i = 0; i < WS_FIRST_LEVELS; i++)
+    g_queue_clear_full(&store->queues[i], queued_free);
+  g_array_unref(store->asked);
+  g_array_unref(store->sent);
+  g_array_unref(store->waiting);
+  g_clear_pointer(&store->load_keys, g_hash_table_unref);
+  g_free(store->load_last);
+  g_free(store);
+}
+
+gboolean
+ws_store_loaded(const WsCore *core)
+{
+  return core->store->loaded;
+}
+
+/* Good until nothing but bad answers, or none, came for a while. */
+gboolean
+ws_store_ok(const WsCore *core)
+{
+  return core->store->bad_ms == 0 || core->now - core->store->bad_ms < 700;
+}
+
+void
+ws_store_call(WsCore *core, WsFirst first, const char *method, const char *path, json_t *body,
+              guint writes, guint timeout_ms, WsReply reply, gpointer data)
+{
+  Queued *queued = g_new0(Queued, 1);
+  *queued = (Queued){ method, g_strdup(path), body, writes, timeout_ms, reply, data };
+  g_queue_push_tail(&core->store->queues[first], queued);
+}
+
+typedef struct {
+  WsReply reply;
+  gpointer data;
+} Passed;
+
+static void
+note_health(WsCore *core, guint status)
+{
+  WsStore *store = core->store;
+  if (status == 200 || status == 404 || status == 409 || status == 410) {
+    store->good_ms = core->now;
+    store->bad_ms = 0;
+  } else if (status != 429 && status != 400 && store->bad_ms == 0) {
+    store->bad_ms = core->now;
+  }
+}
+
+static void
+on_reply(WsCore *core, guint status, const json_t *body, gpointer data)
+{
+  Passed *passed = data;
+  note_health(core, status);
+  passed->reply(core, status, body, passed->data);
+  g_free(passed);
+}
+
+static void
+send(WsCore *core, Queued *queued)
+{
+  Passed *passed = g_new0(Passed, 1);
+  *passed = (Passed){ queued->reply, queued->data };
+  ws_call(core, queued->method, core->settings->state_addr, queued->path,
+          g_steal_pointer(&queued->body), queued->timeout_ms, on_reply, passed);
+  queued_free(queued);
+}
+
+/* Reads that are known to be current. */
+
+void
+ws_store_read(WsCore *core, WsReadDone done, gpointer data)
+{
+  Read read = { done, data, core->now, 0 };
+  g_array_append_val(core->store->asked, read);
+}
+
+static void
+finish(WsCore *core, GArray *reads, gboolean current)
+{
+  for (guint i = 0; i < reads->len; i++) {
+    const Read *read = &g_array_index(reads, Read, i);
+    read->done(core, current, read->data);
+  }
+  g_array_unref(reads);
+}
+
+static GArray *
+take(GArray **reads)
+{
+  GArray *taken = *reads;
+  *reads = g_array_new(FALSE, FALSE, sizeof(Read));
+  return taken;
+}
+
+static void
+finish_reached(WsCore *core)
+{
+  GArray *reached = g_array_new(FALSE, FALSE, sizeof(Read));
+  GArray *late = g_array_new(FALSE, FALSE, sizeof(Read));
+  GArray *waiting = core->store->waiting;
+  for (guint i = waiting->len; i-- > 0;) {
+    Read read = g_array_index(waiting, Read, i);
+    gboolean is_reached = read.revision <= core->book->revision;
+    if (!is_reached && core->now - read.asked_ms <= GIVE_UP_MS)
+      continue;
+    if (is_reached)
+      g_array_append_val(reached, read);
+    else
+      g_array_append_val(late, read);
+    g_array_remove_index(waiting, i);
+  }
+  finish(core, reached, TRUE);
+  finish(core, late, FALSE);
+}
+
+static void
+on_read(WsCore *core, guint status, const json_t *body, gpointer data)
+{
+  (void)data;
+  WsStore *store = core->store;
+  guint64 revision;
+  store->reading = FALSE;
+  if (status != 200 || !ws_json_count(body, W_REVISION, &revision)) {
+    finish(core, take(&store->sent), FALSE);
+    return;
+  }
+  for (guint i = 0; i < store->sent->len; i++) {
+    Read read = g_array_index(store->sent, Read, i);
+    read.revision = revision;
+    g_array_append_val(store->waiting, read);
+  }
+  g_array_set_size(store->sent, 0);
+  finish_reached(core);
+}
+
+/* One read serves everybody who asked before it was sent. */
+static void
+read_tick(WsCore *core)
+{
+  WsStore *store = core->store;
+  if (store->asked->len == 0 || store->reading)
+    return;
+  if (!store->loaded || !ws_store_ok(core)) {
+    finish(core, take(&store->asked), FALSE);
+    return;
+  }
+  store->reading = TRUE;
+  g_array_append_vals(store->sent, store->asked->data, store->asked->len);
+  g_array_set_size(store->asked, 0);
+  ws_store_call(core, WS_FIRST_READ, "GET", "/kv?starts=" WS_PREFIX "~&page=1", NULL, 0, 800,
+                on_read, NULL);
+}
+
+/* The replica. */
+
+static void
+fail_load(WsCore *core)
+{
+  core->store->loading = FALSE;
+  core->store->load_retry_ms = core->now + 300;
+}
+
+static void load_page(WsCore *core);
+
+static void
+finish_load(WsCore *core)
+{
+  WsStore *store = core->store;
+  ws_book_forget_missing(core->book, store->load_keys, store->load_revision);
+  ws_book_advance(core->book, store->load_revision);
+  store->loading = FALSE;
+  store->loaded = TRUE;
+  core->plan_due = TRUE;
+  g_info("state read: revision %" G_GUINT64_FORMAT ", %u jobs open, %u machines",
+         store->load_revision, core->book->active->len, core->book->machines->len);
+}
+
+static void
+on_page(WsCore *core, guint status, const json_t *body, gpointer data)
+{
+  (void)data;
+  WsStore *store = core->store;
+  guint64 revision;
+  gboolean more;
+  size_t i;
+  const json_t *item;
+  const json_t *items = json_object_get(body, "pairs");
+  if (status != 200 || !ws_json_count(body, W_REVISION, &revision)
+      || !ws_json_bool(body, "more", &more) || !json_is_array(items)) {
+    fail_load(core);
+    return;
+  }
+  if (store->load_last == NULL)
+    store->load_revision = revision;
+  json_array_foreach(items, i, item)
+  {
+    const char *key;
+    guint64 version;
+    if (!ws_json_string(item, "k", &key) || !ws_json_count(item, W_VERSION, &version))
+      continue;
+    ws_book_apply(core->book, key, json_object_get(item, "value"), version);
+    g_hash_table_add(store->load_keys, g_strdup(key));
+    g_free(store->load_last);
+    store->load_last = g_strdup(key);
+  }
+  if (more && json_array_size(items) > 0)
+    load_page(core);
+  else
+    finish_load(core);
+}
+
+static void
+load_page(WsCore *core)
+{
+  g_autofree char *path
+      = core->store->load_last == NULL
+            ? g_strdup("/kv?starts=" WS_PREFIX "&page=1000")
+            : g_strdup_printf("/kv?starts=" WS_PREFIX "&from=%s&page=1000", core->store->load_last);
+  ws_store_call(core, WS_FIRST_READ, "GET", path, NULL, 0, 3000, on_page, NULL);
+}
+
+static void
+start_load(WsCore *core)
+{
+  WsStore *store = core->store;
+  store->loading = TRUE;
+  g_clear_pointer(&store->load_last, g_free);
+  g_clear_pointer(&store->load_keys, g_hash_table_unref);
+  store->load_keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+  load_page(core);
+}
+
+static void
+apply_event(WsCore *core, const json_t *event)
+{
+  const char *key;
+  guint64 version;
+  if (!ws_json_count(event, W_VERSION, &version))
+    return;
+  if (ws_json_string(event, "set", &key))
+    ws_book_apply(core->book, key, json_object_get(event, "value"), version);
+  else if (ws_json_string(event, "remove", &key))
+    ws_book_apply(core->book, key, NULL, version);
+  core->plan_due = TRUE;
+}
+
+static void
+on_watch(WsCore *core, guint status, const json_t *body, gpointer data)
+{
+  (void)data;
+  WsStore *store = core->store;
+  guint64 revision;
+  store->watching = FALSE;
+  if (status == 410) {
+    g_info("the watch is too far behind: reading the state again");
+    store->loaded = FALSE;
+    return;
+  }
+  if (status != 200 || !ws_json_count(body, W_REVISION, &revision)) {
+    store->watch_retry_ms = core->now + 300;
+    return;
+  }
+  size_t i;
+  const json_t *event;
+  json_array_foreach(json_object_get(body, "log"), i, event) apply_event(core, event);
+  ws_book_advance(core->book, revision);
+  finish_reached(core);
+}
+
+static void
+watch_tick(WsCore *core)
+{
+  WsStore *store = core->store;
+  if (store->watching || !store->loaded || core->now < store->watch_retry_ms)
+    return;
+  if (store->waiting->len == 0 && core->now < store->watch_opened_ms + store->watch_pause_ms)
+    return;
+  store->watching = TRUE;
+  store->watch_opened_ms = core->now;
+  g_autofree char *path
+      = g_strdup_printf("/follow?starts=" WS_PREFIX "&from=%" G_GUINT64_FORMAT "&wait_ms=%d",
+                        core->book->revision, LONG_WAIT_MS);
+  ws_store_call(core, WS_FIRST_READ, "GET", path, NULL, 0, LONG_WAIT_MS + 2000, on_watch, NULL);
+}
+
+/* Strictly by urgency: a write that waits for its budget also holds back what is less urgent. */
+static void
+send_queued(WsCore *core)
+{
+  WsStore *store = core->store;
+  for (guint i = 0; i < WS_FIRST_LEVELS; i++) {
+    Queued *queued;
+    while ((queued = g_queue_peek_head(&store->queues[i])) != NULL) {
+      if (!ws_rate_ready(&store->requests, 1.0, core->now)
+          || !ws_rate_ready(&store->writes, queued->writes, core->now))
+        return;
+      ws_rate_take(&store->requests, 1.0, core->now);
+      ws_rate_take(&store->writes, queued->writes, core->now);
+      send(core, g_queue_pop_head(&store->queues[i]));
+    }
+  }
+}
+
+void
+ws_store_pump(WsCore *core)
+{
+  read_tick(core);
+  watch_tick(core);
+  send_queued(core);
+}
+
+void
+ws_store_tick(WsCore *core)
+{
+  WsStore *store = core->store;
+  if (!store->loaded && !store->loading && !store->watching && core->now >= store->load_retry_ms)
+    start_load(core);
+  finish_reached(core);
+}
--- /dev/null
+++ b/src/core/ws-txn.c
@@ -0,0 +1,110 @@
+#include "core/ws-core-private.h"
+
+#include "protocol/ws-words.h"
+
+struct _WsTxn {
+  json_t *conditions;
+  json_t *changes;
+  WsTxnDone done;
+  gpointer data;
+};
+
+WsTxn *
+ws_txn_new(void)
+{
+  WsTxn *txn = g_new0(WsTxn, 1);
+  txn->conditions = json_array();
+  txn->changes = json_array();
+  return txn;
+}
+
+void
+ws_txn_free(WsTxn *txn)
+{
+  json_decref(txn->conditions);
+  json_decref(txn->changes);
+  g_free(txn);
+}
+
+void
+ws_txn_if_version(WsTxn *txn, const char *key, guint64 version)
+{
+  json_array_append_new(txn->conditions,
+                        json_pack("{s:s, s:I}", "k", key, W_VERSION, (json_int_t)version));
+}
+
+void
+ws_txn_if(WsTxn *txn, const WsBook *book, const char *key)
+{
+  ws_txn_if_version(txn, key, ws_book_version(book, key));
+}
+
+void
+ws_txn_set(WsTxn *txn, const char *key, json_t *value)
+{
+  json_array_append_new(txn->changes, json_pack("{s:s, s:o}", "set", key, "value", value));
+}
+
+void
+ws_txn_set_leased(WsTxn *txn, const char *key, json_t *value, guint64 lease)
+{
+  json_array_append_new(txn->changes, json_pack("{s:s, s:o, s:I}", "set", key, "value", value,
+                                                W_LEASE, (json_int_t)lease));
+}
+
+void
+ws_txn_remove(WsTxn *txn, const char *key)
+{
+  json_array_append_new(txn->changes, json_pack("{s:s}", "remove", key));
+}
+
+guint
+ws_txn_ops(const WsTxn *txn)
+{
+  return (guint)json_array_size(txn->changes);
+}
+
+static void
+apply_changes(WsCore *core, const WsTxn *txn, guint64 revision)
+{
+  size_t i;
+  const json_t *change;
+  json_array_foreach(txn->changes, i, change)
+  {
+    const char *key;
+    if (ws_json_string(change, "set", &key))
+      ws_book_apply(core->book, key, json_object_get(change, "value"), revision);
+    else if (ws_json_string(change, "remove", &key))
+      ws_book_apply(core->book, key, NULL, revision);
+  }
+}
+
+static void
+on_reply(WsCore *core, guint status, const json_t *body, gpointer data)
+{
+  WsTxn *txn = data;
+  guint64 revision;
+  WsTxnResult result = WS_TXN_UNKNOWN;
+  if (status == 200 && ws_json_count(body, W_REVISION, &revision)) {
+    apply_changes(core, txn, revision);
+    result = WS_TXN_OK;
+  } else if (status == 409) {
+    result = WS_TXN_CONFLICT;
+  } else if (status == 400 || status == 429 || status == 503) {
+    result = WS_TXN_REFUSED;
+    if (status == 400)
+      g_warning("the state service calls a transaction malformed or its lease ended");
+  }
+  txn->done(core, result, txn->data);
+  ws_txn_free(txn);
+}
+
+void
+ws_txn_commit(WsCore *core, WsTxn *txn, WsFirst first, WsTxnDone done, gpointer data)
+{
+  txn->done = done;
+  txn->data = data;
+  json_t *message
+      = json_pack("{s:O, s:O}", "if", txn->conditions, "apply", txn->changes);
+  ws_store_call(core, first, "POST", "/multi", message, ws_txn_ops(txn), 1500, on_reply, txn);
+}
--- /dev/null
+++ b/src/core/ws-users.c
@@ -0,0 +1,305 @@
+/* Submissions, polls and withdrawals. Every one is answered at once or after one current read. */
+#include "core/ws-core-private.h"
+
+#include "protocol/ws-words.h"
+
+#include <string.h>
+
+#define JOBS_PATH "/api/jobs"
+#define MAX_BODY 65536
+#define TRIES 4
+
+typedef enum { ASK_SUBMIT, ASK_POLL, ASK_WITHDRAW } Ask;
+
+typedef struct {
+  Ask ask;
+  char *id;
+  WsSubmission *spec; /* of a submission */
+  gpointer request;
+  guint tries;
+} Visit;
+
+static void decide(WsCore *core, Visit *visit);
+
+static void
+visit_free(Visit *visit)
+{
+  g_free(visit->id);
+  ws_submission_free(visit->spec);
+  g_free(visit);
+}
+
+static void
+end(WsCore *core, Visit *visit, guint status, json_t *body)
+{
+  ws_answer(core, visit->request, status, body, 0);
+  visit_free(visit);
+}
+
+static void
+end_later(WsCore *core, Visit *visit)
+{
+  ws_answer_later(core, visit->request, ws_store_ok(core) ? 1 : 2);
+  visit_free(visit);
+}
+
+static void
+end_with_reason(WsCore *core, Visit *visit, guint status, const char *reason)
+{
+  ws_answer_reason(core, visit->request, status, reason);
+  visit_free(visit);
+}
+
+static void
+end_with_state(WsCore *core, Visit *visit, guint status, const WsJob *job)
+{
+  const char *state = job->state == WS_JOB_DONE        ? "done"
+                      : job->state == WS_JOB_CANCELLED ? "cancelled"
+                      : job->on_count > 0              ? "running"
+                                                       : "queued";
+  guint done = job->state == WS_JOB_DONE ? job->tasks : job->done_count;
+  json_t *body = json_pack("{s:s, s:s}", "id", job->id, W_STATE, state);
+  if (visit->ask == ASK_POLL) {
+    json_object_set_new(body, "done", json_integer(done));
+    json_object_set_new(body, "running", json_integer(job->on_count));
+  }
+  end(core, visit, status, body);
+}
+
+static void
+on_current(WsCore *core, gboolean current, gpointer data)
+{
+  Visit *visit = data;
+  if (current)
+    decide(core, visit);
+  else
+    end_later(core, visit);
+}
+
+/* Anything but a final state, and any "no", is answered from a replica brought up to date after
+   the request came in: another node may know better. */
+static void
+decide_from_current(WsCore *core, Visit *visit)
+{
+  const WsJob *job = ws_book_find_job(core->book, visit->id);
+  if (job != NULL && job->state != WS_JOB_ACTIVE)
+    decide(core, visit);
+  else
+    ws_store_read(core, on_current, visit);
+}
+
+static void
+try_again(WsCore *core, Visit *visit)
+{
+  if (++visit->tries >= TRIES)
+    end_later(core, visit);
+  else
+    ws_store_read(core, on_current, visit);
+}
+
+static void
+on_submitted(WsCore *core, WsTxnResult result, gpointer data)
+{
+  Visit *visit = data;
+  if (result == WS_TXN_CONFLICT) {
+    try_again(core, visit);
+  } else if (result == WS_TXN_OK) {
+    g_info("job %s accepted: %u tasks of %s for team %s", visit->id, visit->spec->tasks,
+           visit->spec->class_name, visit->spec->team);
+    core->plan_due = TRUE;
+    end(core, visit, 201, json_pack("{s:s, s:s}", "id", visit->id, W_STATE, "queued"));
+  } else {
+    end_later(core, visit);
+  }
+}
+
+static const WsTeamSettings *
+team_settings(const WsCore *core, guint team)
+{
+  return g_ptr_array_index(core->settings->teams, team);
+}
+
+static gboolean
+within_limit(const WsSubmission *spec, const WsTeamSettings *team)
+{
+  WsAmount need = { 0 };
+  ws_amount_add(&need, &spec->need, spec->kind == WS_KIND_SERVICE ? (gint64)spec->tasks : 1);
+  return (team->limit.cpus == 0 || need.cpus <= team->limit.cpus)
+         && (team->limit.gpus == 0 || need.gpus <= team->limit.gpus);
+}
+
+static gboolean
+fits_a_type(const WsCore *core, const WsSubmission *spec)
+{
+  for (guint t = 0; t < core->book->catalog->len; t++) {
+    const WsType *type = ws_book_type(core->book, t);
+    if (ws_type_allowed(spec, type) && ws_amount_fits(&spec->need, &type->room))
+      return TRUE;
+  }
+  return FALSE;
+}
+
+/* Why the job can never run, or NULL. */
+static const char *
+never_runs(const WsCore *core, const WsSubmission *spec)
+{
+  guint team = ws_book_find_team(core->book, spec->team);
+  if (team == WS_NONE)
+    return "unknown team";
+  if (spec->zone != NULL && ws_book_find_zone(core->book, spec->zone) == WS_NONE)
+    return "unknown zone";
+  if (!fits_a_type(core, spec))
+    return "a task fits no allowed machine type";
+  if (!within_limit(spec, team_settings(core, team)))
+    return "needs more than the team's limit";
+  return NULL;
+}
+
+static void
+accept(WsCore *core, Visit *visit)
+{
+  WsJob job = { .id = visit->id, .spec = visit->spec, .at_ms = core->wall };
+  guint home = ws_plan_home(core, visit->spec);
+  const char *name = home == WS_NONE ? "" : ws_settings_node(core->settings, home)->name;
+  g_autofree char *key = ws_key_job(visit->id);
+  WsTxn *txn = ws_txn_new();
+  ws_txn_if_version(txn, key, 0);
+  ws_txn_set(txn, key, ws_job_encode(&job, WS_JOB_ACTIVE, name));
+  ws_txn_commit(core, txn, WS_FIRST_USER, on_submitted, visit);
+}
+
+static void
+decide_submission(WsCore *core, Visit *visit)
+{
+  const WsJob *job = ws_book_find_job(core->book, visit->id);
+  if (job != NULL) {
+    end_with_state(core, visit, 200, job);
+    return;
+  }
+  if (core->book->catalog == NULL) {
+    end_later(core, visit);
+    return;
+  }
+  const char *reason = never_runs(core, visit->spec);
+  if (reason != NULL)
+    end_with_reason(core, visit, 422, reason);
+  else
+    accept(core, visit);
+}
+
+static void
+on_withdrawn(WsCore *core, WsTxnResult result, gpointer data)
+{
+  Visit *visit = data;
+  if (result == WS_TXN_CONFLICT) {
+    try_again(core, visit);
+    return;
+  }
+  if (result != WS_TXN_OK) {
+    end_later(core, visit);
+    return;
+  }
+  WsJob *job = ws_book_find_job(core->book, visit->id);
+  g_info("job %s cancelled", visit->id);
+  ws_workers_cancelled(core, job);
+  end_with_state(core, visit, 200, job);
+}
+
+/* A job on which nothing was ever placed shrinks at once; its first chunk is a condition too, for
+   an assignment doesn't change the job's own key. */
+static void
+withdraw(WsCore *core, Visit *visit, const WsJob *job)
+{
+  g_autofree char *key = ws_key_job(job->id);
+  g_autofree char *chunk = ws_key_chunk(job->id, 0);
+  gboolean untouched = ws_job_chunk_count(job) == 1 && ws_book_version(core->book, chunk) == 0;
+  WsTxn *txn = ws_txn_new();
+  ws_txn_if(txn, core->book, key);
+  if (untouched)
+    ws_txn_if_version(txn, chunk, 0);
+  ws_txn_set(txn, key,
+             untouched ? ws_job_encode_final(job, WS_JOB_CANCELLED)
+                       : ws_job_encode(job, WS_JOB_CANCELLED, ""));
+  ws_txn_commit(core, txn, WS_FIRST_USER, on_withdrawn, visit);
+}
+
+static void
+decide(WsCore *core, Visit *visit)
+{
+  const WsJob *job = ws_book_find_job(core->book, visit->id);
+  if (visit->ask == ASK_SUBMIT)
+    decide_submission(core, visit);
+  else if (job == NULL)
+    end_with_reason(core, visit, 404, "no such job");
+  else if (visit->ask == ASK_WITHDRAW && job->state == WS_JOB_ACTIVE)
+    withdraw(core, visit, job);
+  else
+    end_with_state(core, visit, 200, job);
+}
+
+static void
+visit(WsCore *core, Ask ask, const char *id, WsSubmission *spec, gpointer request)
+{
+  const WsJob *job = ws_book_find_job(core->book, id);
+  gboolean is_final = job != NULL && job->state != WS_JOB_ACTIVE;
+  if (!ws_store_loaded(core) || (!is_final && !ws_store_ok(core))) {
+    ws_answer_later(core, request, 2);
+    ws_submission_free(spec);
+    return;
+  }
+  Visit *visit = g_new0(Visit, 1);
+  *visit = (Visit){ .ask = ask, .id = g_strdup(id), .spec = spec, .request = request };
+  /* A new id needs no read: the transaction itself finds out whether it is new. */
+  if (ask == ASK_SUBMIT && job == NULL)
+    decide(core, visit);
+  else
+    decide_from_current(core, visit);
+}
+
+static void
+submit(WsCore *core, const char *body, gsize length, gpointer request)
+{
+  if (length > MAX_BODY) {
+    ws_answer_reason(core, request, 400, "longer than 64 KiB");
+    return;
+  }
+  g_autoptr(json_t) message = ws_json_parse(body, length);
+  g_autofree char *reason = NULL;
+  WsSubmission *spec = ws_submission_parse(message, &reason);
+  if (spec == NULL) {
+    ws_answer_reason(core, request, 400, reason);
+    return;
+  }
+  visit(core, ASK_SUBMIT, spec->id, spec, request);
+}
+
+/* The id in /api/jobs/ID or /api/jobs/ID/withdraw, or NULL. */
+static char *
+id_in_path(const char *path, gboolean *withdraw)
+{
+  if (!g_str_has_prefix(path, JOBS_PATH "/"))
+    return NULL;
+  g_auto(GStrv) parts = g_strsplit(path + strlen(JOBS_PATH "/"), "/", 3);
+  guint count = g_strv_length(parts);
+  *withdraw = count == 2 && strcmp(parts[1], "withdraw") == 0;
+  return count == 1 || *withdraw ? g_strdup(parts[0]) : NULL;
+}
+
+void
+ws_users_request(WsCore *core, const char *method, const char *path, const char *body,
+                 gsize length, gpointer request)
+{
+  gboolean is_withdrawal = FALSE;
+  gboolean is_submission = strcmp(path, JOBS_PATH) == 0;
+  g_autofree char *id = id_in_path(path, &is_withdrawal);
+  if (!is_submission && id == NULL)
+    ws_answer_reason(core, request, 404, "no such path");
+  else if (strcmp(method, is_submission || is_withdrawal ? "POST" : "GET") != 0)
+    ws_answer_reason(core, request, 405, "not with this method");
+  else if (is_submission)
+    submit(core, body, length, request);
+  else if (!ws_job_id_valid(id))
+    ws_answer_reason(core, request, 404, "no such job");
+  else
+    visit(core, is_withdrawal ? ASK_WITHDRAW : ASK_POLL, id, NULL, request);
+}
--- /dev/null
+++ b/src/core/ws-workers.c
@@ -0,0 +1,523 @@
+/* Dealings with workers: reports in, commands out.
+
+   The commands for a machine follow from two things only: the records of what is assigned to it
+   and its newest report. They are worked out by the machine's owner, who alone may release a task
+   or let the worker forget one. */
+#include "core/ws-core-private.h"
+
+#include <string.h>
+
+#define REDIRECT_HOLD_MS 20000
+#define STATUS_PAUSE_MS 800
+#define STATUS_TIMEOUT_MS 700
+#define DOUBT_MS 8000
+
+static guint64
+token(const WsCore *core)
+{
+  return core->book->epoch.number;
+}
+
+static gint64
+patience_ms(const WsCore *core)
+{
+  return (gint64)(core->settings->report_s * 1250.0) + 2500;
+}
+
+gboolean
+ws_machine_up(const WsCore *core, const WsMachine *machine)
+{
+  return machine->heard_ms > 0 && core->now - machine->heard_ms <= patience_ms(core);
+}
+
+gboolean
+ws_machine_silent(const WsCore *core, const WsMachine *machine)
+{
+  return machine->heard_ms > 0 && !ws_machine_up(core, machine);
+}
+
+/* Direct commands. */
+
+typedef struct {
+  guint machine;
+  guint64 token;
+  guint64 session;
+  gboolean launches;
+} Direct;
+
+static void take_presence(WsCore *core, WsMachine *machine, const WsReport *report);
+
+static void
+on_direct(WsCore *core, guint status, const json_t *body, gpointer data)
+{
+  Direct *direct = data;
+  WsMachine *machine = ws_book_machine(core->book, direct->machine);
+  /* Without an answer the launch may still be carried out minutes later, so the doubt stays until
+     the worker has seen a higher token or begun a new session. */
+  if (status != 0 && direct->launches && machine->doubts > 0
+      && machine->doubt_token == direct->token && machine->doubt_session == direct->session)
+    machine->doubts--;
+  g_autofree char *reason = NULL;
+  g_autoptr(WsReport) report
+      = status == 200 || status == 409 ? ws_report_parse(body, &reason) : NULL;
+  if (report != NULL && strcmp(report->machine, machine->name) == 0 && ws_owns(core, machine))
+    take_presence(core, machine, report);
+  g_free(direct);
+}
+
+static void
+send_direct(WsCore *core, WsMachine *machine, json_t *commands, gboolean launches)
+{
+  Direct *direct = g_new0(Direct, 1);
+  *direct = (Direct){ machine->index, token(core), machine->session, launches };
+  if (launches) {
+    if (machine->doubts == 0)
+      machine->doubt_ms = core->now;
+    machine->doubts++;
+    machine->doubt_token = direct->token;
+    machine->doubt_session = direct->session;
+  }
+  ws_call(core, "POST", machine->endpoint, "/commands",
+          ws_commands_direct(direct->token, direct->session, commands), 2000, on_direct, direct);
+}
+
+/* Only a machine that has shown our token is spoken to directly; the others learn it from the
+   answer to their next report, along with their commands. */
+static gboolean
+can_send_direct(const WsCore *core, const WsMachine *machine)
+{
+  return machine->endpoint != NULL && machine->token == token(core) && ws_machine_up(core, machine)
+         && ws_entitled(core);
+}
+
+void
+ws_workers_launch_now(WsCore *core, WsMachine *machine, GArray *tasks)
+{
+  if (!can_send_direct(core, machine))
+    return;
+  json_t *commands = json_array();
+  for (guint i = 0; i < tasks->len; i++) {
+    const WsTaskRef *ref = &g_array_index(tasks, WsTaskRef, i);
+    const WsJob *job = ws_book_job(core->book, ref->job);
+    WsAssignment *a = ws_job_assignment(job, ref->task);
+    if (a == NULL || job->state != WS_JOB_ACTIVE)
+      continue;
+    a->launched = TRUE;
+    json_array_append_new(commands,
+                          ws_command_encode(WS_OP_LAUNCH, job->id, a->task, a->attempt, 0.0));
+  }
+  if (json_array_size(commands) > 0)
+    send_direct(core, machine, commands, TRUE);
+  else
+    json_decref(commands);
+}
+
+static double
+grace(const WsJob *job)
+{
+  return job->state == WS_JOB_ACTIVE && job->spec->checkpoint_s > 0.0 ? job->spec->save_s + 1.0
+                                                                      : 0.0;
+}
+
+void
+ws_workers_halt_now(WsCore *core, WsJob *job, WsAssignment *a)
+{
+  WsMachine *machine = ws_book_machine(core->book, a->machine);
+  if (!can_send_direct(core, machine))
+    return;
+  json_t *commands = json_array();
+  json_array_append_new(commands,
+                        ws_command_encode(WS_OP_HALT, job->id, a->task, a->attempt, grace(job)));
+  send_direct(core, machine, commands, FALSE);
+}
+
+void
+ws_workers_cancelled(WsCore *core, WsJob *job)
+{
+  for (guint c = 0; c < job->chunks->len; c++) {
+    WsChunk *chunk = g_ptr_array_index(job->chunks, c);
+    for (guint i = 0; chunk != NULL && i < chunk->on->len; i++) {
+      WsAssignment *a = &g_array_index(chunk->on, WsAssignment, i);
+      if (ws_owns(core, ws_book_machine(core->book, a->machine)))
+        ws_workers_halt_now(core, job, a);
+    }
+  }
+}
+
+/* What a message says about tasks that are there. */
+
+static void
+remember_image(WsMachine *machine, guint image)
+{
+  for (guint i = 0; i < machine->images->len; i++)
+    if (g_array_index(machine->images, guint, i) == image) {
+      g_array_remove_index(machine->images, i);
+      break;
+    }
+  g_array_append_val(machine->images, image);
+  if (machine->images->len > 8)
+    g_array_remove_index(machine->images, 0);
+}
+
+/* A machine on which several jobs fail is faulty; a job that fails on several machines is wrong
+   and is tried ever more rarely until its user withdraws it. */
+static void
+note_error(WsCore *core, WsMachine *machine, WsJob *job)
+{
+  job->errors++;
+  job->retry_ms = core->now + 500 * (gint64)(1u << MIN(job->errors, 7u));
+  if (machine->last_bad_job != job->index)
+    machine->bad_jobs++;
+  machine->last_bad_job = job->index;
+  g_info("a task of job %s failed on %s", job->id, machine->name);
+}
+
+static void
+note_exit(WsCore *core, WsMachine *machine, WsJob *job, WsAssignment *a, WsExit why)
+{
+  if (a->state == WS_TASK_EXITED)
+    return;
+  a->state = WS_TASK_EXITED;
+  if (why == WS_EXIT_ERROR)
+    note_error(core, machine, job);
+  if (why == WS_EXIT_REFUSED)
+    job->retry_ms = core->now + 500;
+  if (why == WS_EXIT_DONE) {
+    machine->bad_jobs = 0;
+    machine->last_bad_job = WS_NONE;
+    job->errors = 0;
+  }
+}
+
+static WsAssignment *
+matching(WsCore *core, const WsMachine *machine, const WsReportTask *task, WsJob **job)
+{
+  *job = ws_book_find_job(core->book, task->job);
+  if (*job == NULL || (*job)->spec == NULL || task->task >= (*job)->tasks)
+    return NULL;
+  WsAssignment *a = ws_job_assignment(*job, task->task);
+  return a != NULL && a->machine == machine->index && a->attempt == task->attempt ? a : NULL;
+}
+
+static void
+take_task(WsCore *core, WsMachine *machine, const WsReportTask *task)
+{
+  WsJob *job;
+  WsAssignment *a = matching(core, machine, task, &job);
+  if (a == NULL)
+    return;
+  a->launched = TRUE;
+  if (task->state == WS_TASK_EXITED) {
+    note_exit(core, machine, job, a, task->why);
+    ws_assign_release(core, job, a, task->why == WS_EXIT_DONE);
+    return;
+  }
+  if (task->state != a->state)
+    g_debug("task %s/%u on %s: state %d", job->id, a->task, machine->name, task->state);
+  a->state = task->state;
+  if (a->state == WS_TASK_RUNNING)
+    remember_image(machine, job->image);
+}
+
+static void
+begin_session(WsCore *core, WsMachine *machine, guint64 session)
+{
+  if (machine->session != 0)
+    g_info("machine %s begins session %" G_GUINT64_FORMAT, machine->name, session);
+  machine->doubts = 0; /* a direct launch names its session, so an old one is refused */
+  for (guint i = 0; i < machine->tasks->len; i++) {
+    const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, i);
+    WsAssignment *a = ws_job_assignment(ws_book_job(core->book, ref->job), ref->task);
+    if (a == NULL)
+      continue;
+    a->state = WS_TASK_ASSIGNED;
+    a->launched = FALSE;
+  }
+}
+
+/* FALSE: an older message than one that was seen already. */
+static gboolean
+take_header(WsCore *core, WsMachine *machine, const WsReport *report)
+{
+  if (report->session < machine->session
+      || (report->session == machine->session && report->seq <= machine->seq))
+    return FALSE;
+  if (report->session > machine->session)
+    begin_session(core, machine, report->session);
+  machine->session = report->session;
+  machine->seq = report->seq;
+  if (report->token > machine->token && machine->doubt_token < report->token)
+    machine->doubts = 0; /* from now on the worker refuses what was sent under the older token */
+  machine->token = MAX(machine->token, report->token);
+  machine->heard_ms = core->now;
+  machine->status_failed = 0;
+  if (machine->up_ms == 0) {
+    machine->up_ms = core->now;
+    g_info("machine %s is up", machine->name);
+  }
+  if (report->notice_s < 0.0)
+    machine->notice_ms = 0;
+  else if (machine->notice_ms == 0)
+    machine->notice_ms = core->now + (gint64)(report->notice_s * 1000.0);
+  if (g_strcmp0(machine->endpoint, report->endpoint) != 0) {
+    g_free(machine->endpoint);
+    machine->endpoint = g_strdup(report->endpoint);
+  }
+  return TRUE;
+}
+
+/* Presence is believed of any message that is newer; nothing is concluded from absence. Only a
+   message that carries the present token is acted on: an older one may be a late copy. */
+static void
+take_presence(WsCore *core, WsMachine *machine, const WsReport *report)
+{
+  if (!take_header(core, machine, report) || report->token != token(core))
+    return;
+  for (guint i = 0; i < report->tasks->len; i++)
+    take_task(core, machine, &g_array_index(report->tasks, WsReportTask, i));
+}
+
+/* The answer to a report. */
+
+typedef struct {
+  WsCore *core;
+  WsMachine *machine;
+  const WsReport *report;
+  json_t *commands;
+  gboolean confirmed; /* the worker has seen our token */
+} Answer;
+
+static void
+command(Answer *answer, WsOp op, const char *job, guint task, guint64 attempt, double grace_s)
+{
+  json_array_append_new(answer->commands, ws_command_encode(op, job, task, attempt, grace_s));
+}
+
+static void
+command_present(Answer *answer, const WsReportTask *task)
+{
+  WsJob *job;
+  WsMachine *machine = answer->machine;
+  WsAssignment *a = matching(answer->core, machine, task, &job);
+  if (a == NULL) {
+    if (task->state != WS_TASK_EXITED)
+      command(answer, WS_OP_HALT, task->job, task->task, task->attempt, 0.0);
+    else if (answer->confirmed && machine->doubts == 0)
+      command(answer, WS_OP_REAP, task->job, task->task, task->attempt, 0.0);
+    return;
+  }
+  if (task->state == WS_TASK_EXITED || task->state == WS_TASK_SAVING)
+    return;
+  if (job->state == WS_JOB_CANCELLED || a->stopping
+      || (machine->marked && ws_giveback_may_stop(answer->core, machine, job, a)))
+    command(answer, WS_OP_HALT, task->job, task->task, task->attempt, grace(job));
+}
+
+static gboolean
+is_reported(const Answer *answer, const WsJob *job, const WsAssignment *a)
+{
+  for (guint i = 0; i < answer->report->tasks->len; i++) {
+    const WsReportTask *task = &g_array_index(answer->report->tasks, WsReportTask, i);
+    if (task->task == a->task && task->attempt == a->attempt && strcmp(task->job, job->id) == 0)
+      return TRUE;
+  }
+  return FALSE;
+}
+
+/* A task that is assigned and missing is launched (again); it's released only when it isn't wanted
+   here any more, the report answers our token, and no launch of it can come late. */
+static void
+command_absent(Answer *answer, WsJob *job, WsAssignment *a)
+{
+  gboolean unwanted = job->state == WS_JOB_CANCELLED || a->stopping || answer->machine->marked;
+  if (!unwanted) {
+    a->launched = TRUE;
+    command(answer, WS_OP_LAUNCH, job->id, a->task, a->attempt, 0.0);
+    return;
+  }
+  if (answer->confirmed && answer->machine->doubts == 0)
+    ws_assign_release(answer->core, job, a, FALSE);
+}
+
+static void
+command_all(Answer *answer)
+{
+  WsBook *book = answer->core->book;
+  for (guint i = 0; i < answer->report->tasks->len; i++)
+    command_present(answer, &g_array_index(answer->report->tasks, WsReportTask, i));
+  for (guint i = 0; i < answer->machine->tasks->len; i++) {
+    const WsTaskRef *ref = &g_array_index(answer->machine->tasks, WsTaskRef, i);
+    WsJob *job = ws_book_job(book, ref->job);
+    WsAssignment *a = ws_job_assignment(job, ref->task);
+    if (a != NULL && !is_reported(answer, job, a))
+      command_absent(answer, job, a);
+  }
+}
+
+json_t *
+ws_workers_process(WsCore *core, const WsReport *report)
+{
+  WsMachine *machine = ws_book_get_machine(core->book, report->machine);
+  ws_book_describe_machine(core->book, machine, report->type, report->zone, report->spot);
+  Answer answer = { core, machine, report, json_array(), report->token == token(core) };
+  if (!take_header(core, machine, report))
+    return ws_commands_answer(token(core), answer.commands);
+  if (!machine->stored)
+    ws_fleet_adopt(core, machine, core->wall);
+  if (answer.confirmed)
+    for (guint i = 0; i < report->tasks->len; i++)
+      take_task(core, machine, &g_array_index(report->tasks, WsReportTask, i));
+  command_all(&answer);
+  core->plan_due = TRUE;
+  return ws_commands_answer(token(core), answer.commands);
+}
+
+/* Whether the owner should be tried by the worker itself. A worker that comes back although it was
+   sent there can't reach it: its reports are then passed on from here. */
+static gboolean
+should_redirect(const WsCore *core, const WsMachine *machine, guint owner)
+{
+  if (machine->redirected_ms > 0 && core->now - machine->redirected_ms < REDIRECT_HOLD_MS)
+    return FALSE;
+  if (!ws_mesh_reaches(core, owner))
+    return FALSE;
+  for (guint n = 0; n < core->settings->nodes->len; n++)
+    if (n != owner && machine->zone != WS_NONE
+        && ws_book_find_zone(core->book, ws_settings_node(core->settings, n)->zone) == machine->zone
+        && !ws_mesh_sees(core, n, owner))
+      return FALSE;
+  return TRUE;
+}
+
+static void
+other_owner(WsCore *core, WsMachine *machine, guint owner, const char *body, gpointer request)
+{
+  if (!should_redirect(core, machine, owner)) {
+    ws_mesh_relay(core, owner, body, request);
+    return;
+  }
+  machine->redirected_ms = core->now;
+  ws_answer(core, request, 421, ws_redirect_encode(ws_settings_node(core->settings, owner)->name),
+            0);
+}
+
+static gboolean
+knows_newest_epoch(const WsCore *core)
+{
+  for (guint n = 0; n < core->settings->nodes->len; n++)
+    if (core->peers[n].epoch > token(core))
+      return FALSE;
+  return TRUE;
+}
+
+void
+ws_workers_report(WsCore *core, const char *body, gsize length, gpointer request)
+{
+  g_autoptr(json_t) message = ws_json_parse(body, length);
+  g_autofree char *reason = NULL;
+  g_autoptr(WsReport) report = ws_report_parse(message, &reason);
+  if (report == NULL) {
+    g_warning("a report was refused: %s", reason);
+    ws_answer_reason(core, request, 400, reason);
+    return;
+  }
+  if (!ws_entitled(core) || report->token > token(core) || !knows_newest_epoch(core)
+      || ws_mesh_alone_refused(core) || ws_fleet_gone(core, report->machine)) {
+    ws_answer_later(core, request, 1);
+    return;
+  }
+  WsMachine *machine = ws_book_get_machine(core->book, report->machine);
+  ws_book_describe_machine(core->book, machine, report->type, report->zone, report->spot);
+  guint owner = ws_book_owner(core->book, machine);
+  if (owner != core->settings->self) {
+    g_autofree char *text = g_strndup(body, length);
+    other_owner(core, machine, owner, text, request);
+    return;
+  }
+  ws_answer(core, request, 200, ws_workers_process(core, report), 0);
+}
+
+/* Silence. */
+
+static void
+on_status(WsCore *core, guint status, const json_t *body, gpointer data)
+{
+  WsMachine *machine = ws_book_machine(core->book, GPOINTER_TO_UINT(data));
+  g_autofree char *reason = NULL;
+  g_autoptr(WsReport) report = status == 200 ? ws_report_parse(body, &reason) : NULL;
+  if (report != NULL && strcmp(report->machine, machine->name) == 0 && ws_owns(core, machine))
+    take_presence(core, machine, report);
+  else
+    machine->status_failed++;
+}
+
+/* Many machines of one zone silent together: that is the way to them, not they. */
+static gboolean
+zone_is_cut(const WsCore *core, guint zone)
+{
+  guint silent = 0, all = 0;
+  for (guint i = 0; i < core->book->machines->len; i++) {
+    const WsMachine *machine = ws_book_machine(core->book, i);
+    if (machine->zone != zone || !machine->stored || machine->marked || machine->heard_ms == 0)
+      continue;
+    all++;
+    silent += ws_machine_silent(core, machine) ? 1 : 0;
+  }
+  return silent >= 3 && 2 * silent > all;
+}
+
+static gint64
+silent_since(const WsCore *core, const WsMachine *machine)
+{
+  if (machine->heard_ms > 0)
+    return machine->heard_ms;
+  /* Never heard by this run of the program: its silence counts from when its owner began. */
+  return machine->tasks->len > 0 ? core->epoch_ms + 2000 : 0;
+}
+
+static gboolean
+has_cancelled(const WsCore *core, const WsMachine *machine)
+{
+  for (guint i = 0; i < machine->tasks->len; i++)
+    if (ws_book_job(core->book, g_array_index(machine->tasks, WsTaskRef, i).job)->state
+        == WS_JOB_CANCELLED)
+      return TRUE;
+  return FALSE;
+}
+
+static void
+watch_machine(WsCore *core, WsMachine *machine)
+{
+  gint64 since = silent_since(core, machine);
+  gint64 silent_ms = since > 0 ? core->now - since : 0;
+  if (silent_ms <= patience_ms(core))
+    return;
+  if (machine->endpoint != NULL && core->now - machine->status_ms >= STATUS_PAUSE_MS) {
+    machine->status_ms = core->now;
+    ws_call(core, "GET", machine->endpoint, "/status", NULL, STATUS_TIMEOUT_MS, on_status,
+            GUINT_TO_POINTER(machine->index));
+  }
+  gboolean failed = machine->endpoint == NULL || machine->status_failed >= 2;
+  gboolean is_cut = machine->zone != WS_NONE && zone_is_cut(core, machine->zone);
+  gint64 patience = is_cut ? (gint64)(core->settings->lease_s * 1000.0) + 6000
+                           : patience_ms(core) + 1500;
+  /* A cancelled task must be gone in time, cut or not. */
+  if (has_cancelled(core, machine))
+    patience = MIN(patience, (gint64)(core->settings->cancel_s * 400.0));
+  if (failed && silent_ms > patience)
+    ws_giveback_mark(core, machine, "silent", TRUE);
+}
+
+void
+ws_workers_tick(WsCore *core)
+{
+  for (guint i = 0; i < core->book->machines->len; i++) {
+    WsMachine *machine = ws_book_machine(core->book, i);
+    if (!machine->stored || !ws_owns(core, machine))
+      continue;
+    if (machine->doubts > 0 && core->now - machine->doubt_ms > DOUBT_MS)
+      core->wants_epoch = TRUE;
+    if (!machine->marked || !machine->mark_now)
+      watch_machine(core, machine);
+  }
+}
--- /dev/null
+++ b/src/main.c
@@ -0,0 +1,150 @@
+/* wrenshore: a cluster scheduler that gives idle rented machines back. */
+#include "runtime/ws-runtime.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define EXIT_USAGE 2
+
+typedef struct {
+  char *config;
+  char *properties;
+  gboolean check;
+  gboolean version;
+} Options;
+
+static gboolean
+parse_options(int *argc, char ***argv, Options *options)
+{
+  GOptionEntry entries[]
+      = { { "config", 0, 0, G_OPTION_ARG_FILENAME, &options->config,
+            "settings of the platform (JSON)", "FILE" },
+          { "properties", 0, 0, G_OPTION_ARG_FILENAME, &options->properties,
+            "operators' own settings (properties)", "FILE" },
+          { "check", 0, 0, G_OPTION_ARG_NONE, &options->check, "check both files and end", NULL },
+          { "version", 0, 0, G_OPTION_ARG_NONE, &options->version, "show the version and end",
+            NULL },
+          { 0 } };
+  g_autoptr(GOptionContext) context = g_option_context_new("- a cluster scheduler");
+  g_autoptr(GError) error = NULL;
+  g_option_context_add_main_entries(context, entries, NULL);
+  g_option_context_set_summary(
+      context, "Places jobs on rented machines and gives idle machines back.\n"
+               "LOG_LEVEL (error, info, debug) says how much is written to standard error.");
+  if (!g_option_context_parse(context, argc, argv, &error)) {
+    fprintf(stderr, "wrenshore: %s\n", error->message);
+    return FALSE;
+  }
+  if (*argc > 1) {
+    fprintf(stderr, "wrenshore: unexpected argument %s\n", (*argv)[1]);
+    return FALSE;
+  }
+  if (!options->version && options->config == NULL) {
+    fprintf(stderr, "wrenshore: --config FILE is missing\n");
+    return FALSE;
+  }
+  return TRUE;
+}
+
+static WsSettings *
+read_settings(const char *path)
+{
+  g_autofree char *text = NULL;
+  g_autofree char *reason = NULL;
+  g_autoptr(GError) error = NULL;
+  gsize length;
+  json_error_t where;
+  if (!g_file_get_contents(path, &text, &length, &error)) {
+    fprintf(stderr, "wrenshore: %s\n", error->message);
+    return NULL;
+  }
+  g_autoptr(json_t) message = json_loadb(text, length, JSON_REJECT_DUPLICATES, &where);
+  if (message == NULL) {
+    fprintf(stderr, "wrenshore: %s: line %d: %s\n", path, where.line, where.text);
+    return NULL;
+  }
+  WsSettings *settings = ws_settings_parse(message, &reason);
+  if (settings == NULL)
+    fprintf(stderr, "wrenshore: %s: %s\n", path, reason);
+  return settings;
+}
+
+static WsProperties *
+read_properties(const char *path, const WsSettings *settings)
+{
+  g_autoptr(WsProperties) properties = ws_properties_new();
+  g_autofree char *text = NULL;
+  g_autofree char *reason = NULL;
+  g_autoptr(GError) error = NULL;
+  if (path == NULL)
+    return g_steal_pointer(&properties);
+  if (!g_file_get_contents(path, &text, NULL, &error)) {
+    fprintf(stderr, "wrenshore: %s\n", error->message);
+    return NULL;
+  }
+  if (!ws_properties_parse(properties, text, settings->zones, &reason)) {
+    fprintf(stderr, "wrenshore: %s: %s\n", path, reason);
+    return NULL;
+  }
+  return g_steal_pointer(&properties);
+}
+
+static GLogWriterOutput
+write_log(GLogLevelFlags level, const GLogField *fields, gsize count, gpointer data)
+{
+  GLogLevelFlags least = GPOINTER_TO_UINT(data);
+  if ((level & G_LOG_LEVEL_MASK) > least)
+    return G_LOG_WRITER_HANDLED;
+  g_autofree char *line = g_log_writer_format_fields(level, fields, count, FALSE);
+  fprintf(stderr, "%s\n", line);
+  return G_LOG_WRITER_HANDLED;
+}
+
+/* A warning is already something a person should look at. */
+static GLogLevelFlags
+log_level(void)
+{
+  const char *name = g_getenv("LOG_LEVEL");
+  if (g_strcmp0(name, "debug") == 0)
+    return G_LOG_LEVEL_DEBUG;
+  return g_strcmp0(name, "info") == 0 ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_WARNING;
+}
+
+static int
+run(const WsSettings *settings, const WsProperties *properties)
+{
+  g_autoptr(GError) error = NULL;
+  g_autoptr(GMainLoop) loop = g_main_loop_new(NULL, FALSE);
+  WsRuntime *runtime = ws_runtime_new(settings, properties, &error);
+  if (runtime == NULL) {
+    fprintf(stderr, "wrenshore: can't listen: %s\n", error->message);
+    return 1;
+  }
+  g_main_loop_run(loop);
+  ws_runtime_free(runtime);
+  return 0;
+}
+
+int
+main(int argc, char **argv)
+{
+  Options options = { 0 };
+  if (!parse_options(&argc, &argv, &options))
+    return EXIT_USAGE;
+  if (options.version) {
+    printf("wrenshore %s\n", WS_VERSION);
+    return 0;
+  }
+  g_log_set_writer_func(write_log, GUINT_TO_POINTER(log_level()), NULL);
+  g_autoptr(WsSettings) settings = read_settings(options.config);
+  if (settings == NULL)
+    return EXIT_USAGE;
+  g_autoptr(WsProperties) properties = read_properties(options.properties, settings);
+  if (properties == NULL)
+    return EXIT_USAGE;
+  if (options.check) {
+    printf("wrenshore: the settings are good\n");
+    return 0;
+  }
+  return run(settings, properties);
+}
--- /dev/null
+++ b/src/protocol/ws-cloud.h
@@ -0,0 +1,32 @@
+/* The cloud's messages. */
+#pragma once
+
+#include "protocol/ws-submission.h"
+
+typedef struct {
+  char *name;
+  WsAmount room;
+  double cache_gb;
+  double fetch_gb_per_s;
+  double price;
+  double spot_price;
+  double boot_s;
+  char **zones;
+} WsType;
+
+typedef struct {
+  char *id;
+  char *endpoint;
+  char *type;
+  char *zone;
+  gboolean spot;
+  gboolean failed;
+  double age_s;
+} WsListed;
+
+GPtrArray *ws_catalog_parse(const json_t *message); /* of WsType, or NULL */
+GPtrArray *ws_listing_parse(const json_t *message, gboolean *more); /* of WsListed, or NULL */
+GPtrArray *ws_names_parse(const json_t *message); /* machine names of a rental, or NULL */
+json_t *ws_rental_encode(const char *request, const char *type, const char *zone, gboolean spot,
+                         guint count);
+json_t *ws_return_encode(GPtrArray *machines);
--- /dev/null
+++ b/src/protocol/ws-json.c
@@ -0,0 +1,72 @@
+#include "protocol/ws-json.h"
+
+json_t *
+ws_json_parse(const char *body, gsize length)
+{
+  return body == NULL ? NULL : json_loadb(body, length, JSON_REJECT_DUPLICATES, NULL);
+}
+
+char *
+ws_json_text(const json_t *value)
+{
+  return value == NULL ? NULL : json_dumps(value, JSON_COMPACT | JSON_REAL_PRECISION(12));
+}
+
+gboolean
+ws_json_string(const json_t *object, const char *name, const char **value)
+{
+  const json_t *member = json_object_get(object, name);
+  if (!json_is_string(member))
+    return FALSE;
+  *value = json_string_value(member);
+  return TRUE;
+}
+
+gboolean
+ws_json_number(const json_t *object, const char *name, double *value)
+{
+  const json_t *member = json_object_get(object, name);
+  if (!json_is_number(member))
+    return FALSE;
+  *value = json_number_value(member);
+  return TRUE;
+}
+
+gboolean
+ws_json_count(const json_t *object, const char *name, guint64 *value)
+{
+  const json_t *member = json_object_get(object, name);
+  if (!json_is_integer(member) || json_integer_value(member) < 0)
+    return FALSE;
+  *value = (guint64)json_integer_value(member);
+  return TRUE;
+}
+
+gboolean
+ws_json_bool(const json_t *object, const char *name, gboolean *value)
+{
+  const json_t *member = json_object_get(object, name);
+  if (!json_is_boolean(member))
+    return FALSE;
+  *value = json_is_true(member);
+  return TRUE;
+}
+
+static gboolean
+absent(const json_t *object, const char *name)
+{
+  const json_t *member = json_object_get(object, name);
+  return member == NULL || json_is_null(member);
+}
+
+gboolean
+ws_json_string_or_null(const json_t *object, const char *name, const char **value)
+{
+  return absent(object, name) || ws_json_string(object, name, value);
+}
+
+gboolean
+ws_json_number_or_null(const json_t *object, const char *name, double *value)
+{
+  return absent(object, name) || ws_json_number(object, name, value);
+}
--- /dev/null
+++ b/src/protocol/ws-properties.c
@@ -0,0 +1,150 @@
+#include "protocol/ws-properties.h"
+
+#include <string.h>
+
+#define GROUP "wrenshore"
+
+static void
+budget_free(gpointer data)
+{
+  WsBudget *budget = data;
+  g_free(budget->type);
+  g_free(budget->zone);
+  g_free(budget);
+}
+
+WsProperties *
+ws_properties_new(void)
+{
+  WsProperties *properties = g_new0(WsProperties, 1);
+  properties->hold_s = 20.0;
+  properties->backoff_min_s = 1.0;
+  properties->backoff_max_s = 30.0;
+  properties->budgets = g_ptr_array_new_with_free_func(budget_free);
+  return properties;
+}
+
+void
+ws_properties_free(WsProperties *properties)
+{
+  if (properties == NULL)
+    return;
+  g_ptr_array_unref(properties->budgets);
+  g_free(properties);
+}
+
+static gboolean
+seconds(const char *text, double *value)
+{
+  char *end;
+  *value = g_ascii_strtod(text, &end);
+  return end != text && *end == '\0' && *value > 0.0 && *value <= 3600.0;
+}
+
+static gboolean
+count(const char *text, guint most, guint *value)
+{
+  guint64 number;
+  if (!g_ascii_string_to_unsigned(text, 10, 0, most, &number, NULL))
+    return FALSE;
+  *value = (guint)number;
+  return TRUE;
+}
+
+static gboolean
+amount(const char *text, WsBudget *budget)
+{
+  gsize length = strlen(text);
+  budget->is_percent = length > 1 && text[length - 1] == '%';
+  g_autofree char *digits = g_strndup(text, budget->is_percent ? length - 1 : length);
+  return count(digits, budget->is_percent ? 100 : 1000000, &budget->value);
+}
+
+static gboolean
+known(GPtrArray *zones, const char *zone)
+{
+  return g_ptr_array_find_with_equal_func(zones, zone, g_str_equal, NULL);
+}
+
+/* budget.TYPE.ZONE.minAvailable or budget.TYPE.ZONE.maxUnavailable */
+static const char *
+parse_budget(WsProperties *properties, const char *key, const char *value, GPtrArray *zones)
+{
+  g_auto(GStrv) parts = g_strsplit(key, ".", -1);
+  if (g_strv_length(parts) != 4)
+    return "unknown key";
+  gboolean is_minimum = strcmp(parts[3], "minAvailable") == 0;
+  if (!is_minimum && strcmp(parts[3], "maxUnavailable") != 0)
+    return "unknown key";
+  if (!known(zones, parts[2]))
+    return "unknown zone";
+  for (guint i = 0; i < properties->budgets->len; i++) {
+    const WsBudget *other = g_ptr_array_index(properties->budgets, i);
+    if (strcmp(other->type, parts[1]) == 0 && strcmp(other->zone, parts[2]) == 0)
+      return "minAvailable and maxUnavailable can't both be given for a type and zone";
+  }
+  WsBudget *budget = g_new0(WsBudget, 1);
+  budget->type = g_strdup(parts[1]);
+  budget->zone = g_strdup(parts[2]);
+  budget->is_minimum = is_minimum;
+  g_ptr_array_add(properties->budgets, budget);
+  return amount(value, budget) ? NULL : "not a count or a percentage";
+}
+
+static const char *
+parse_key(WsProperties *p, const char *key, const char *value, GPtrArray *zones)
+{
+  const char *const bad_seconds = "not a number of seconds above 0 and up to 3600";
+  if (strcmp(key, "giveback.hold_s") == 0)
+    return seconds(value, &p->hold_s) ? NULL : bad_seconds;
+  if (strcmp(key, "giveback.backoff_min_s") == 0)
+    return seconds(value, &p->backoff_min_s) ? NULL : bad_seconds;
+  if (strcmp(key, "giveback.backoff_max_s") == 0)
+    return seconds(value, &p->backoff_max_s) ? NULL : bad_seconds;
+  if (strcmp(key, "fleet.spare_tasks") == 0)
+    return count(value, 1000, &p->spare_tasks) ? NULL : "not a count up to 1000";
+  if (g_str_has_prefix(key, "budget."))
+    return parse_budget(p, key, value, zones);
+  return "unknown key";
+}
+
+gboolean
+ws_properties_parse(WsProperties *properties, const char *text, GPtrArray *zones, char **reason)
+{
+  g_autoptr(GKeyFile) file = g_key_file_new();
+  g_autoptr(GError) error = NULL;
+  g_autofree char *grouped = g_strconcat("[" GROUP "]\n", text, NULL);
+  if (!g_key_file_load_from_data(file, grouped, strlen(grouped), G_KEY_FILE_NONE, &error)) {
+    *reason = g_strdup(error->message);
+    return FALSE;
+  }
+  gsize groups = 0;
+  g_auto(GStrv) names = g_key_file_get_groups(file, &groups);
+  if (groups != 1) {
+    *reason = g_strdup_printf("%s: groups are not used here", names[groups - 1]);
+    return FALSE;
+  }
+  g_auto(GStrv) keys = g_key_file_get_keys(file, GROUP, NULL, NULL);
+  for (char **key = keys; *key != NULL; key++) {
+    g_autofree char *value = g_key_file_get_string(file, GROUP, *key, NULL);
+    const char *bad = value == NULL ? "not readable" : parse_key(properties, *key, value, zones);
+    if (bad != NULL) {
+      *reason = g_strdup_printf("%s: %s", *key, bad);
+      return FALSE;
+    }
+  }
+  if (properties->backoff_max_s < properties->backoff_min_s) {
+    *reason = g_strdup("giveback.backoff_max_s: below giveback.backoff_min_s");
+    return FALSE;
+  }
+  return TRUE;
+}
+
+guint
+ws_budget_allowed(const WsBudget *budget, guint total)
+{
+  guint figure = budget->is_percent ? (total * budget->value + 99) / 100 : budget->value;
+  if (!budget->is_minimum)
+    return budget->is_percent ? total * budget->value / 100 : figure;
+  return total > figure ? total - figure : 0;
+}
--- /dev/null
+++ b/src/protocol/ws-report.c
@@ -0,0 +1,182 @@
+#include "protocol/ws-report.h"
+
+#include "protocol/ws-submission.h"
+#include "protocol/ws-words.h"
+
+#include <string.h>
+
+static gboolean
+task_name(const char *name, char **job, guint *task)
+{
+  const char *slash = strrchr(name, '/');
+  guint64 number;
+  if (slash == NULL || slash == name
+      || !g_ascii_string_to_unsigned(slash + 1, 10, 0, WS_MAX_TASKS - 1, &number, NULL))
+    return FALSE;
+  *job = g_strndup(name, (gsize)(slash - name));
+  *task = (guint)number;
+  return TRUE;
+}
+
+static gboolean
+task_state(const char *word, WsTaskState *state)
+{
+  static const struct {
+    const char *word;
+    WsTaskState state;
+  } STATES[] = { { "fetching", WS_TASK_FETCHING },
+                 { "gathering", WS_TASK_FETCHING },
+                 { "running", WS_TASK_RUNNING },
+                 { "flushing", WS_TASK_SAVING },
+                 { "exited", WS_TASK_EXITED } };
+  for (gsize i = 0; i < G_N_ELEMENTS(STATES); i++)
+    if (strcmp(STATES[i].word, word) == 0) {
+      *state = STATES[i].state;
+      return TRUE;
+    }
+  return FALSE;
+}
+
+/* An unknown reason is an end all the same; it is taken for an error of the machine. */
+static WsExit
+exit_reason(const char *word)
+{
+  if (g_strcmp0(word, "done") == 0)
+    return WS_EXIT_DONE;
+  if (g_strcmp0(word, "stopped") == 0)
+    return WS_EXIT_STOPPED;
+  if (g_strcmp0(word, "full") == 0 || g_strcmp0(word, "busy") == 0
+      || g_strcmp0(word, "no_such") == 0)
+    return WS_EXIT_REFUSED;
+  return WS_EXIT_ERROR;
+}
+
+static gboolean
+parse_task(const json_t *item, WsReportTask *task)
+{
+  const char *name, *state, *why = NULL;
+  if (!ws_json_string(item, W_TASK, &name) || !ws_json_count(item, W_ATTEMPT, &task->attempt)
+      || !ws_json_string(item, W_STATE, &state) || !ws_json_string_or_null(item, W_WHY, &why)
+      || !task_state(state, &task->state) || !task_name(name, &task->job, &task->task))
+    return FALSE;
+  if (task->state == WS_TASK_EXITED)
+    task->why = exit_reason(why);
+  return TRUE;
+}
+
+static void
+clear_task(gpointer data)
+{
+  g_free(((WsReportTask *)data)->job);
+}
+
+static const char *
+parse_tasks(const json_t *message, WsReport *report)
+{
+  const json_t *list = json_object_get(message, W_TASKS);
+  if (!json_is_array(list))
+    return W_TASKS;
+  size_t i;
+  const json_t *item;
+  json_array_foreach(list, i, item)
+  {
+    WsReportTask task = { 0 };
+    if (!parse_task(item, &task))
+      return W_TASKS;
+    g_array_append_val(report->tasks, task);
+  }
+  return NULL;
+}
+
+static const char *
+parse_members(const json_t *m, WsReport *r)
+{
+  const char *machine, *endpoint, *type, *zone;
+  if (!ws_json_string(m, W_MACHINE, &machine) || *machine == '\0' || strlen(machine) > 100
+      || strpbrk(machine, " /") != NULL)
+    return W_MACHINE;
+  if (!ws_json_string(m, "endpoint", &endpoint))
+    return "endpoint";
+  if (!ws_json_string(m, W_TYPE, &type))
+    return W_TYPE;
+  if (!ws_json_string(m, W_ZONE, &zone))
+    return W_ZONE;
+  if (!ws_json_bool(m, W_SPOT, &r->spot))
+    return W_SPOT;
+  if (!ws_json_count(m, W_SESSION, &r->session))
+    return W_SESSION;
+  if (!ws_json_count(m, W_SEQ, &r->seq))
+    return W_SEQ;
+  if (!ws_json_count(m, W_TOKEN, &r->token))
+    return W_TOKEN;
+  if (!ws_json_number_or_null(m, W_NOTICE, &r->notice_s))
+    return W_NOTICE;
+  r->machine = g_strdup(machine);
+  r->endpoint = g_strdup(endpoint);
+  r->type = g_strdup(type);
+  r->zone = g_strdup(zone);
+  return parse_tasks(m, r);
+}
+
+WsReport *
+ws_report_parse(const json_t *message, char **reason)
+{
+  if (!json_is_object(message)) {
+    *reason = g_strdup("not a JSON object");
+    return NULL;
+  }
+  g_autoptr(WsReport) report = g_new0(WsReport, 1);
+  report->notice_s = -1.0;
+  report->tasks = g_array_new(FALSE, TRUE, sizeof(WsReportTask));
+  g_array_set_clear_func(report->tasks, clear_task);
+  const char *bad = parse_members(message, report);
+  if (bad != NULL) {
+    *reason = g_strdup_printf("%s is missing or invalid", bad);
+    return NULL;
+  }
+  return g_steal_pointer(&report);
+}
+
+void
+ws_report_free(WsReport *report)
+{
+  if (report == NULL)
+    return;
+  g_free(report->machine);
+  g_free(report->endpoint);
+  g_free(report->type);
+  g_free(report->zone);
+  g_array_unref(report->tasks);
+  g_free(report);
+}
+
+json_t *
+ws_command_encode(WsOp op, const char *job, guint task, guint64 attempt, double grace_s)
+{
+  static const char *const OPS[] = { "launch", "halt", "reap" };
+  g_autofree char *name = g_strdup_printf("%s/%u", job, task);
+  json_t *command = json_pack("{s:s, s:s, s:I}", W_OP, OPS[op], W_TASK, name, W_ATTEMPT,
+                              (json_int_t)attempt);
+  if (op == WS_OP_HALT)
+    json_object_set_new(command, W_GRACE, json_real(grace_s));
+  return command;
+}
+
+json_t *
+ws_commands_answer(guint64 token, json_t *commands)
+{
+  return json_pack("{s:I, s:o}", W_TOKEN, (json_int_t)token, W_COMMANDS, commands);
+}
+
+json_t *
+ws_commands_direct(guint64 token, guint64 session, json_t *commands)
+{
+  return json_pack("{s:I, s:I, s:o}", W_TOKEN, (json_int_t)token, W_SESSION, (json_int_t)session,
+                   W_COMMANDS, commands);
+}
+
+json_t *
+ws_redirect_encode(const char *node)
+{
+  return node == NULL ? json_object() : json_pack("{s:s}", W_REPORT_TO, node);
+}
--- /dev/null
+++ b/src/protocol/ws-report.h
@@ -0,0 +1,47 @@
+/* What a worker says, and what it is told. */
+#pragma once
+
+#include "protocol/ws-json.h"
+
+typedef enum {
+  WS_TASK_ASSIGNED, /* recorded here; the worker has not shown it yet */
+  WS_TASK_FETCHING,
+  WS_TASK_RUNNING,
+  WS_TASK_SAVING,
+  WS_TASK_EXITED
+} WsTaskState;
+
+typedef enum { WS_EXIT_NONE, WS_EXIT_DONE, WS_EXIT_STOPPED, WS_EXIT_ERROR, WS_EXIT_REFUSED } WsExit;
+
+typedef struct {
+  char *job;
+  guint task;
+  guint64 attempt;
+  WsTaskState state;
+  WsExit why;
+} WsReportTask;
+
+typedef struct {
+  char *machine;
+  char *endpoint;
+  char *type;
+  char *zone;
+  gboolean spot;
+  guint64 session;
+  guint64 seq;
+  guint64 token;
+  double notice_s; /* negative: none */
+  GArray *tasks;   /* of WsReportTask */
+} WsReport;
+
+typedef enum { WS_OP_LAUNCH, WS_OP_HALT, WS_OP_REAP } WsOp;
+
+WsReport *ws_report_parse(const json_t *message, char **reason);
+void ws_report_free(WsReport *report);
+
+json_t *ws_command_encode(WsOp op, const char *job, guint task, guint64 attempt, double grace_s);
+json_t *ws_commands_answer(guint64 token, json_t *commands);
+json_t *ws_commands_direct(guint64 token, guint64 session, json_t *commands);
+json_t *ws_redirect_encode(const char *node);
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC(WsReport, ws_report_free)
--- /dev/null
+++ b/src/protocol/ws-settings.c
@@ -0,0 +1,208 @@
+#include "protocol/ws-settings.h"
+
+#include <math.h>
+#include <string.h>
+
+static void
+node_free(gpointer data)
+{
+  WsNode *node = data;
+  g_free(node->name);
+  g_free(node->zone);
+  g_free(node->endpoint);
+  g_free(node);
+}
+
+static void
+team_free(gpointer data)
+{
+  WsTeamSettings *team = data;
+  g_free(team->name);
+  g_free(team);
+}
+
+static gboolean
+copy(const json_t *object, const char *name, char **value)
+{
+  const char *found;
+  if (!ws_json_string(object, name, &found) || *found == '\0')
+    return FALSE;
+  *value = g_strdup(found);
+  return TRUE;
+}
+
+static gboolean
+positive(const json_t *object, const char *name, double *value)
+{
+  return ws_json_number(object, name, value) && *value > 0.0 && *value < 1e9;
+}
+
+static gboolean
+add_node(WsSettings *settings, const json_t *object, gboolean is_self)
+{
+  WsNode *node = g_new0(WsNode, 1);
+  g_ptr_array_add(settings->nodes, node);
+  return copy(object, "node_name", &node->name) && copy(object, "zone", &node->zone)
+         && (is_self || copy(object, "endpoint", &node->endpoint));
+}
+
+static gint
+by_name(gconstpointer a, gconstpointer b)
+{
+  return strcmp((*(WsNode *const *)a)->name, (*(WsNode *const *)b)->name);
+}
+
+static const char *
+read_nodes(WsSettings *settings, const json_t *m)
+{
+  const json_t *peers = json_object_get(m, "peers");
+  if (!add_node(settings, m, TRUE))
+    return "node_name or zone";
+  if (!json_is_array(peers))
+    return "peers";
+  size_t i;
+  const json_t *peer;
+  json_array_foreach(peers, i, peer) if (!add_node(settings, peer, FALSE)) return "peers";
+  const WsNode *self = g_ptr_array_index(settings->nodes, 0);
+  g_ptr_array_sort(settings->nodes, by_name);
+  for (guint n = 0; n < settings->nodes->len; n++)
+    if (g_ptr_array_index(settings->nodes, n) == self)
+      settings->self = n;
+  for (guint n = 1; n < settings->nodes->len; n++)
+    if (by_name(&settings->nodes->pdata[n - 1], &settings->nodes->pdata[n]) == 0)
+      return "peers (a name twice)";
+  return NULL;
+}
+
+static gboolean
+amount(const json_t *item, const char *name, gint64 *value)
+{
+  double number;
+  if (!ws_json_number(item, name, &number) || !(number >= 0.0 && number < 1e9))
+    return FALSE;
+  *value = (gint64)floor(number * 1000.0 + 1e-6);
+  return TRUE;
+}
+
+static gboolean
+read_team(WsSettings *settings, const json_t *item)
+{
+  WsTeamSettings *team = g_new0(WsTeamSettings, 1);
+  g_ptr_array_add(settings->teams, team);
+  return copy(item, "name", &team->name) && amount(item, "cpus", &team->guarantee.cpus)
+         && amount(item, "cpus_max", &team->limit.cpus)
+         && amount(item, "gpus", &team->guarantee.gpus)
+         && amount(item, "gpus_max", &team->limit.gpus);
+}
+
+static const char *
+read_lists(WsSettings *settings, const json_t *params)
+{
+  const json_t *zones = json_object_get(params, "zones");
+  const json_t *teams = json_object_get(params, "teams");
+  size_t i;
+  const json_t *item;
+  if (!json_is_array(zones))
+    return "params.zones";
+  json_array_foreach(zones, i, item)
+  {
+    if (!json_is_string(item))
+      return "params.zones";
+    g_ptr_array_add(settings->zones, g_strdup(json_string_value(item)));
+  }
+  if (!json_is_array(teams))
+    return "params.teams";
+  json_array_foreach(teams, i, item) if (!read_team(settings, item)) return "params.teams";
+  return NULL;
+}
+
+static const char *
+read_params(WsSettings *s, const json_t *params)
+{
+  const json_t *workers = json_object_get(params, "workers");
+  const json_t *state = json_object_get(params, "state");
+  const json_t *cloud = json_object_get(params, "cloud");
+  const json_t *limits = json_object_get(params, "limits");
+  const char *bad = read_lists(s, params);
+  if (bad != NULL)
+    return bad;
+  return !positive(workers, "report_s", &s->report_s)            ? "params.workers.report_s"
+         : !positive(workers, "lease_s", &s->lease_s)            ? "params.workers.lease_s"
+         : !positive(workers, "cancel_s", &s->cancel_s)          ? "params.workers.cancel_s"
+         : !positive(state, "rps", &s->state_rps)                ? "params.state.rps"
+         : !positive(state, "write_rps", &s->state_write_rps)    ? "params.state.write_rps"
+         : !positive(state, "value_kb", &s->state_value_kb)      ? "params.state.value_kb"
+         : !ws_json_count(state, "txn_ops", &s->state_txn_ops) || s->state_txn_ops < 4
+             ? "params.state.txn_ops"
+         : !positive(cloud, "rps", &s->cloud_rps)                ? "params.cloud.rps"
+         : !positive(cloud, "list_lag_s", &s->list_lag_s)        ? "params.cloud.list_lag_s"
+         : !ws_json_count(limits, "max_sockets", &s->max_sockets) ? "params.limits.max_sockets"
+                                                                 : NULL;
+}
+
+static const char *
+read_all(WsSettings *s, const json_t *m)
+{
+  const json_t *services = json_object_get(m, "services");
+  const char *bad = read_nodes(s, m);
+  if (bad != NULL)
+    return bad;
+  if (!copy(m, "api_addr", &s->api_addr))
+    return "api_addr";
+  if (!copy(m, "mesh_addr", &s->mesh_addr))
+    return "mesh_addr";
+  if (!copy(services, "cloud", &s->cloud_addr))
+    return "services.cloud";
+  if (!copy(services, "state", &s->state_addr))
+    return "services.state";
+  return read_params(s, json_object_get(m, "params"));
+}
+
+WsSettings *
+ws_settings_parse(const json_t *message, char **reason)
+{
+  if (!json_is_object(message)) {
+    *reason = g_strdup("not a JSON object");
+    return NULL;
+  }
+  g_autoptr(WsSettings) settings = g_new0(WsSettings, 1);
+  settings->nodes = g_ptr_array_new_with_free_func(node_free);
+  settings->zones = g_ptr_array_new_with_free_func(g_free);
+  settings->teams = g_ptr_array_new_with_free_func(team_free);
+  const char *bad = read_all(settings, message);
+  if (bad != NULL) {
+    *reason = g_strdup_printf("%s is missing or invalid", bad);
+    return NULL;
+  }
+  return g_steal_pointer(&settings);
+}
+
+void
+ws_settings_free(WsSettings *settings)
+{
+  if (settings == NULL)
+    return;
+  g_ptr_array_unref(settings->nodes);
+  g_ptr_array_unref(settings->zones);
+  g_ptr_array_unref(settings->teams);
+  g_free(settings->api_addr);
+  g_free(settings->mesh_addr);
+  g_free(settings->cloud_addr);
+  g_free(settings->state_addr);
+  g_free(settings);
+}
+
+const WsNode *
+ws_settings_node(const WsSettings *settings, guint node)
+{
+  return g_ptr_array_index(settings->nodes, node);
+}
+
+guint
+ws_settings_find_node(const WsSettings *settings, const char *name)
+{
+  for (guint n = 0; name != NULL && n < settings->nodes->len; n++)
+    if (strcmp(ws_settings_node(settings, n)->name, name) == 0)
+      return n;
+  return WS_NONE;
+}
--- /dev/null
+++ b/src/protocol/ws-settings.h
@@ -0,0 +1,45 @@
+/* The settings file that the platform hands over. */
+#pragma once
+
+#include "protocol/ws-names.h"
+#include "protocol/ws-submission.h"
+
+typedef struct {
+  char *name;
+  char *zone;
+  char *endpoint; /* mesh address; NULL for this node */
+} WsNode;
+
+typedef struct {
+  char *name;
+  WsAmount guarantee; /* 0: none in that dimension */
+  WsAmount limit;     /* 0: no limit in that dimension */
+} WsTeamSettings;
+
+typedef struct {
+  GPtrArray *nodes; /* of WsNode, ordered by name; an index into it is a node everywhere */
+  guint self;
+  char *api_addr;
+  char *mesh_addr;
+  char *cloud_addr;
+  char *state_addr;
+  GPtrArray *zones; /* of char* */
+  GPtrArray *teams; /* of WsTeamSettings */
+  double report_s;
+  double lease_s;
+  double cancel_s;
+  double state_rps;
+  double state_write_rps;
+  double state_value_kb;
+  guint64 state_txn_ops;
+  double cloud_rps;
+  double list_lag_s;
+  guint64 max_sockets;
+} WsSettings;
+
+WsSettings *ws_settings_parse(const json_t *message, char **reason);
+void ws_settings_free(WsSettings *settings);
+const WsNode *ws_settings_node(const WsSettings *settings, guint node);
+guint ws_settings_find_node(const WsSettings *settings, const char *name);
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC(WsSettings, ws_settings_free)
--- /dev/null
+++ b/src/transport/ws-http-client.c
@@ -0,0 +1,88 @@
+#include "transport/ws-http-client.h"
+
+#include <libsoup/soup.h>
+#include <string.h>
+
+struct _WsHttpClient {
+  SoupSession *session;
+};
+
+typedef struct {
+  SoupMessage *message;
+  GCancellable *cancellable;
+  guint timer;
+  WsHttpDone done;
+  gpointer data;
+} Pending;
+
+WsHttpClient *
+ws_http_client_new(guint max_connections)
+{
+  WsHttpClient *client = g_new0(WsHttpClient, 1);
+  /* No proxy resolver: the peers are numeric addresses, and looking for one costs time and memory.
+     A hung host may only use up its own connections, so the limit for each host is small. */
+  client->session = soup_session_new_with_options(
+      "proxy-resolver", NULL, "max-conns", (int)MAX(max_connections, 16u), "max-conns-per-host", 12,
+      "idle-timeout", 30, "timeout", 0, NULL);
+  return client;
+}
+
+void
+ws_http_client_free(WsHttpClient *client)
+{
+  soup_session_abort(client->session);
+  g_object_unref(client->session);
+  g_free(client);
+}
+
+static gboolean
+on_timeout(gpointer data)
+{
+  Pending *pending = data;
+  pending->timer = 0;
+  g_cancellable_cancel(pending->cancellable);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+on_sent(GObject *source, GAsyncResult *result, gpointer data)
+{
+  Pending *pending = data;
+  g_autoptr(GError) error = NULL;
+  g_autoptr(GBytes) bytes
+      = soup_session_send_and_read_finish(SOUP_SESSION(source), result, &error);
+  if (pending->timer != 0)
+    g_source_remove(pending->timer);
+  gsize length = 0;
+  const char *body = bytes != NULL ? g_bytes_get_data(bytes, &length) : NULL;
+  guint status = bytes != NULL ? soup_message_get_status(pending->message) : 0;
+  pending->done(status, body != NULL ? body : "", length, pending->data);
+  g_object_unref(pending->message);
+  g_object_unref(pending->cancellable);
+  g_free(pending);
+}
+
+void
+ws_http_client_send(WsHttpClient *client, const char *method, const char *url, const char *body,
+                    guint timeout_ms, WsHttpDone done, gpointer data)
+{
+  g_autoptr(SoupMessage) message = soup_message_new(method, url);
+  if (message == NULL) {
+    g_warning("unusable address %s", url);
+    done(0, "", 0, data);
+    return;
+  }
+  soup_message_add_flags(message, SOUP_MESSAGE_NO_REDIRECT);
+  if (body != NULL) {
+    g_autoptr(GBytes) bytes = g_bytes_new(body, strlen(body));
+    soup_message_set_request_body_from_bytes(message, "application/json", bytes);
+  }
+  Pending *pending = g_new0(Pending, 1);
+  pending->message = g_steal_pointer(&message);
+  pending->cancellable = g_cancellable_new();
+  pending->done = done;
+  pending->data = data;
+  pending->timer = g_timeout_add(timeout_ms, on_timeout, pending);
+  soup_session_send_and_read_async(client->session, pending->message, G_PRIORITY_DEFAULT,
+                                   pending->cancellable, on_sent, pending);
+}
--- /dev/null
+++ b/src/transport/ws-rate.c
@@ -0,0 +1,28 @@
+#include "transport/ws-rate.h"
+
+void
+ws_rate_init(WsRate *rate, double per_second, double burst)
+{
+  *rate = (WsRate){ .per_second = per_second, .burst = MAX(burst, 1.0), .tokens = MAX(burst, 1.0) };
+}
+
+/* A request larger than the burst is let through on a full bucket, which then goes into debt. */
+gboolean
+ws_rate_ready(WsRate *rate, double count, gint64 now_ms)
+{
+  if (now_ms > rate->at_ms) {
+    double earned = (double)(now_ms - rate->at_ms) / 1000.0 * rate->per_second;
+    rate->tokens = MIN(rate->burst, rate->tokens + earned);
+    rate->at_ms = now_ms;
+  }
+  return rate->tokens >= MIN(count, rate->burst);
+}
+
+gboolean
+ws_rate_take(WsRate *rate, double count, gint64 now_ms)
+{
+  if (!ws_rate_ready(rate, count, now_ms))
+    return FALSE;
+  rate->tokens -= count;
+  return TRUE;
+}
