--- a/src/bookkeeping/ws-book.c
+++ b/src/bookkeeping/ws-book.c
@@ -280,7 +280,8 @@
     WsAssignment *fresh = &g_array_index(chunk->on, WsAssignment, i);
     for (guint k = 0; old != NULL && k < old->on->len; k++) {
       const WsAssignment *known = &g_array_index(old->on, WsAssignment, k);
-      if (known->task == fresh->task && known->attempt == fresh->attempt)
+      if (known->task == fresh->task && known->attempt == fresh->attempt
+          && known->machine == fresh->machine)
         *fresh = *known;
     }
   }
@@ -617,9 +618,9 @@
   static const struct {
     const char *prefix;
     void (*apply)(WsBook *, const char *, const json_t *);
-  } KINDS[] = { { WS_KEYS_JOB, apply_job },         { WS_KEYS_TASKS, apply_chunk },
-                { WS_KEYS_TEAM, apply_team },       { WS_KEYS_MACHINE, apply_machine },
-                { WS_KEYS_MARK, apply_mark },       { WS_KEYS_RENT, apply_rent },
+  } KINDS[] = { { WS_KEYS_JOB, apply_job },      { WS_KEYS_TASKS, apply_chunk },
+                { WS_KEYS_TEAM, apply_team },    { WS_KEYS_MACHINE, apply_machine },
+                { WS_KEYS_MARK, apply_mark },    { WS_KEYS_RENT, apply_rent },
                 { WS_KEYS_MEMBER, apply_member } };
   if (strcmp(key, WS_KEY_EPOCH) == 0) {
     if (value == NULL || !ws_epoch_parse(&book->epoch, value, book->settings))
--- a/src/core/ws-fleet.c
+++ b/src/core/ws-fleet.c
@@ -21,8 +21,8 @@
 
 struct _WsFleet {
   WsRate rate;
-  GHashTable *scarce;  /* kind -> Scarce */
-  GHashTable *gone;    /* names whose return was confirmed */
+  GHashTable *scarce; /* kind -> Scarce */
+  GHashTable *gone;   /* names whose return was confirmed */
   guint64 requests;
   gint64 catalog_ms;
   gboolean catalog_asked;
@@ -33,7 +33,7 @@
   gint64 return_ms;
   guint return_backoff_ms;
   gboolean intending;
-  GHashTable *renting; /* requests on their way */
+  GHashTable *renting;    /* requests on their way */
   GHashTable *rent_retry; /* request -> time */
 };
 
@@ -257,8 +257,9 @@
   g_autofree char *request = data;
   const WsRent *rent = find_rent(core, request);
   g_autoptr(GPtrArray) names = status == 200 ? ws_names_parse(body) : NULL;
-  gboolean scarce = status == 503
-                    && g_strcmp0(json_string_value(json_object_get(body, "error")), "no capacity") == 0;
+  gboolean scarce
+      = status == 503
+        && g_strcmp0(json_string_value(json_object_get(body, "error")), "no capacity") == 0;
   if (rent == NULL || (names == NULL && !scarce && status != 400)) {
     retry_rent(core, request);
     g_hash_table_remove(core->fleet->renting, request);
@@ -322,8 +323,7 @@
   for (guint i = 0; i < machines->len; i++)
     take_listed(core, g_ptr_array_index(machines, i));
   if (more && machines->len > 0) {
-    fleet->list_after
-        = g_strdup(((WsListed *)g_ptr_array_index(machines, machines->len - 1))->id);
+    fleet->list_after = g_strdup(((WsListed *)g_ptr_array_index(machines, machines->len - 1))->id);
     fleet->list_ms = core->now;
   }
 }
--- a/src/core/ws-members.c
+++ b/src/core/ws-members.c
@@ -9,7 +9,7 @@
 #define FORCED_EPOCH_PAUSE_MS 10000
 
 struct _WsMembers {
-  guint64 lease; /* 0: none */
+  guint64 lease;      /* 0: none */
   gboolean is_listed; /* the member key is written under this lease */
   gboolean asking;
   gint64 next_ms;
@@ -36,9 +36,8 @@
 {
   json_t *value = json_pack("{s:I}", "incarnation", (json_int_t)core->incarnation);
   if (with_name)
-    json_object_set_new(
-        value, "node",
-        json_string(ws_settings_node(core->settings, core->settings->self)->name));
+    json_object_set_new(value, "node",
+                        json_string(ws_settings_node(core->settings, core->settings->self)->name));
   return value;
 }
 
@@ -99,13 +98,12 @@
                   1000, on_lease, NULL);
   } else if (!members->is_listed) {
     WsTxn *txn = ws_txn_new();
-    g_autofree char *key = ws_key(
-        WS_KEYS_MEMBER, ws_settings_node(core->settings, core->settings->self)->name);
+    g_autofree char *key
+        = ws_key(WS_KEYS_MEMBER, ws_settings_node(core->settings, core->settings->self)->name);
     ws_txn_set_leased(txn, key, identity(core, FALSE), members->lease);
     ws_txn_commit(core, txn, WS_FIRST_LEASE, on_listed, NULL);
   } else {
-    g_autofree char *path
-        = g_strdup_printf("/holds/%" G_GUINT64_FORMAT "/renew", members->lease);
+    g_autofree char *path = g_strdup_printf("/holds/%" G_GUINT64_FORMAT "/renew", members->lease);
     ws_store_call(core, WS_FIRST_LEASE, "POST", path, NULL, 0, 800, on_renewed, NULL);
   }
 }
--- a/src/core/ws-mesh.c
+++ b/src/core/ws-mesh.c
@@ -44,8 +44,9 @@
 {
   json_t *images = json_array();
   for (guint i = 0; i < machine->images->len; i++)
-    json_array_append_new(images, json_string(ws_names_get(&core->book->images,
-                                                           g_array_index(machine->images, guint, i))));
+    json_array_append_new(
+        images,
+        json_string(ws_names_get(&core->book->images, g_array_index(machine->images, guint, i))));
   return json_pack("{s:s, s:I, s:s, s:b, s:o}", "name", machine->name, "age_ms",
                    (json_int_t)(core->now - machine->heard_ms), "endpoint",
                    machine->endpoint != NULL ? machine->endpoint : "", "notice",
@@ -68,8 +69,8 @@
   return json_pack("{s:s, s:I, s:b, s:i, s:b, s:o}", "node",
                    ws_settings_node(core->settings, core->settings->self)->name, "epoch",
                    (json_int_t)core->book->epoch.number, "store",
-                   ws_store_loaded(core) && ws_store_ok(core), "reaches", (int)reaches, "wants_epoch",
-                   core->wants_epoch, "machines", machines);
+                   ws_store_loaded(core) && ws_store_ok(core), "reaches", (int)reaches,
+                   "wants_epoch", core->wants_epoch, "machines", machines);
 }
 
 static void
@@ -187,7 +188,8 @@
   json_int_t task = json_integer_value(json_array_get(item, 1));
   WsJob *job = id != NULL ? ws_book_find_job(core->book, id) : NULL;
   WsMachine *machine = name != NULL ? ws_book_find_machine(core->book, name) : NULL;
-  if (job != NULL && machine != NULL && job->spec != NULL && task >= 0 && task < (json_int_t)job->tasks)
+  if (job != NULL && machine != NULL && job->spec != NULL && task >= 0
+      && task < (json_int_t)job->tasks)
     ws_assign_pick(core, job->index, (guint)task, machine->index);
 }
 
@@ -199,8 +201,7 @@
   if (job == NULL || job->spec == NULL)
     return;
   WsAssignment *a = ws_job_assignment(job, (guint)json_integer_value(json_array_get(item, 1)));
-  if (a == NULL || a->stopping
-      || a->attempt != (guint64)json_integer_value(json_array_get(item, 2))
+  if (a == NULL || a->stopping || a->attempt != (guint64)json_integer_value(json_array_get(item, 2))
       || !ws_owns(core, ws_book_machine(core->book, a->machine)))
     return;
   a->stopping = TRUE;
@@ -244,7 +245,8 @@
   g_free(relay);
 }
 
-static void send_relay(WsCore *core, Relay *relay);
+static void
+send_relay(WsCore *core, Relay *relay);
 
 static guint
 third_node(const WsCore *core, const Relay *relay)
@@ -266,8 +268,8 @@
     send_relay(core, relay);
     return;
   } else if (ws_entitled(core)) {
-    ws_answer(core, relay->request, 200,
-              ws_commands_answer(core->book->epoch.number, json_array()), 0);
+    ws_answer(core, relay->request, 200, ws_commands_answer(core->book->epoch.number, json_array()),
+              0);
   } else {
     ws_answer_later(core, relay->request, 1);
   }
--- a/src/core/ws-plan.c
+++ b/src/core/ws-plan.c
@@ -173,8 +173,8 @@
 by_urgency(gconstpointer a, gconstpointer b)
 {
   const Waiting *first = a, *second = b;
-  gint critical = (second->job->spec->priority == WS_CRITICAL)
-                  - (first->job->spec->priority == WS_CRITICAL);
+  gint critical
+      = (second->job->spec->priority == WS_CRITICAL) - (first->job->spec->priority == WS_CRITICAL);
   if (critical != 0)
     return critical;
   if (first->guaranteed != second->guaranteed)
@@ -481,8 +481,7 @@
 {
   Run run = { .core = core };
   run.slots = make_slots(core);
-  run.use = g_memdup2(core->book->team_use,
-                      sizeof(WsAmount) * MAX(core->settings->teams->len, 1u));
+  run.use = g_memdup2(core->book->team_use, sizeof(WsAmount) * MAX(core->settings->teams->len, 1u));
   run.demand = ws_is_leader(core) ? ws_demand_new(core) : NULL;
   run.asks = g_new0(json_t *, core->settings->nodes->len);
   g_autoptr(GArray) jobs = open_jobs(core);
--- a/src/core/ws-txn.c
+++ b/src/core/ws-txn.c
@@ -104,7 +104,6 @@
 {
   txn->done = done;
   txn->data = data;
-  json_t *message
-      = json_pack("{s:O, s:O}", "if", txn->conditions, "apply", txn->changes);
+  json_t *message = json_pack("{s:O, s:O}", "if", txn->conditions, "apply", txn->changes);
   ws_store_call(core, first, "POST", "/multi", message, ws_txn_ops(txn), 1500, on_reply, txn);
 }
--- a/src/core/ws-users.c
+++ b/src/core/ws-users.c
@@ -19,7 +19,8 @@
   guint tries;
 } Visit;
 
-static void decide(WsCore *core, Visit *visit);
+static void
+decide(WsCore *core, Visit *visit);
 
 static void
 visit_free(Visit *visit)
@@ -286,8 +287,8 @@
 }
 
 void
-ws_users_request(WsCore *core, const char *method, const char *path, const char *body,
-                 gsize length, gpointer request)
+ws_users_request(WsCore *core, const char *method, const char *path, const char *body, gsize length,
+                 gpointer request)
 {
   gboolean is_withdrawal = FALSE;
   gboolean is_submission = strcmp(path, JOBS_PATH) == 0;
--- a/src/core/ws-workers.c
+++ b/src/core/ws-workers.c
@@ -45,7 +45,8 @@
   gboolean launches;
 } Direct;
 
-static void take_presence(WsCore *core, WsMachine *machine, const WsReport *report);
+static void
+take_presence(WsCore *core, WsMachine *machine, const WsReport *report);
 
 static void
 on_direct(WsCore *core, guint status, const json_t *body, gpointer data)
@@ -499,8 +500,8 @@
   }
   gboolean failed = machine->endpoint == NULL || machine->status_failed >= 2;
   gboolean is_cut = machine->zone != WS_NONE && zone_is_cut(core, machine->zone);
-  gint64 patience = is_cut ? (gint64)(core->settings->lease_s * 1000.0) + 6000
-                           : patience_ms(core) + 1500;
+  gint64 patience
+      = is_cut ? (gint64)(core->settings->lease_s * 1000.0) + 6000 : patience_ms(core) + 1500;
   /* A cancelled task must be gone in time, cut or not. */
   if (has_cancelled(core, machine))
     patience = MIN(patience, (gint64)(core->settings->cancel_s * 400.0));
--- a/src/protocol/ws-cloud.c
+++ b/src/protocol/ws-cloud.c
@@ -136,7 +136,8 @@
 }
 
 json_t *
-ws_rental_encode(const char *request, const char *type, const char *zone, gboolean spot, guint count)
+ws_rental_encode(const char *request, const char *type, const char *zone, gboolean spot,
+                 guint count)
 {
   return json_pack("{s:s, s:s, s:s, s:b, s:i}", W_REQUEST, request, W_TYPE, type, W_ZONE, zone,
                    W_SPOT, spot, "how_many", (int)count);
--- a/src/protocol/ws-report.c
+++ b/src/protocol/ws-report.c
@@ -155,8 +155,8 @@
 {
   static const char *const OPS[] = { "launch", "halt", "reap" };
   g_autofree char *name = g_strdup_printf("%s/%u", job, task);
-  json_t *command = json_pack("{s:s, s:s, s:I}", W_OP, OPS[op], W_TASK, name, W_ATTEMPT,
-                              (json_int_t)attempt);
+  json_t *command
+      = json_pack("{s:s, s:s, s:I}", W_OP, OPS[op], W_TASK, name, W_ATTEMPT, (json_int_t)attempt);
   if (op == WS_OP_HALT)
     json_object_set_new(command, W_GRACE, json_real(grace_s));
   return command;
--- a/src/protocol/ws-settings.c
+++ b/src/protocol/ws-settings.c
@@ -126,18 +126,18 @@
   const char *bad = read_lists(s, params);
   if (bad != NULL)
     return bad;
-  return !positive(workers, "report_s", &s->report_s)            ? "params.workers.report_s"
-         : !positive(workers, "lease_s", &s->lease_s)            ? "params.workers.lease_s"
-         : !positive(workers, "cancel_s", &s->cancel_s)          ? "params.workers.cancel_s"
-         : !positive(state, "rps", &s->state_rps)                ? "params.state.rps"
-         : !positive(state, "write_rps", &s->state_write_rps)    ? "params.state.write_rps"
-         : !positive(state, "value_kb", &s->state_value_kb)      ? "params.state.value_kb"
+  return !positive(workers, "report_s", &s->report_s)         ? "params.workers.report_s"
+         : !positive(workers, "lease_s", &s->lease_s)         ? "params.workers.lease_s"
+         : !positive(workers, "cancel_s", &s->cancel_s)       ? "params.workers.cancel_s"
+         : !positive(state, "rps", &s->state_rps)             ? "params.state.rps"
+         : !positive(state, "write_rps", &s->state_write_rps) ? "params.state.write_rps"
+         : !positive(state, "value_kb", &s->state_value_kb)   ? "params.state.value_kb"
          : !ws_json_count(state, "txn_ops", &s->state_txn_ops) || s->state_txn_ops < 4
              ? "params.state.txn_ops"
-         : !positive(cloud, "rps", &s->cloud_rps)                ? "params.cloud.rps"
-         : !positive(cloud, "list_lag_s", &s->list_lag_s)        ? "params.cloud.list_lag_s"
+         : !positive(cloud, "rps", &s->cloud_rps)                 ? "params.cloud.rps"
+         : !positive(cloud, "list_lag_s", &s->list_lag_s)         ? "params.cloud.list_lag_s"
          : !ws_json_count(limits, "max_sockets", &s->max_sockets) ? "params.limits.max_sockets"
-                                                                 : NULL;
+                                                                  : NULL;
 }
 
 static const char *
--- a/src/protocol/ws-settings.h
+++ b/src/protocol/ws-settings.h
@@ -37,9 +37,13 @@
   guint64 max_sockets;
 } WsSettings;
 
-WsSettings *ws_settings_parse(const json_t *message, char **reason);
-void ws_settings_free(WsSettings *settings);
-const WsNode *ws_settings_node(const WsSettings *settings, guint node);
-guint ws_settings_find_node(const WsSettings *settings, const char *name);
+WsSettings *
+ws_settings_parse(const json_t *message, char **reason);
+void
+ws_settings_free(WsSettings *settings);
+const WsNode *
+ws_settings_node(const WsSettings *settings, guint node);
+guint
+ws_settings_find_node(const WsSettings *settings, const char *name);
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(WsSettings, ws_settings_free)
--- a/src/protocol/ws-submission.c
+++ b/src/protocol/ws-submission.c
@@ -135,28 +135,27 @@
 read_members(const json_t *m, WsSubmission *s)
 {
   guint kind = 0, priority = 0;
-  const char *bad
-      = !id(m, &s->id)                                          ? "id"
-        : !text(m, W_CLASS, &s->class_name)                     ? W_CLASS
-        : !text(m, W_TEAM, &s->team)                            ? W_TEAM
-        : !word(m, W_KIND, KINDS, &kind)                        ? W_KIND
-        : !word(m, W_PRIORITY, PRIORITIES, &priority)           ? W_PRIORITY
-        : !tasks(m, &s->tasks)                                  ? W_TASKS
-        : !amount(m, "cpus", &s->need.cpus)                     ? "cpus"
-        : !amount(m, W_GPUS, &s->need.gpus)                     ? W_GPUS
-        : !amount(m, "mem_gb", &s->need.memory)                 ? "mem_gb"
-        : !text(m, W_IMAGE, &s->image)                          ? W_IMAGE
-        : !seconds(m, W_IMAGE_GB, &s->image_gb)                 ? W_IMAGE_GB
-        : !types(m, &s->types)                                  ? W_TYPES
-        : !zone(m, &s->zone)                                    ? W_ZONE
-        : !ws_json_bool(m, "one_zone", &s->one_zone)            ? "one_zone"
-        : !ws_json_bool(m, W_SPREAD, &s->spread)                ? W_SPREAD
-        : !ws_json_bool(m, W_SPOT, &s->spot)                    ? W_SPOT
-        : !seconds(m, W_ESTIMATE, &s->estimate_s)               ? W_ESTIMATE
-        : !seconds(m, W_CHECKPOINT, &s->checkpoint_s)           ? W_CHECKPOINT
-        : !seconds(m, W_SAVE, &s->save_s)                       ? W_SAVE
-        : !deadline(m, &s->deadline_s)                          ? W_DEADLINE
-                                                                : NULL;
+  const char *bad = !id(m, &s->id)                                ? "id"
+                    : !text(m, W_CLASS, &s->class_name)           ? W_CLASS
+                    : !text(m, W_TEAM, &s->team)                  ? W_TEAM
+                    : !word(m, W_KIND, KINDS, &kind)              ? W_KIND
+                    : !word(m, W_PRIORITY, PRIORITIES, &priority) ? W_PRIORITY
+                    : !tasks(m, &s->tasks)                        ? W_TASKS
+                    : !amount(m, "cpus", &s->need.cpus)           ? "cpus"
+                    : !amount(m, W_GPUS, &s->need.gpus)           ? W_GPUS
+                    : !amount(m, "mem_gb", &s->need.memory)       ? "mem_gb"
+                    : !text(m, W_IMAGE, &s->image)                ? W_IMAGE
+                    : !seconds(m, W_IMAGE_GB, &s->image_gb)       ? W_IMAGE_GB
+                    : !types(m, &s->types)                        ? W_TYPES
+                    : !zone(m, &s->zone)                          ? W_ZONE
+                    : !ws_json_bool(m, "one_zone", &s->one_zone)  ? "one_zone"
+                    : !ws_json_bool(m, W_SPREAD, &s->spread)      ? W_SPREAD
+                    : !ws_json_bool(m, W_SPOT, &s->spot)          ? W_SPOT
+                    : !seconds(m, W_ESTIMATE, &s->estimate_s)     ? W_ESTIMATE
+                    : !seconds(m, W_CHECKPOINT, &s->checkpoint_s) ? W_CHECKPOINT
+                    : !seconds(m, W_SAVE, &s->save_s)             ? W_SAVE
+                    : !deadline(m, &s->deadline_s)                ? W_DEADLINE
+                                                                  : NULL;
   s->kind = (WsKind)kind;
   s->priority = (WsPriority)priority;
   return bad;
@@ -198,9 +197,9 @@
 json_t *
 ws_submission_encode(const WsSubmission *s)
 {
-  json_t *m = json_pack("{s:s, s:s, s:s, s:s, s:s, s:i}", "id", s->id, W_CLASS, s->class_name, W_TEAM,
-                        s->team, W_KIND, KINDS[s->kind], W_PRIORITY, PRIORITIES[s->priority], W_TASKS,
-                        (int)s->tasks);
+  json_t *m = json_pack("{s:s, s:s, s:s, s:s, s:s, s:i}", "id", s->id, W_CLASS, s->class_name,
+                        W_TEAM, s->team, W_KIND, KINDS[s->kind], W_PRIORITY,
+                        PRIORITIES[s->priority], W_TASKS, (int)s->tasks);
   json_object_set_new(m, "cpus", decimal(s->need.cpus));
   json_object_set_new(m, W_GPUS, decimal(s->need.gpus));
   json_object_set_new(m, "mem_gb", decimal(s->need.memory));
@@ -214,8 +213,7 @@
   json_object_set_new(m, W_ESTIMATE, json_real(s->estimate_s));
   json_object_set_new(m, W_CHECKPOINT, json_real(s->checkpoint_s));
   json_object_set_new(m, W_SAVE, json_real(s->save_s));
-  json_object_set_new(m, W_DEADLINE,
-                      s->deadline_s >= 0.0 ? json_real(s->deadline_s) : json_null());
+  json_object_set_new(m, W_DEADLINE, s->deadline_s >= 0.0 ? json_real(s->deadline_s) : json_null());
   return m;
 }
 
--- a/src/transport/ws-http-client.c
+++ b/src/transport/ws-http-client.c
@@ -49,8 +49,7 @@
 {
   Pending *pending = data;
   g_autoptr(GError) error = NULL;
-  g_autoptr(GBytes) bytes
-      = soup_session_send_and_read_finish(SOUP_SESSION(source), result, &error);
+  g_autoptr(GBytes) bytes = soup_session_send_and_read_finish(SOUP_SESSION(source), result, &error);
   if (pending->timer != 0)
     g_source_remove(pending->timer);
   gsize length = 0;
@@ -72,7 +71,9 @@
     done(0, "", 0, data);
     return;
   }
-  soup_message_add_flags(message, SOUP_MESSAGE_NO_REDIRECT);
+  /* Without the second flag libsoup opens a connection for every POST. Every request of ours may
+     be carried out twice: it is conditional, named, or has no lasting effect. */
+  soup_message_add_flags(message, SOUP_MESSAGE_NO_REDIRECT | SOUP_MESSAGE_IDEMPOTENT);
   if (body != NULL) {
     g_autoptr(GBytes) bytes = g_bytes_new(body, strlen(body));
     soup_message_set_request_body_from_bytes(message, "application/json", bytes);
--- /dev/null
+++ b/tests/test-bookkeeping.c
@@ -0,0 +1,160 @@
+#include "bookkeeping/ws-book.h"
+#include "ws-gen.h"
+#include "ws-site.h"
+
+typedef struct {
+  char *key;
+  json_t *value;
+  guint64 version;
+} Event;
+
+static void
+event_clear(gpointer data)
+{
+  Event *event = data;
+  g_free(event->key);
+  json_decref(event->value);
+}
+
+static json_t *
+chunk_value(GRand *rand)
+{
+  g_autofree char *machine = g_strdup_printf("m-%d", g_rand_int_range(rand, 0, 3));
+  json_t *on = json_array();
+  for (gint task = 0; task < 4; task++)
+    if (g_rand_boolean(rand))
+      json_array_append_new(
+          on, json_pack("[i, s, i, i]", task, machine, g_rand_int_range(rand, 1, 9), 1000));
+  return json_pack("{s:i, s:o, s:s}", "a", 9, "on", on, "d", "00000000000000000000000000000000");
+}
+
+static json_t *
+job_value(void)
+{
+  g_autoptr(GRand) rand = g_rand_new_with_seed(1);
+  json_t *spec = ws_gen_submission(rand);
+  json_object_set_new(spec, "id", json_string("req-1"));
+  json_object_set_new(spec, "dilna", json_string("red"));
+  json_object_set_new(spec, "kusy", json_integer(4));
+  return json_pack("{s:s, s:i, s:s, s:o}", "s", "active", "at", 5, "home", "n1", "spec", spec);
+}
+
+static GArray *
+history(GRand *rand)
+{
+  GArray *events = g_array_new(FALSE, TRUE, sizeof(Event));
+  g_array_set_clear_func(events, event_clear);
+  Event job = { g_strdup("w/job/req-1"), job_value(), 1 };
+  g_array_append_val(events, job);
+  for (guint64 version = 2; version < 30; version++) {
+    gboolean removed = g_rand_int_range(rand, 0, 4) == 0;
+    Event event = { 0 };
+    event.version = version;
+    if (g_rand_boolean(rand)) {
+      event.key = g_strdup("w/task/req-1/0");
+      event.value = removed ? NULL : chunk_value(rand);
+    } else {
+      event.key = g_strdup_printf("w/mark/m-%d", g_rand_int_range(rand, 0, 3));
+      event.value = removed ? NULL : ws_mark_encode("idle", FALSE);
+    }
+    g_array_append_val(events, event);
+  }
+  return events;
+}
+
+static void
+assert_sums(const WsBook *book)
+{
+  const WsJob *job = ws_book_find_job(book, "req-1");
+  guint linked = 0;
+  for (guint i = 0; i < book->machines->len; i++) {
+    const WsMachine *machine = ws_book_machine(book, i);
+    linked += machine->tasks->len;
+    g_assert_cmpint(machine->used.cpus, ==, job->spec->need.cpus * machine->tasks->len);
+  }
+  g_assert_cmpuint(linked, ==, job->on_count);
+}
+
+/* A node's own writes come early and again through the watch: the replica ends up the same, and
+   what is on each machine always adds up. */
+static void
+early_and_again(GRand *rand)
+{
+  g_autoptr(WsSettings) settings = ws_test_settings(0);
+  g_autoptr(GArray) events = history(rand);
+  WsBook *plain = ws_book_new(settings), *early = ws_book_new(settings);
+  for (guint i = 0; i < events->len; i++) {
+    const Event *event = &g_array_index(events, Event, i);
+    ws_book_apply(plain, event->key, event->value, event->version);
+    ws_book_advance(plain, event->version);
+    guint ahead = i + (guint)g_rand_int_range(rand, 0, 4);
+    ahead = MIN(ahead, events->len - 1);
+    const Event *own = &g_array_index(events, Event, ahead);
+    if (i > 0)
+      ws_book_apply(early, own->key, own->value, own->version);
+    ws_book_apply(early, event->key, event->value, event->version);
+    ws_book_advance(early, event->version);
+    assert_sums(early);
+  }
+  for (guint m = 0; m < 3; m++) {
+    g_autofree char *name = g_strdup_printf("m-%u", m);
+    WsMachine *a = ws_book_get_machine(plain, name), *b = ws_book_get_machine(early, name);
+    g_assert_cmpint(a->marked, ==, b->marked);
+    g_assert_cmpint(a->used.cpus, ==, b->used.cpus);
+  }
+  g_assert_cmpuint(ws_book_version(plain, "w/task/req-1/0"), ==,
+                   ws_book_version(early, "w/task/req-1/0"));
+  ws_book_free(plain);
+  ws_book_free(early);
+}
+
+static void
+test_early(void)
+{
+  ws_cases(200, 1, early_and_again);
+}
+
+/* After the state was read again, keys that are no longer there are gone. */
+static void
+test_forget(void)
+{
+  g_autoptr(WsSettings) settings = ws_test_settings(0);
+  g_autoptr(json_t) mark = ws_mark_encode("idle", FALSE);
+  g_autoptr(GHashTable) read = g_hash_table_new(g_str_hash, g_str_equal);
+  WsBook *book = ws_book_new(settings);
+  ws_book_apply(book, "w/mark/m-1", mark, 4);
+  ws_book_apply(book, "w/mark/m-2", mark, 5);
+  ws_book_apply(book, "w/mark/m-3", mark, 9);
+  g_hash_table_add(read, (gpointer) "w/mark/m-2");
+  ws_book_forget_missing(book, read, 7);
+  g_assert_false(ws_book_find_machine(book, "m-1")->marked);
+  g_assert_true(ws_book_find_machine(book, "m-2")->marked);
+  g_assert_true(ws_book_find_machine(book, "m-3")->marked); /* newer than what was read */
+  g_assert_cmpuint(ws_book_version(book, "w/mark/m-1"), ==, 0);
+  ws_book_free(book);
+}
+
+static void
+test_damaged(void)
+{
+  g_autoptr(WsSettings) settings = ws_test_settings(0);
+  g_autoptr(json_t) job = job_value();
+  g_autoptr(json_t) damaged = json_pack("{s:i, s:[[i]], s:s}", "a", 1, "on", 1, "d", "00");
+  WsBook *book = ws_book_new(settings);
+  ws_book_apply(book, "w/job/req-1", job, 1);
+  g_test_expect_message("wrenshore", G_LOG_LEVEL_WARNING, "*damaged*");
+  ws_book_apply(book, "w/task/req-1/0", damaged, 2);
+  g_test_assert_expected_messages();
+  g_assert_cmpuint(ws_book_find_job(book, "req-1")->on_count, ==, 0);
+  ws_book_free(book);
+}
+
+int
+main(int argc, char **argv)
+{
+  g_test_init(&argc, &argv, NULL);
+  g_test_add_func("/bookkeeping/early", test_early);
+  g_test_add_func("/bookkeeping/forget", test_forget);
+  g_test_add_func("/bookkeeping/damaged", test_damaged);
+  return g_test_run();
+}
--- /dev/null
+++ b/tests/test-protocol.c
@@ -0,0 +1,176 @@
+#include "protocol/ws-cloud.h"
+#include "protocol/ws-report.h"
+#include "protocol/ws-settings.h"
+#include "ws-gen.h"
+
+#include <string.h>
+
+static void
+submission_round_trip(GRand *rand)
+{
+  g_autoptr(json_t) message = ws_gen_submission(rand);
+  g_autofree char *reason = NULL;
+  g_autoptr(WsSubmission) first = ws_submission_parse(message, &reason);
+  g_assert_nonnull(first);
+  g_autoptr(json_t) encoded = ws_submission_encode(first);
+  g_autoptr(WsSubmission) second = ws_submission_parse(encoded, &reason);
+  g_assert_nonnull(second);
+  g_autoptr(json_t) again = ws_submission_encode(second);
+  g_assert_true(json_equal(encoded, again));
+  g_assert_cmpint(json_integer_value(json_object_get(encoded, "kusy")), ==, first->tasks);
+  g_assert_cmpfloat_with_epsilon(json_number_value(json_object_get(message, "cpus")),
+                                 (double)first->need.cpus / 1000.0, 1e-6);
+}
+
+/* Whatever one member is replaced by, the answer is a submission or a reason. */
+static void
+submission_damaged(GRand *rand)
+{
+  static const char *const REQUIRED[]
+      = { "id",       "trida",   "dilna",    "druh",      "prednost",    "kusy",
+          "cpus",     "mem_gb",  "obraz",    "pull_gb",   "one_zone",    "scatter",
+          "vypujcky", "odhad_s", "zaloha_s", "ulozeni_s", "accelerators" };
+  g_autoptr(json_t) message = ws_gen_submission(rand);
+  const char *name = REQUIRED[g_rand_int_range(rand, 0, G_N_ELEMENTS(REQUIRED))];
+  switch (g_rand_int_range(rand, 0, 4)) {
+  case 0:
+    json_object_del(message, name);
+    break;
+  case 1:
+    json_object_set_new(message, name, json_null());
+    break;
+  case 2:
+    json_object_set_new(message, name, json_integer(-1));
+    break;
+  default:
+    json_object_set_new(message, name, json_array());
+  }
+  g_autofree char *reason = NULL;
+  g_assert_null(ws_submission_parse(message, &reason));
+  g_assert_nonnull(strstr(reason, name));
+}
+
+static void
+test_submissions(void)
+{
+  ws_cases(300, 1, submission_round_trip);
+  ws_cases(300, 1000, submission_damaged);
+}
+
+static void
+test_submission_edges(void)
+{
+  g_autoptr(GRand) rand = g_rand_new_with_seed(5);
+  g_autoptr(json_t) message = ws_gen_submission(rand);
+  g_autofree char *reason = NULL;
+  /* A nullable member may be missing, and an unknown one is ignored. */
+  json_object_del(message, "typy");
+  json_object_del(message, "hala");
+  json_object_del(message, "termin_s");
+  json_object_set_new(message, "novinka", json_true());
+  g_autoptr(WsSubmission) submission = ws_submission_parse(message, &reason);
+  g_assert_nonnull(submission);
+  g_assert_cmpfloat(submission->deadline_s, <, 0.0);
+  json_object_set_new(message, "kusy", json_integer(100001));
+  g_assert_null(ws_submission_parse(message, &reason));
+  g_autofree char *reason_of_list = NULL;
+  g_autoptr(json_t) list = json_array();
+  g_assert_null(ws_submission_parse(list, &reason_of_list));
+  static const char *const BAD[] = { "", "req-", "job-1", "req-a/b", "req-a b", "req-../x" };
+  for (guint i = 0; i < G_N_ELEMENTS(BAD); i++)
+    g_assert_false(ws_job_id_valid(BAD[i]));
+  g_assert_true(ws_job_id_valid("req-000412"));
+}
+
+/* Amounts: a need is rounded up, and 0.1 + 0.2 is 0.3. */
+static void
+test_amounts(void)
+{
+  WsAmount sum = { 0 }, tenth = { 100, 100, 100 }, limit = { 300, 300, 300 };
+  ws_amount_add(&sum, &tenth, 3);
+  g_assert_true(ws_amount_fits(&sum, &limit));
+  ws_amount_add(&sum, &tenth, 1);
+  g_assert_false(ws_amount_fits(&sum, &limit));
+}
+
+static const char REPORT[]
+    = "{\"stroj\":\"m-000231\",\"endpoint\":\"10.1.0.232:9000\",\"typ\":\"g8\",\"hala\":\"a\","
+      "\"vypujcky\":true,\"smena\":1,\"poradi\":88,\"pecet\":41,\"vypoved_s\":null,"
+      "\"kusy\":[{\"kus\":\"req-000412/3\",\"pokus\":2,\"stav\":\"running\"},"
+      "{\"kus\":\"req-000398/0\",\"pokus\":1,\"stav\":\"exited\",\"duvod\":\"done\"}]}";
+
+static void
+test_report(void)
+{
+  g_autoptr(json_t) message = ws_json_parse(REPORT, strlen(REPORT));
+  g_autofree char *reason = NULL;
+  g_autoptr(WsReport) report = ws_report_parse(message, &reason);
+  g_assert_nonnull(report);
+  g_assert_cmpuint(report->token, ==, 41);
+  g_assert_cmpuint(report->tasks->len, ==, 2);
+  const WsReportTask *first = &g_array_index(report->tasks, WsReportTask, 0);
+  g_assert_cmpstr(first->job, ==, "req-000412");
+  g_assert_cmpuint(first->task, ==, 3);
+  g_assert_cmpint(first->state, ==, WS_TASK_RUNNING);
+  g_assert_cmpint(g_array_index(report->tasks, WsReportTask, 1).why, ==, WS_EXIT_DONE);
+}
+
+/* Bytes changed at random never crash the reader. */
+static void
+report_damaged(GRand *rand)
+{
+  char text[sizeof REPORT];
+  memcpy(text, REPORT, sizeof REPORT);
+  for (gint i = g_rand_int_range(rand, 1, 6); i > 0; i--)
+    text[g_rand_int_range(rand, 0, sizeof REPORT - 1)] = (char)g_rand_int_range(rand, 32, 127);
+  g_autoptr(json_t) message = ws_json_parse(text, strlen(text));
+  g_autofree char *reason = NULL;
+  g_autoptr(WsReport) report = ws_report_parse(message, &reason);
+  g_assert_true((report == NULL) == (reason != NULL));
+}
+
+static void
+test_damaged_reports(void)
+{
+  ws_cases(2000, 1, report_damaged);
+}
+
+static void
+test_commands(void)
+{
+  g_autoptr(json_t) command = ws_command_encode(WS_OP_HALT, "req-1", 7, 3, 2.5);
+  g_autofree char *text = ws_json_text(command);
+  g_assert_cmpstr(text, ==, "{\"ukon\":\"halt\",\"kus\":\"req-1/7\",\"pokus\":3,\"lhuta_s\":2.5}");
+}
+
+static void
+test_cloud(void)
+{
+  static const char CATALOG[]
+      = "{\"typy\":[{\"sku\":\"g8\",\"cpus\":96,\"accelerators\":8,\"mem_gb\":768,"
+        "\"local_gb\":200,\"pull_gb_per_s\":1.0,\"price\":12.0,\"low_price\":4.5,\"boot_s\":45,"
+        "\"haly\":[\"a\",\"b\"]}]}";
+  g_autoptr(json_t) message = ws_json_parse(CATALOG, strlen(CATALOG));
+  g_autoptr(GPtrArray) types = ws_catalog_parse(message);
+  g_assert_cmpuint(types->len, ==, 1);
+  g_assert_cmpint(((WsType *)g_ptr_array_index(types, 0))->room.gpus, ==, 8000);
+  g_autoptr(json_t) damaged = json_pack("{s:[{s:s}]}", "typy", "sku", "g8");
+  g_assert_null(ws_catalog_parse(damaged));
+  gboolean more;
+  g_assert_null(ws_listing_parse(damaged, &more));
+  g_assert_null(ws_names_parse(damaged));
+}
+
+int
+main(int argc, char **argv)
+{
+  g_test_init(&argc, &argv, NULL);
+  g_test_add_func("/protocol/submissions", test_submissions);
+  g_test_add_func("/protocol/submission-edges", test_submission_edges);
+  g_test_add_func("/protocol/amounts", test_amounts);
+  g_test_add_func("/protocol/report", test_report);
+  g_test_add_func("/protocol/damaged-reports", test_damaged_reports);
+  g_test_add_func("/protocol/commands", test_commands);
+  g_test_add_func("/protocol/cloud", test_cloud);
+  return g_test_run();
+}
