--- a/src/bookkeeping/ws-book.c
+++ b/src/bookkeeping/ws-book.c
@@ -6,6 +6,8 @@
 job_free(gpointer data)
 {
   WsJob *job = data;
+  for (guint i = 0; i < job->chunks->len; i++)
+    ws_chunk_free(g_ptr_array_index(job->chunks, i));
   g_free(job->id);
   ws_submission_free(job->spec);
   g_ptr_array_unref(job->chunks);
