--- a/src/bookkeeping/ws-book.h
+++ b/src/bookkeeping/ws-book.h
@@ -129,70 +129,40 @@
   GPtrArray *catalog; /* of WsType, NULL: not known yet */
 } WsBook;
 
-WsBook *
-ws_book_new(const WsSettings *settings);
-void
-ws_book_free(WsBook *book);
+WsBook *ws_book_new(const WsSettings *settings);
+void ws_book_free(WsBook *book);
 /* value NULL: removed. Returns whether anything changed. */
-gboolean
-ws_book_apply(WsBook *book, const char *key, const json_t *value, guint64 version);
+gboolean ws_book_apply(WsBook *book, const char *key, const json_t *value, guint64 version);
 /* Forgets what is not among the keys that were read with the revision. */
-void
-ws_book_forget_missing(WsBook *book, GHashTable *read, guint64 revision);
+void ws_book_forget_missing(WsBook *book, GHashTable *read, guint64 revision);
 /* The version for a condition: 0 if the key does not exist. */
-guint64
-ws_book_version(const WsBook *book, const char *key);
-void
-ws_book_advance(WsBook *book, guint64 revision);
-void
-ws_book_set_catalog(WsBook *book, GPtrArray *catalog);
-
-WsJob *
-ws_book_job(const WsBook *book, guint index);
-WsJob *
-ws_book_find_job(const WsBook *book, const char *id);
-WsMachine *
-ws_book_machine(const WsBook *book, guint index);
-WsMachine *
-ws_book_find_machine(const WsBook *book, const char *name);
-WsMachine *
-ws_book_get_machine(WsBook *book, const char *name); /* made if missing */
-void
-ws_book_describe_machine(WsBook *book, WsMachine *machine, const char *type, const char *zone,
-                         gboolean spot);
-guint
-ws_book_owner(const WsBook *book, const WsMachine *machine);
-const WsType *
-ws_book_type(const WsBook *book, guint type);
-guint
-ws_book_find_team(const WsBook *book, const char *name);
-guint
-ws_book_find_zone(const WsBook *book, const char *name);
-
-WsChunk *
-ws_job_chunk(const WsJob *job, guint task);
-WsAssignment *
-ws_job_assignment(const WsJob *job, guint task);
-gboolean
-ws_job_task_done(const WsJob *job, guint task);
-guint
-ws_job_chunk_count(const WsJob *job);
-json_t *
-ws_job_encode(const WsJob *job, WsJobState state, const char *home);
-json_t *
-ws_job_encode_final(const WsJob *job, WsJobState state);
-
-WsChunk *
-ws_chunk_copy(const WsChunk *chunk); /* NULL: an empty one */
-void
-ws_chunk_free(WsChunk *chunk);
-json_t *
-ws_chunk_encode(const WsChunk *chunk, const WsBook *book);
-json_t *
-ws_amount_encode(const WsAmount *amount);
-json_t *
-ws_machine_encode(const char *type, const char *zone, gboolean spot, gint64 at_ms);
-json_t *
-ws_rent_encode(const WsRent *rent);
-json_t *
-ws_mark_encode(const char *why, gboolean now);
+guint64 ws_book_version(const WsBook *book, const char *key);
+void ws_book_advance(WsBook *book, guint64 revision);
+void ws_book_set_catalog(WsBook *book, GPtrArray *catalog);
+
+WsJob *ws_book_job(const WsBook *book, guint index);
+WsJob *ws_book_find_job(const WsBook *book, const char *id);
+WsMachine *ws_book_machine(const WsBook *book, guint index);
+WsMachine *ws_book_find_machine(const WsBook *book, const char *name);
+WsMachine *ws_book_get_machine(WsBook *book, const char *name); /* made if missing */
+void ws_book_describe_machine(WsBook *book, WsMachine *machine, const char *type, const char *zone,
+                              gboolean spot);
+guint ws_book_owner(const WsBook *book, const WsMachine *machine);
+const WsType *ws_book_type(const WsBook *book, guint type);
+guint ws_book_find_team(const WsBook *book, const char *name);
+guint ws_book_find_zone(const WsBook *book, const char *name);
+
+WsChunk *ws_job_chunk(const WsJob *job, guint task);
+WsAssignment *ws_job_assignment(const WsJob *job, guint task);
+gboolean ws_job_task_done(const WsJob *job, guint task);
+guint ws_job_chunk_count(const WsJob *job);
+json_t *ws_job_encode(const WsJob *job, WsJobState state, const char *home);
+json_t *ws_job_encode_final(const WsJob *job, WsJobState state);
+
+WsChunk *ws_chunk_copy(const WsChunk *chunk); /* NULL: an empty one */
+void ws_chunk_free(WsChunk *chunk);
+json_t *ws_chunk_encode(const WsChunk *chunk, const WsBook *book);
+json_t *ws_amount_encode(const WsAmount *amount);
+json_t *ws_machine_encode(const char *type, const char *zone, gboolean spot, gint64 at_ms);
+json_t *ws_rent_encode(const WsRent *rent);
+json_t *ws_mark_encode(const char *why, gboolean now);
--- a/src/bookkeeping/ws-keys.h
+++ b/src/bookkeeping/ws-keys.h
@@ -15,9 +15,6 @@
 #define WS_KEYS_MARK WS_PREFIX "mark/"
 #define WS_KEYS_RENT WS_PREFIX "rent/"
 
-char *
-ws_key_job(const char *id);
-char *
-ws_key_chunk(const char *id, guint chunk);
-char *
-ws_key(const char *prefix, const char *name);
+char *ws_key_job(const char *id);
+char *ws_key_chunk(const char *id, guint chunk);
+char *ws_key(const char *prefix, const char *name);
--- a/src/coordination/ws-epoch.h
+++ b/src/coordination/ws-epoch.h
@@ -14,20 +14,12 @@
   GArray *members; /* of WsMember, ordered by node */
 } WsEpoch;
 
-void
-ws_epoch_init(WsEpoch *epoch);
-void
-ws_epoch_clear(WsEpoch *epoch);
-gboolean
-ws_epoch_parse(WsEpoch *epoch, const json_t *value, const WsSettings *settings);
-json_t *
-ws_epoch_encode(const WsEpoch *epoch, const WsSettings *settings);
-gboolean
-ws_epoch_has(const WsEpoch *epoch, guint node, guint64 incarnation);
-gboolean
-ws_epoch_has_node(const WsEpoch *epoch, guint node);
-gboolean
-ws_epoch_same_members(const WsEpoch *epoch, const GArray *members);
+void ws_epoch_init(WsEpoch *epoch);
+void ws_epoch_clear(WsEpoch *epoch);
+gboolean ws_epoch_parse(WsEpoch *epoch, const json_t *value, const WsSettings *settings);
+json_t *ws_epoch_encode(const WsEpoch *epoch, const WsSettings *settings);
+gboolean ws_epoch_has(const WsEpoch *epoch, guint node, guint64 incarnation);
+gboolean ws_epoch_has_node(const WsEpoch *epoch, guint node);
+gboolean ws_epoch_same_members(const WsEpoch *epoch, const GArray *members);
 /* Rendezvous hash over the members; WS_NONE without members. */
-guint
-ws_epoch_owner(const WsEpoch *epoch, const char *machine, const WsSettings *settings);
+guint ws_epoch_owner(const WsEpoch *epoch, const char *machine, const WsSettings *settings);
--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -4,7 +4,8 @@
    transaction; a task is released only when ws-workers.c or ws-fleet.c knows that it is gone. */
 #include "core/ws-core-private.h"
 
-#include <string.h>
+#define CONFLICT_PAUSE_MS 60
+#define FAILURE_PAUSE_MS 400
 
 typedef struct {
   guint job;
@@ -461,12 +462,15 @@
   core->plan_due = TRUE;
   GArray *launching = assign->launching;
   assign->launching = g_array_new(FALSE, FALSE, sizeof(Pick));
-  if (result == WS_TXN_OK)
+  if (result == WS_TXN_OK) {
     launch_all(core, launching);
-  else
-    /* Whoever was first is seen through the watch. After no answer the transaction may still be
-       carried out: its conditions make that harmless, and a later one is built on what is seen. */
-    assign->next_ms = core->now + (result == WS_TXN_CONFLICT ? 60 : 400);
+  } else {
+    /* Whoever was first is seen through the watch, and what is still wanted then is tried again.
+       After no answer the transaction may yet be carried out: its conditions make that harmless. */
+    assign->next_ms
+        = core->now + (result == WS_TXN_CONFLICT ? CONFLICT_PAUSE_MS : FAILURE_PAUSE_MS);
+    g_array_append_vals(assign->picks, launching->data, launching->len);
+  }
   g_array_unref(launching);
 }
 
--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -60,149 +60,93 @@
 };
 
 /* ws-core.c */
-void
-ws_call(WsCore *core, const char *method, const char *address, const char *path,
-        json_t *body /* taken, may be NULL */, guint timeout_ms, WsReply reply, gpointer data);
-void
-ws_answer(WsCore *core, gpointer request, guint status, json_t *body /* taken */,
-          guint retry_after_s);
-void
-ws_answer_reason(WsCore *core, gpointer request, guint status, const char *reason);
-void
-ws_answer_later(WsCore *core, gpointer request, guint retry_after_s);
-gboolean
-ws_entitled(const WsCore *core);
-gboolean
-ws_is_leader(const WsCore *core);
-gboolean
-ws_owns(const WsCore *core, const WsMachine *machine);
+void ws_call(WsCore *core, const char *method, const char *address, const char *path,
+             json_t *body /* taken, may be NULL */, guint timeout_ms, WsReply reply, gpointer data);
+void ws_answer(WsCore *core, gpointer request, guint status, json_t *body /* taken */,
+               guint retry_after_s);
+void ws_answer_reason(WsCore *core, gpointer request, guint status, const char *reason);
+void ws_answer_later(WsCore *core, gpointer request, guint retry_after_s);
+gboolean ws_entitled(const WsCore *core);
+gboolean ws_is_leader(const WsCore *core);
+gboolean ws_owns(const WsCore *core, const WsMachine *machine);
 
 /* ws-store.c */
-WsStore *
-ws_store_new(const WsSettings *settings);
-void
-ws_store_free(WsStore *store);
-void
-ws_store_tick(WsCore *core);
-void
-ws_store_pump(WsCore *core);
-gboolean
-ws_store_loaded(const WsCore *core);
-gboolean
-ws_store_ok(const WsCore *core);
-void
-ws_store_call(WsCore *core, WsFirst first, const char *method, const char *path,
-              json_t *body /* taken */, guint writes, guint timeout_ms, WsReply reply,
-              gpointer data);
+WsStore *ws_store_new(const WsSettings *settings);
+void ws_store_free(WsStore *store);
+void ws_store_tick(WsCore *core);
+void ws_store_pump(WsCore *core);
+gboolean ws_store_loaded(const WsCore *core);
+gboolean ws_store_ok(const WsCore *core);
+void ws_store_call(WsCore *core, WsFirst first, const char *method, const char *path,
+                   json_t *body /* taken */, guint writes, guint timeout_ms, WsReply reply,
+                   gpointer data);
 /* Calls back once the replica is as new as the store was after this call. */
-void
-ws_store_read(WsCore *core, WsReadDone done, gpointer data);
+void ws_store_read(WsCore *core, WsReadDone done, gpointer data);
 
 /* ws-txn.c */
-WsTxn *
-ws_txn_new(void);
-void
-ws_txn_if(WsTxn *txn, const WsBook *book, const char *key);
-void
-ws_txn_if_version(WsTxn *txn, const char *key, guint64 version);
-void
-ws_txn_set(WsTxn *txn, const char *key, json_t *value /* taken */);
-void
-ws_txn_set_leased(WsTxn *txn, const char *key, json_t *value /* taken */, guint64 lease);
-void
-ws_txn_remove(WsTxn *txn, const char *key);
-guint
-ws_txn_ops(const WsTxn *txn);
-void
-ws_txn_commit(WsCore *core, WsTxn *txn /* taken */, WsFirst first, WsTxnDone done, gpointer data);
-void
-ws_txn_free(WsTxn *txn);
+WsTxn *ws_txn_new(void);
+void ws_txn_if(WsTxn *txn, const WsBook *book, const char *key);
+void ws_txn_if_version(WsTxn *txn, const char *key, guint64 version);
+void ws_txn_set(WsTxn *txn, const char *key, json_t *value /* taken */);
+void ws_txn_set_leased(WsTxn *txn, const char *key, json_t *value /* taken */, guint64 lease);
+void ws_txn_remove(WsTxn *txn, const char *key);
+guint ws_txn_ops(const WsTxn *txn);
+void ws_txn_commit(WsCore *core, WsTxn *txn /* taken */, WsFirst first, WsTxnDone done,
+                   gpointer data);
+void ws_txn_free(WsTxn *txn);
 
 /* ws-members.c */
-WsMembers *
-ws_members_new(void);
-void
-ws_members_free(WsMembers *members);
-void
-ws_members_tick(WsCore *core);
+WsMembers *ws_members_new(void);
+void ws_members_free(WsMembers *members);
+void ws_members_tick(WsCore *core);
 
 /* ws-users.c */
-void
-ws_users_request(WsCore *core, const char *method, const char *path, const char *body, gsize length,
-                 gpointer request);
+void ws_users_request(WsCore *core, const char *method, const char *path, const char *body,
+                      gsize length, gpointer request);
 
 /* ws-workers.c */
-void
-ws_workers_report(WsCore *core, const char *body, gsize length, gpointer request);
+void ws_workers_report(WsCore *core, const char *body, gsize length, gpointer request);
 /* The answer to a report of a machine that this node owns. */
-json_t *
-ws_workers_process(WsCore *core, const WsReport *report);
-void
-ws_workers_launch_now(WsCore *core, WsMachine *machine, GArray *tasks /* of WsTaskRef */);
-void
-ws_workers_halt_now(WsCore *core, WsJob *job, WsAssignment *assignment);
-void
-ws_workers_cancelled(WsCore *core, WsJob *job);
-void
-ws_workers_tick(WsCore *core);
-gboolean
-ws_machine_up(const WsCore *core, const WsMachine *machine);
-gboolean
-ws_machine_silent(const WsCore *core, const WsMachine *machine);
+json_t *ws_workers_process(WsCore *core, const WsReport *report);
+void ws_workers_launch_now(WsCore *core, WsMachine *machine, GArray *tasks /* of WsTaskRef */);
+void ws_workers_halt_now(WsCore *core, WsJob *job, WsAssignment *assignment);
+void ws_workers_cancelled(WsCore *core, WsJob *job);
+void ws_workers_tick(WsCore *core);
+gboolean ws_machine_up(const WsCore *core, const WsMachine *machine);
+gboolean ws_machine_silent(const WsCore *core, const WsMachine *machine);
 
 /* ws-mesh.c */
-void
-ws_mesh_tick(WsCore *core);
-void
-ws_mesh_request(WsCore *core, const char *path, const char *body, gsize length, gpointer request);
-gboolean
-ws_mesh_reaches(const WsCore *core, guint node);
-gboolean
-ws_mesh_sees(const WsCore *core, guint from, guint to);
-gboolean
-ws_mesh_alone_refused(const WsCore *core);
-void
-ws_mesh_relay(WsCore *core, guint owner, const char *report, gpointer request);
-void
-ws_mesh_ask(WsCore *core, guint owner, json_t *ask /* taken */);
+void ws_mesh_tick(WsCore *core);
+void ws_mesh_request(WsCore *core, const char *path, const char *body, gsize length,
+                     gpointer request);
+gboolean ws_mesh_reaches(const WsCore *core, guint node);
+gboolean ws_mesh_sees(const WsCore *core, guint from, guint to);
+gboolean ws_mesh_alone_refused(const WsCore *core);
+void ws_mesh_relay(WsCore *core, guint owner, const char *report, gpointer request);
+void ws_mesh_ask(WsCore *core, guint owner, json_t *ask /* taken */);
 
 /* ws-assign.c */
-WsAssign *
-ws_assign_new(void);
-void
-ws_assign_free(WsAssign *assign);
-void
-ws_assign_release(WsCore *core, WsJob *job, const WsAssignment *assignment, gboolean done);
-void
-ws_assign_pick(WsCore *core, guint job, guint task, guint machine);
-gboolean
-ws_assign_pending(const WsCore *core, guint job, guint task);
-gboolean
-ws_assign_idle(const WsCore *core);
-void
-ws_assign_pump(WsCore *core);
+WsAssign *ws_assign_new(void);
+void ws_assign_free(WsAssign *assign);
+void ws_assign_release(WsCore *core, WsJob *job, const WsAssignment *assignment, gboolean done);
+void ws_assign_pick(WsCore *core, guint job, guint task, guint machine);
+gboolean ws_assign_pending(const WsCore *core, guint job, guint task);
+gboolean ws_assign_idle(const WsCore *core);
+void ws_assign_pump(WsCore *core);
 /* Whether the rules on zones let one more task of the job be in the zone. counts: by zone. */
-gboolean
-ws_zone_allowed(const WsJob *job, const guint *counts, guint zones, guint zone);
+gboolean ws_zone_allowed(const WsJob *job, const guint *counts, guint zones, guint zone);
 
 /* ws-plan.c */
-WsPlan *
-ws_plan_new(void);
-void
-ws_plan_free(WsPlan *plan);
-void
-ws_plan_tick(WsCore *core);
-guint
-ws_plan_home(WsCore *core, const WsSubmission *spec);
+WsPlan *ws_plan_new(void);
+void ws_plan_free(WsPlan *plan);
+void ws_plan_tick(WsCore *core);
+guint ws_plan_home(WsCore *core, const WsSubmission *spec);
 
 /* ws-demand.c: what the leader would have to rent. */
 typedef struct _WsDemand WsDemand;
-WsDemand *
-ws_demand_new(WsCore *core);
-void
-ws_demand_add(WsDemand *demand, const WsJob *job, guint zone);
-void
-ws_demand_end(WsDemand *demand); /* takes it */
+WsDemand *ws_demand_new(WsCore *core);
+void ws_demand_add(WsDemand *demand, const WsJob *job, guint zone);
+void ws_demand_end(WsDemand *demand); /* takes it */
 
 /* ws-preempt.c */
 typedef struct {
@@ -211,41 +155,30 @@
   gboolean usable;
 } WsSlot;
 /* Whether the job may have the other one's task stopped. */
-gboolean
-ws_preempt_allowed(const WsCore *core, const WsJob *job, gboolean guaranteed, const WsJob *victim);
+gboolean ws_preempt_allowed(const WsCore *core, const WsJob *job, gboolean guaranteed,
+                            const WsJob *victim);
 /* Stops the cheapest tasks that make room on the machine; the cost says how much work is lost,
    negative: it can't be done. */
-double
-ws_preempt_cost(const WsCore *core, const WsJob *job, gboolean guaranteed, const WsMachine *machine,
-                const WsSlot *slot);
-void
-ws_preempt(WsCore *core, const WsJob *job, gboolean guaranteed, WsMachine *machine, WsSlot *slot);
+double ws_preempt_cost(const WsCore *core, const WsJob *job, gboolean guaranteed,
+                       const WsMachine *machine, const WsSlot *slot);
+void ws_preempt(WsCore *core, const WsJob *job, gboolean guaranteed, WsMachine *machine,
+                WsSlot *slot);
 /* Whether the type, zone and kind of the machine are allowed. */
-gboolean
-ws_plan_allowed(const WsBook *book, const WsSubmission *spec, guint zone, const WsMachine *machine);
-gboolean
-ws_type_allowed(const WsSubmission *spec, const WsType *type);
+gboolean ws_plan_allowed(const WsBook *book, const WsSubmission *spec, guint zone,
+                         const WsMachine *machine);
+gboolean ws_type_allowed(const WsSubmission *spec, const WsType *type);
 
 /* ws-fleet.c */
-WsFleet *
-ws_fleet_new(const WsSettings *settings);
-void
-ws_fleet_free(WsFleet *fleet);
-void
-ws_fleet_tick(WsCore *core);
-void
-ws_fleet_adopt(WsCore *core, WsMachine *machine, gint64 at_ms);
-void
-ws_fleet_need(WsCore *core, guint type, guint zone, gboolean spot, guint machines);
-gboolean
-ws_fleet_no_capacity(const WsCore *core, guint type, guint zone, gboolean spot);
-gboolean
-ws_fleet_gone(const WsCore *core, const char *machine);
+WsFleet *ws_fleet_new(const WsSettings *settings);
+void ws_fleet_free(WsFleet *fleet);
+void ws_fleet_tick(WsCore *core);
+void ws_fleet_adopt(WsCore *core, WsMachine *machine, gint64 at_ms);
+void ws_fleet_need(WsCore *core, guint type, guint zone, gboolean spot, guint machines);
+gboolean ws_fleet_no_capacity(const WsCore *core, guint type, guint zone, gboolean spot);
+gboolean ws_fleet_gone(const WsCore *core, const char *machine);
 
 /* ws-giveback.c */
-void
-ws_giveback_tick(WsCore *core);
-void
-ws_giveback_mark(WsCore *core, WsMachine *machine, const char *why, gboolean now);
-gboolean
-ws_giveback_may_stop(WsCore *core, WsMachine *machine, WsJob *job, const WsAssignment *assignment);
+void ws_giveback_tick(WsCore *core);
+void ws_giveback_mark(WsCore *core, WsMachine *machine, const char *why, gboolean now);
+gboolean ws_giveback_may_stop(WsCore *core, WsMachine *machine, WsJob *job,
+                              const WsAssignment *assignment);
--- a/src/core/ws-core.h
+++ b/src/core/ws-core.h
@@ -25,20 +25,14 @@
 } WsOutput;
 
 /* incarnation: never the same for two runs of one node. */
-WsCore *
-ws_core_new(const WsSettings *settings, const WsProperties *properties, guint64 incarnation);
-void
-ws_core_free(WsCore *core);
-void
-ws_core_tick(WsCore *core, gint64 now_ms, gint64 wall_ms);
-void
-ws_core_request(WsCore *core, gint64 now_ms, gint64 wall_ms, WsDoor door, const char *method,
-                const char *path, const char *body, gsize length, gpointer request);
+WsCore *ws_core_new(const WsSettings *settings, const WsProperties *properties,
+                    guint64 incarnation);
+void ws_core_free(WsCore *core);
+void ws_core_tick(WsCore *core, gint64 now_ms, gint64 wall_ms);
+void ws_core_request(WsCore *core, gint64 now_ms, gint64 wall_ms, WsDoor door, const char *method,
+                     const char *path, const char *body, gsize length, gpointer request);
 /* status 0: no response. */
-void
-ws_core_reply(WsCore *core, gint64 now_ms, gint64 wall_ms, guint64 call, guint status,
-              const char *body, gsize length);
-WsOutput *
-ws_core_pop(WsCore *core);
-void
-ws_output_free(WsOutput *output);
+void ws_core_reply(WsCore *core, gint64 now_ms, gint64 wall_ms, guint64 call, guint status,
+                   const char *body, gsize length);
+WsOutput *ws_core_pop(WsCore *core);
+void ws_output_free(WsOutput *output);
--- a/src/core/ws-demand.c
+++ b/src/core/ws-demand.c
@@ -1,8 +1,9 @@
 /* How many machines of which kind the tasks without room call for. */
 #include "core/ws-core-private.h"
 
-/* An array's waiting tasks may follow each other on one place for about this long. */
-#define PATIENCE_S 100.0
+/* Without a deadline or an objective an array's tasks may follow each other for this long. */
+#define DEFAULT_SLACK_S 100.0
+#define LEAST_SHARE 0.2
 
 typedef struct {
   guint type;
@@ -97,14 +98,32 @@
   return demand;
 }
 
-/* What the task takes of a place that is there for a while: less, if others can follow it. */
+/* How long a task of the job may still wait for a place, if a machine had to boot for it. */
+static double
+slack_s(const WsDemand *demand, const WsJob *job)
+{
+  const WsSettings *settings = demand->core->settings;
+  double allowed_s = job->spec->deadline_s;
+  if (allowed_s < 0.0)
+    allowed_s = ws_settings_finish_within(settings, job->spec->class_name);
+  if (allowed_s < 0.0)
+    return DEFAULT_SLACK_S;
+  const WsType *type = ws_book_type(demand->core->book, 0);
+  double waited_s = (double)(demand->core->wall - job->at_ms) / 1000.0;
+  double fetch_s = job->spec->image_gb / MAX(type->fetch_gb_per_s, 0.01);
+  return MAX(0.0, allowed_s - waited_s - 1.2 * job->spec->estimate_s - fetch_s - type->boot_s);
+}
+
+/* What the task takes of a place that is there for a while: less, if others can follow it and
+   still be in time. */
 static WsAmount
-share(const WsJob *job)
+share(const WsDemand *demand, const WsJob *job)
 {
   WsAmount need = job->spec->need;
   if (job->spec->kind == WS_KIND_SERVICE)
     return need;
-  double part = CLAMP((job->spec->estimate_s + 5.0) / PATIENCE_S, 0.2, 1.0);
+  double run_s = job->spec->estimate_s + 5.0;
+  double part = MAX(LEAST_SHARE, run_s / (run_s + slack_s(demand, job)));
   need.cpus = (gint64)((double)need.cpus * part);
   need.gpus = (gint64)((double)need.gpus * part);
   need.memory = (gint64)((double)need.memory * part);
@@ -176,7 +195,7 @@
 void
 ws_demand_add(WsDemand *demand, const WsJob *job, guint zone)
 {
-  WsAmount need = share(job);
+  WsAmount need = share(demand, job);
   if (put_in(demand, job, zone, &need))
     return;
   if (!(job->spec->spot && want_new(demand, job, zone, TRUE, &need)))
--- a/src/core/ws-mesh.c
+++ b/src/core/ws-mesh.c
@@ -245,8 +245,7 @@
   g_free(relay);
 }
 
-static void
-send_relay(WsCore *core, Relay *relay);
+static void send_relay(WsCore *core, Relay *relay);
 
 static guint
 third_node(const WsCore *core, const Relay *relay)
--- a/src/core/ws-store.c
+++ b/src/core/ws-store.c
@@ -236,8 +236,7 @@
   core->store->load_retry_ms = core->now + 300;
 }
 
-static void
-load_page(WsCore *core);
+static void load_page(WsCore *core);
 
 static void
 finish_load(WsCore *core)
--- a/src/core/ws-users.c
+++ b/src/core/ws-users.c
@@ -19,8 +19,7 @@
   guint tries;
 } Visit;
 
-static void
-decide(WsCore *core, Visit *visit);
+static void decide(WsCore *core, Visit *visit);
 
 static void
 visit_free(Visit *visit)
--- a/src/core/ws-workers.c
+++ b/src/core/ws-workers.c
@@ -45,8 +45,7 @@
   gboolean launches;
 } Direct;
 
-static void
-take_presence(WsCore *core, WsMachine *machine, const WsReport *report);
+static void take_presence(WsCore *core, WsMachine *machine, const WsReport *report);
 
 static void
 on_direct(WsCore *core, guint status, const json_t *body, gpointer data)
--- a/src/protocol/ws-cloud.h
+++ b/src/protocol/ws-cloud.h
@@ -24,14 +24,9 @@
   double age_s;
 } WsListed;
 
-GPtrArray *
-ws_catalog_parse(const json_t *message); /* of WsType, or NULL */
-GPtrArray *
-ws_listing_parse(const json_t *message, gboolean *more); /* of WsListed, or NULL */
-GPtrArray *
-ws_names_parse(const json_t *message); /* machine names of a rental, or NULL */
-json_t *
-ws_rental_encode(const char *request, const char *type, const char *zone, gboolean spot,
-                 guint count);
-json_t *
-ws_return_encode(GPtrArray *machines);
+GPtrArray *ws_catalog_parse(const json_t *message);                 /* of WsType, or NULL */
+GPtrArray *ws_listing_parse(const json_t *message, gboolean *more); /* of WsListed, or NULL */
+GPtrArray *ws_names_parse(const json_t *message); /* machine names of a rental, or NULL */
+json_t *ws_rental_encode(const char *request, const char *type, const char *zone, gboolean spot,
+                         guint count);
+json_t *ws_return_encode(GPtrArray *machines);
--- a/src/protocol/ws-names.h
+++ b/src/protocol/ws-names.h
@@ -10,13 +10,8 @@
   GPtrArray *names;
 } WsNames;
 
-void
-ws_names_init(WsNames *names);
-void
-ws_names_clear(WsNames *names);
-guint
-ws_names_intern(WsNames *names, const char *name);
-guint
-ws_names_find(const WsNames *names, const char *name);
-const char *
-ws_names_get(const WsNames *names, guint index);
+void ws_names_init(WsNames *names);
+void ws_names_clear(WsNames *names);
+guint ws_names_intern(WsNames *names, const char *name);
+guint ws_names_find(const WsNames *names, const char *name);
+const char *ws_names_get(const WsNames *names, guint index);
--- a/src/protocol/ws-properties.h
+++ b/src/protocol/ws-properties.h
@@ -19,16 +19,13 @@
   GPtrArray *budgets; /* of WsBudget */
 } WsProperties;
 
-WsProperties *
-ws_properties_new(void);
+WsProperties *ws_properties_new(void);
 /* zones: the names that budgets may use. FALSE and a line naming the key. */
-gboolean
-ws_properties_parse(WsProperties *properties, const char *text, GPtrArray *zones, char **reason);
-void
-ws_properties_free(WsProperties *properties);
+gboolean ws_properties_parse(WsProperties *properties, const char *text, GPtrArray *zones,
+                             char **reason);
+void ws_properties_free(WsProperties *properties);
 
 /* How many machines may be unavailable at once, out of total. */
-guint
-ws_budget_allowed(const WsBudget *budget, guint total);
+guint ws_budget_allowed(const WsBudget *budget, guint total);
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(WsProperties, ws_properties_free)
--- a/src/protocol/ws-report.h
+++ b/src/protocol/ws-report.h
@@ -36,18 +36,12 @@
 
 typedef enum { WS_OP_LAUNCH, WS_OP_HALT, WS_OP_REAP } WsOp;
 
-WsReport *
-ws_report_parse(const json_t *message, char **reason);
-void
-ws_report_free(WsReport *report);
-
-json_t *
-ws_command_encode(WsOp op, const char *job, guint task, guint64 attempt, double grace_s);
-json_t *
-ws_commands_answer(guint64 token, json_t *commands);
-json_t *
-ws_commands_direct(guint64 token, guint64 session, json_t *commands);
-json_t *
-ws_redirect_encode(const char *node);
+WsReport *ws_report_parse(const json_t *message, char **reason);
+void ws_report_free(WsReport *report);
+
+json_t *ws_command_encode(WsOp op, const char *job, guint task, guint64 attempt, double grace_s);
+json_t *ws_commands_answer(guint64 token, json_t *commands);
+json_t *ws_commands_direct(guint64 token, guint64 session, json_t *commands);
+json_t *ws_redirect_encode(const char *node);
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(WsReport, ws_report_free)
--- a/src/protocol/ws-settings.c
+++ b/src/protocol/ws-settings.c
@@ -21,6 +21,14 @@
   g_free(team);
 }
 
+static void
+objective_free(gpointer data)
+{
+  WsObjective *objective = data;
+  g_free(objective->class_name);
+  g_free(objective);
+}
+
 static gboolean
 copy(const json_t *object, const char *name, char **value)
 {
@@ -95,6 +103,18 @@
          && amount(item, "gpus_max", &team->limit.gpus);
 }
 
+/* Only what is said about the end of jobs matters here; the other kinds are for the operators. */
+static void
+read_objective(WsSettings *settings, const json_t *item)
+{
+  const char *kind;
+  WsObjective read = { 0 };
+  if (!ws_json_string(item, "kind", &kind) || strcmp(kind, "finished") != 0
+      || !positive(item, "within_s", &read.within_s) || !copy(item, "class", &read.class_name))
+    return;
+  g_ptr_array_add(settings->objectives, g_memdup2(&read, sizeof read));
+}
+
 static const char *
 read_lists(WsSettings *settings, const json_t *params)
 {
@@ -110,6 +130,7 @@
       return "params.zones";
     g_ptr_array_add(settings->zones, g_strdup(json_string_value(item)));
   }
+  json_array_foreach(json_object_get(params, "objectives"), i, item) read_objective(settings, item);
   if (!json_is_array(teams))
     return "params.teams";
   json_array_foreach(teams, i, item) if (!read_team(settings, item)) return "params.teams";
@@ -168,6 +189,7 @@
   g_autoptr(WsSettings) settings = g_new0(WsSettings, 1);
   settings->nodes = g_ptr_array_new_with_free_func(node_free);
   settings->zones = g_ptr_array_new_with_free_func(g_free);
+  settings->objectives = g_ptr_array_new_with_free_func(objective_free);
   settings->teams = g_ptr_array_new_with_free_func(team_free);
   const char *bad = read_all(settings, message);
   if (bad != NULL) {
@@ -185,6 +207,7 @@
   g_ptr_array_unref(settings->nodes);
   g_ptr_array_unref(settings->zones);
   g_ptr_array_unref(settings->teams);
+  g_ptr_array_unref(settings->objectives);
   g_free(settings->api_addr);
   g_free(settings->mesh_addr);
   g_free(settings->cloud_addr);
@@ -206,3 +229,16 @@
       return n;
   return WS_NONE;
 }
+
+double
+ws_settings_finish_within(const WsSettings *settings, const char *class_name)
+{
+  double within_s = -1.0;
+  for (guint i = 0; i < settings->objectives->len; i++) {
+    const WsObjective *objective = g_ptr_array_index(settings->objectives, i);
+    if (strcmp(objective->class_name, class_name) == 0
+        && (within_s < 0.0 || objective->within_s < within_s))
+      within_s = objective->within_s;
+  }
+  return within_s;
+}
--- a/src/protocol/ws-settings.h
+++ b/src/protocol/ws-settings.h
@@ -16,6 +16,12 @@
   WsAmount limit;     /* 0: no limit in that dimension */
 } WsTeamSettings;
 
+/* How soon the jobs of a class are expected to be complete. */
+typedef struct {
+  char *class_name;
+  double within_s;
+} WsObjective;
+
 typedef struct {
   GPtrArray *nodes; /* of WsNode, ordered by name; an index into it is a node everywhere */
   guint self;
@@ -23,8 +29,9 @@
   char *mesh_addr;
   char *cloud_addr;
   char *state_addr;
-  GPtrArray *zones; /* of char* */
-  GPtrArray *teams; /* of WsTeamSettings */
+  GPtrArray *zones;      /* of char* */
+  GPtrArray *teams;      /* of WsTeamSettings */
+  GPtrArray *objectives; /* of WsObjective */
   double report_s;
   double lease_s;
   double cancel_s;
@@ -37,13 +44,11 @@
   guint64 max_sockets;
 } WsSettings;
 
-WsSettings *
-ws_settings_parse(const json_t *message, char **reason);
-void
-ws_settings_free(WsSettings *settings);
-const WsNode *
-ws_settings_node(const WsSettings *settings, guint node);
-guint
-ws_settings_find_node(const WsSettings *settings, const char *name);
+WsSettings *ws_settings_parse(const json_t *message, char **reason);
+void ws_settings_free(WsSettings *settings);
+const WsNode *ws_settings_node(const WsSettings *settings, guint node);
+/* Negative: nothing is said about the class. */
+double ws_settings_finish_within(const WsSettings *settings, const char *class_name);
+guint ws_settings_find_node(const WsSettings *settings, const char *name);
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(WsSettings, ws_settings_free)
--- a/src/protocol/ws-submission.h
+++ b/src/protocol/ws-submission.h
@@ -36,18 +36,12 @@
 } WsSubmission;
 
 /* NULL and a one-line reason if the message is not a valid submission. */
-WsSubmission *
-ws_submission_parse(const json_t *message, char **reason);
-json_t *
-ws_submission_encode(const WsSubmission *submission);
-void
-ws_submission_free(WsSubmission *submission);
-gboolean
-ws_job_id_valid(const char *id);
-
-gboolean
-ws_amount_fits(const WsAmount *need, const WsAmount *room);
-void
-ws_amount_add(WsAmount *sum, const WsAmount *part, gint64 times);
+WsSubmission *ws_submission_parse(const json_t *message, char **reason);
+json_t *ws_submission_encode(const WsSubmission *submission);
+void ws_submission_free(WsSubmission *submission);
+gboolean ws_job_id_valid(const char *id);
+
+gboolean ws_amount_fits(const WsAmount *need, const WsAmount *room);
+void ws_amount_add(WsAmount *sum, const WsAmount *part, gint64 times);
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(WsSubmission, ws_submission_free)
--- a/src/runtime/ws-runtime.c
+++ b/src/runtime/ws-runtime.c
@@ -30,8 +30,7 @@
   return g_get_real_time() / 1000;
 }
 
-static void
-flush(WsRuntime *runtime);
+static void flush(WsRuntime *runtime);
 
 static void
 on_reply(guint status, const char *body, gsize length, gpointer data)
--- a/src/runtime/ws-runtime.h
+++ b/src/runtime/ws-runtime.h
@@ -5,7 +5,6 @@
 
 typedef struct _WsRuntime WsRuntime;
 
-WsRuntime *
-ws_runtime_new(const WsSettings *settings, const WsProperties *properties, GError **error);
-void
-ws_runtime_free(WsRuntime *runtime);
+WsRuntime *ws_runtime_new(const WsSettings *settings, const WsProperties *properties,
+                          GError **error);
+void ws_runtime_free(WsRuntime *runtime);
--- a/src/transport/ws-rate.h
+++ b/src/transport/ws-rate.h
@@ -10,9 +10,6 @@
   gint64 at_ms;
 } WsRate;
 
-void
-ws_rate_init(WsRate *rate, double per_second, double burst);
-gboolean
-ws_rate_ready(WsRate *rate, double count, gint64 now_ms);
-gboolean
-ws_rate_take(WsRate *rate, double count, gint64 now_ms);
+void ws_rate_init(WsRate *rate, double per_second, double burst);
+gboolean ws_rate_ready(WsRate *rate, double count, gint64 now_ms);
+gboolean ws_rate_take(WsRate *rate, double count, gint64 now_ms);
