--- a/src/bookkeeping/ws-book.h
+++ b/src/bookkeeping/ws-book.h
@@ -90,7 +90,7 @@
   gint64 status_ms; /* when it was last asked for its status */
   guint status_failed;
   gint64 redirected_ms;
-  gint64 direct_ms;
+  gint64 listed_ms;     /* since when lists show it although it has no record; 0: they don't */
   gboolean marking;     /* its mark is being written */
   gint64 stop_after_ms; /* the next stop of a drain */
   guint stop_backoff_ms;
--- a/src/core/ws-fleet.c
+++ b/src/core/ws-fleet.c
@@ -298,6 +298,12 @@
     return;
   WsMachine *machine = ws_book_get_machine(core->book, listed->id);
   if (!machine->stored) {
+    /* A list may be old, also older than the one before: a machine that was returned by an earlier
+       leader would be taken for a new one. */
+    if (machine->listed_ms == 0)
+      machine->listed_ms = core->now;
+    if (core->now - machine->listed_ms < (gint64)(core->settings->list_lag_s * 3000.0))
+      return;
     ws_book_describe_machine(core->book, machine, listed->type, listed->zone, listed->spot);
     ws_fleet_adopt(core, machine, core->wall - (gint64)(listed->age_s * 1000.0));
     return;
--- a/src/core/ws-plan.c
+++ b/src/core/ws-plan.c
@@ -29,7 +29,8 @@
 typedef struct {
   WsJob *job;
   gboolean guaranteed;
-  double slack_s;
+  guint lateness; /* 0: can be in time; 1: within half as long again; 2: late anyway */
+  double work_s;  /* what is left of it */
 } Waiting;
 
 typedef struct {
@@ -142,6 +143,35 @@
          && (guarantee->gpus == 0 || need->gpus <= guarantee->gpus);
 }
 
+/* How long the job still takes at best: its team's limit lets only so many tasks run at once. */
+static double
+shortest_s(const WsCore *core, const WsJob *job, guint left)
+{
+  const WsTeamSettings *team = g_ptr_array_index(core->settings->teams, job->team);
+  const WsAmount *need = &job->spec->need;
+  gint64 at_once = left;
+  if (team->limit.gpus > 0 && need->gpus > 0)
+    at_once = MIN(at_once, team->limit.gpus / need->gpus);
+  if (team->limit.cpus > 0 && need->cpus > 0)
+    at_once = MIN(at_once, team->limit.cpus / need->cpus);
+  guint rounds = (left + (guint)at_once - 1) / MAX((guint)at_once, 1u);
+  return job->spec->estimate_s * rounds;
+}
+
+static void
+foresee(const WsCore *core, Waiting *waiting)
+{
+  const WsJob *job = waiting->job;
+  double within_s = job->spec->deadline_s;
+  if (within_s < 0.0)
+    within_s = ws_settings_finish_within(core->settings, job->spec->class_name);
+  guint left = job->tasks - job->done_count;
+  double end_s = (double)(core->wall - job->at_ms) / 1000.0 + shortest_s(core, job, left);
+  waiting->work_s = job->spec->estimate_s * left;
+  if (within_s >= 0.0)
+    waiting->lateness = end_s <= within_s ? 0 : end_s <= 1.5 * within_s ? 1 : 2;
+}
+
 static GArray *
 open_jobs(WsCore *core)
 {
@@ -151,10 +181,8 @@
     WsJob *job = g_ptr_array_index(book->active, i);
     if (job->state != WS_JOB_ACTIVE || job->team == WS_NONE)
       continue;
-    Waiting waiting = { job, FALSE, 1e9 };
-    if (job->spec->deadline_s >= 0.0)
-      waiting.slack_s = job->spec->deadline_s - job->spec->estimate_s
-                        - (double)(core->wall - job->at_ms) / 1000.0;
+    Waiting waiting = { .job = job };
+    foresee(core, &waiting);
     g_array_append_val(jobs, waiting);
   }
   g_array_sort(jobs, by_age);
@@ -168,7 +196,9 @@
   return jobs;
 }
 
-/* Critical work first: it is what people wait for; then guarantees, priority, slack and age. */
+/* Critical work first: it is what people wait for; then guarantees and priority. Of the rest, what
+   can still be in time goes before what can't, and less work before more: when there isn't room for
+   everything, that makes the fewest late. */
 static gint
 by_urgency(gconstpointer a, gconstpointer b)
 {
@@ -181,8 +211,10 @@
     return first->guaranteed ? -1 : 1;
   if (first->job->spec->priority != second->job->spec->priority)
     return first->job->spec->priority < second->job->spec->priority ? -1 : 1;
-  if (first->slack_s != second->slack_s)
-    return first->slack_s < second->slack_s ? -1 : 1;
+  if (first->lateness != second->lateness)
+    return first->lateness < second->lateness ? -1 : 1;
+  if (first->work_s != second->work_s)
+    return first->work_s < second->work_s ? -1 : 1;
   return by_age(a, b);
 }
 
@@ -195,6 +227,16 @@
   return FALSE;
 }
 
+static gboolean
+has_service(const WsBook *book, const WsMachine *machine)
+{
+  for (guint i = 0; i < machine->tasks->len; i++)
+    if (ws_book_job(book, g_array_index(machine->tasks, WsTaskRef, i).job)->spec->kind
+        == WS_KIND_SERVICE)
+      return TRUE;
+  return FALSE;
+}
+
 static double
 score(const Run *run, const WsJob *job, const guint *counts, const WsMachine *machine)
 {
@@ -205,6 +247,8 @@
   double value = has_image(machine, job->image) ? 100.0 : 0.0;
   if (job->spec->spot && machine->spot)
     value += 30.0;
+  if (!is_service && has_service(book, machine))
+    value += 45.0; /* it stays rented anyway */
   if (room->gpus > 0)
     value += 20.0 * (1.0 - (double)free->gpus / (double)room->gpus);
   if (room->cpus > 0)
--- a/src/core/ws-preempt.c
+++ b/src/core/ws-preempt.c
@@ -1,6 +1,8 @@
 /* Which tasks may be stopped to make room, and which are cheapest to stop. */
 #include "core/ws-core-private.h"
 
+#define EQUALS_MS 20000
+
 static gboolean
 beyond_guarantee(const WsCore *core, const WsJob *victim)
 {
@@ -23,6 +25,13 @@
   return guaranteed && job->team != victim->team && beyond_guarantee(core, victim);
 }
 
+/* A guarantee among equals isn't worth work that is well under way: its place is soon free. */
+static gboolean
+is_worth(const WsCore *core, const WsJob *job, const WsJob *victim, const WsAssignment *a)
+{
+  return job->spec->priority < victim->spec->priority || core->wall - a->at_ms < EQUALS_MS;
+}
+
 /* The cheapest task on the machine that may be stopped and is not yet: the youngest one. */
 static WsAssignment *
 cheapest(const WsCore *core, const WsJob *job, gboolean guaranteed, const WsMachine *machine,
@@ -34,7 +43,7 @@
     WsJob *victim = ws_book_job(core->book, ref->job);
     WsAssignment *a = ws_job_assignment(victim, ref->task);
     if (a == NULL || a->stopping || a->at_ms >= younger_than_ms
-        || !ws_preempt_allowed(core, job, guaranteed, victim))
+        || !ws_preempt_allowed(core, job, guaranteed, victim) || !is_worth(core, job, victim, a))
       continue;
     if (best == NULL || a->at_ms > best->at_ms) {
       best = a;
--- a/src/core/ws-workers.c
+++ b/src/core/ws-workers.c
@@ -8,8 +8,8 @@
 #include <string.h>
 
 #define REDIRECT_HOLD_MS 20000
-#define STATUS_PAUSE_MS 800
-#define STATUS_TIMEOUT_MS 700
+#define STATUS_PAUSE_MS 600
+#define STATUS_TIMEOUT_MS 500
 #define DOUBT_MS 8000
 
 static guint64
@@ -18,10 +18,11 @@
   return core->book->epoch.number;
 }
 
+/* The longest pause between two reports, and what a slow moment here or there may add. */
 static gint64
 patience_ms(const WsCore *core)
 {
-  return (gint64)(core->settings->report_s * 1250.0) + 2500;
+  return (gint64)(core->settings->report_s * 1250.0) + 900;
 }
 
 gboolean
@@ -451,11 +452,17 @@
     machine->status_failed++;
 }
 
-/* Many machines of one zone silent together: that is the way to them, not they. */
+/* Whether it is the way to the machines of the zone that is silent, not they: a node of the zone is
+   out of reach, or many of its machines are silent together. Such machines go on working, and their
+   reports come through another node after a while. */
 static gboolean
 zone_is_cut(const WsCore *core, guint zone)
 {
   guint silent = 0, all = 0;
+  for (guint n = 0; n < core->settings->nodes->len; n++)
+    if (ws_book_find_zone(core->book, ws_settings_node(core->settings, n)->zone) == zone
+        && ws_epoch_has_node(&core->book->epoch, n) && !ws_mesh_reaches(core, n))
+      return TRUE;
   for (guint i = 0; i < core->book->machines->len; i++) {
     const WsMachine *machine = ws_book_machine(core->book, i);
     if (machine->zone != zone || !machine->stored || machine->marked || machine->heard_ms == 0)
