--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -174,6 +174,8 @@
 void ws_fleet_tick(WsCore *core);
 void ws_fleet_adopt(WsCore *core, WsMachine *machine, gint64 at_ms);
 void ws_fleet_need(WsCore *core, guint type, guint zone, gboolean spot, guint machines);
+/* Writes down what was needed since the last call. */
+void ws_fleet_intend(WsCore *core);
 gboolean ws_fleet_no_capacity(const WsCore *core, guint type, guint zone, gboolean spot);
 gboolean ws_fleet_gone(const WsCore *core, const char *machine);
 
--- a/src/core/ws-demand.c
+++ b/src/core/ws-demand.c
@@ -4,6 +4,8 @@
 /* Without a deadline or an objective an array's tasks may follow each other for this long. */
 #define DEFAULT_SLACK_S 100.0
 #define LEAST_SHARE 0.2
+/* Estimates are often wrong by half, so only a part of the slack is counted on. */
+#define USED_SLACK 0.4
 
 typedef struct {
   guint type;
@@ -70,7 +72,7 @@
 is_booting(const WsCore *core, const WsMachine *machine)
 {
   double age_s = (double)(core->wall - machine->at_ms) / 1000.0;
-  return machine->heard_ms == 0 && age_s < 2.0 * ws_book_type(core->book, machine->type)->boot_s;
+  return machine->heard_ms == 0 && age_s < 1.6 * ws_book_type(core->book, machine->type)->boot_s;
 }
 
 WsDemand *
@@ -111,7 +113,8 @@
   const WsType *type = ws_book_type(demand->core->book, 0);
   double waited_s = (double)(demand->core->wall - job->at_ms) / 1000.0;
   double fetch_s = job->spec->image_gb / MAX(type->fetch_gb_per_s, 0.01);
-  return MAX(0.0, allowed_s - waited_s - 1.2 * job->spec->estimate_s - fetch_s - type->boot_s);
+  double spare_s = allowed_s - waited_s - 1.2 * job->spec->estimate_s - fetch_s - type->boot_s;
+  return MAX(0.0, USED_SLACK * spare_s);
 }
 
 /* What the task takes of a place that is there for a while: less, if others can follow it and
@@ -220,6 +223,7 @@
     if (count > 0)
       ws_fleet_need(demand->core, first.type, first.zone, first.spot, count);
   }
+  ws_fleet_intend(demand->core);
   g_array_unref(demand->machines);
   g_free(demand->by_zone);
   g_free(demand);
--- a/src/core/ws-fleet.c
+++ b/src/core/ws-fleet.c
@@ -11,8 +11,9 @@
 #define FIRST_NO_CAPACITY_MS 5000
 #define MOST_NO_CAPACITY_MS 40000
 #define RETRY_MS 1500
+/* What one transaction can give records to, along with the end of the intent. */
 #define MOST_A_RENTAL 10
-#define BOOT_PATIENCE 3.0
+#define BOOT_PATIENCE 2.0
 
 typedef struct {
   gint64 until_ms;
@@ -32,6 +33,7 @@
   gboolean returning;
   gint64 return_ms;
   guint return_backoff_ms;
+  WsTxn *intent; /* being drafted */
   gboolean intending;
   GHashTable *renting;    /* requests on their way */
   GHashTable *rent_retry; /* request -> time */
@@ -183,9 +185,14 @@
 ws_fleet_need(WsCore *core, guint type, guint zone, gboolean spot, guint machines)
 {
   WsFleet *fleet = core->fleet;
-  if (fleet->intending || core->book->rents->len >= 4)
+  if (fleet->intending)
+    return;
+  if (fleet->intent == NULL) {
+    fleet->intent = ws_txn_new();
+    ws_txn_if(fleet->intent, core->book, WS_KEY_EPOCH);
+  }
+  if (ws_txn_ops(fleet->intent) >= core->settings->state_txn_ops)
     return;
-  fleet->intending = TRUE;
   g_autofree char *request = g_strdup_printf("r-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT,
                                              core->book->epoch.number, ++fleet->requests);
   g_autofree char *key = ws_key(WS_KEYS_RENT, request);
@@ -195,11 +202,18 @@
                   .count = MIN(machines, MOST_A_RENTAL) };
   g_info("renting %u %s machines of type %s in %s", rent.count, spot ? "spot" : "ordinary",
          rent.type, rent.zone);
-  WsTxn *txn = ws_txn_new();
-  ws_txn_if(txn, core->book, WS_KEY_EPOCH);
-  ws_txn_if_version(txn, key, 0);
-  ws_txn_set(txn, key, ws_rent_encode(&rent));
-  ws_txn_commit(core, txn, WS_FIRST_TASK, on_intended, NULL);
+  ws_txn_if_version(fleet->intent, key, 0);
+  ws_txn_set(fleet->intent, key, ws_rent_encode(&rent));
+}
+
+void
+ws_fleet_intend(WsCore *core)
+{
+  WsFleet *fleet = core->fleet;
+  if (fleet->intent == NULL)
+    return;
+  fleet->intending = TRUE;
+  ws_txn_commit(core, g_steal_pointer(&fleet->intent), WS_FIRST_TASK, on_intended, NULL);
 }
 
 static WsRent *
--- a/src/core/ws-preempt.c
+++ b/src/core/ws-preempt.c
@@ -1,8 +1,6 @@
 /* Which tasks may be stopped to make room, and which are cheapest to stop. */
 #include "core/ws-core-private.h"
 
-#define EQUALS_MS 20000
-
 static gboolean
 beyond_guarantee(const WsCore *core, const WsJob *victim)
 {
@@ -25,11 +23,12 @@
   return guaranteed && job->team != victim->team && beyond_guarantee(core, victim);
 }
 
-/* A guarantee among equals isn't worth work that is well under way: its place is soon free. */
+/* A guarantee among equals isn't worth work that is half done: its place is soon free. */
 static gboolean
 is_worth(const WsCore *core, const WsJob *job, const WsJob *victim, const WsAssignment *a)
 {
-  return job->spec->priority < victim->spec->priority || core->wall - a->at_ms < EQUALS_MS;
+  return job->spec->priority < victim->spec->priority
+         || (double)(core->wall - a->at_ms) < 500.0 * victim->spec->estimate_s;
 }
 
 /* The cheapest task on the machine that may be stopped and is not yet: the youngest one. */
