--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -147,6 +147,8 @@
 WsDemand *ws_demand_new(WsCore *core);
 void ws_demand_add(WsDemand *demand, const WsJob *job, guint zone);
 void ws_demand_end(WsDemand *demand); /* takes it */
+/* Whether the places kept for critical jobs are there without the machine too. */
+gboolean ws_spare_without(const WsCore *core, const WsMachine *machine);
 
 /* ws-preempt.c */
 typedef struct {
--- a/src/core/ws-demand.c
+++ b/src/core/ws-demand.c
@@ -5,7 +5,7 @@
 #define DEFAULT_SLACK_S 100.0
 #define LEAST_SHARE 0.2
 /* Estimates are often wrong by half, so only a part of the slack is counted on. */
-#define USED_SLACK 0.4
+#define USED_SLACK 0.7
 
 typedef struct {
   guint type;
@@ -13,6 +13,7 @@
   gboolean spot;
   WsAmount room;
   gboolean is_new;
+  gboolean on_order;
 } Virtual;
 
 struct _WsDemand {
@@ -25,7 +26,7 @@
 add_virtual(WsDemand *demand, guint type, guint zone, gboolean spot, const WsAmount *room,
             gboolean is_new)
 {
-  Virtual made = { type, zone, spot, *room, is_new };
+  Virtual made = { type, zone, spot, *room, is_new, FALSE };
   g_array_append_val(demand->machines, made);
 }
 
@@ -63,8 +64,10 @@
   for (guint i = 0; i < book->rents->len; i++) {
     const WsRent *rent = g_ptr_array_index(book->rents, i);
     guint type = find_type(book, rent->type), zone = ws_book_find_zone(book, rent->zone);
-    for (guint n = 0; n < rent->count && type != WS_NONE && zone != WS_NONE; n++)
+    for (guint n = 0; n < rent->count && type != WS_NONE && zone != WS_NONE; n++) {
       add_virtual(demand, type, zone, rent->spot, &ws_book_type(book, type)->room, FALSE);
+      g_array_index(demand->machines, Virtual, demand->machines->len - 1).on_order = TRUE;
+    }
   }
 }
 
@@ -205,10 +208,98 @@
     want_new(demand, job, zone, FALSE, &need);
 }
 
+/* Room on a machine that is wanted anyway. */
+static gboolean
+put_in_new(WsDemand *demand, const WsJob *job)
+{
+  for (guint i = 0; i < demand->machines->len; i++) {
+    Virtual *machine = &g_array_index(demand->machines, Virtual, i);
+    if (!machine->is_new || machine->spot || !ws_amount_fits(&job->spec->need, &machine->room))
+      continue;
+    ws_amount_add(&machine->room, &job->spec->need, -1);
+    return TRUE;
+  }
+  return FALSE;
+}
+
+/* Places for one more critical task on ordinary machines: free ones, and those of arrays, which
+   may be stopped for it. */
+static guint
+count_places(const WsCore *core, const WsAmount *need, const WsMachine *without, guint *by_zone)
+{
+  const WsBook *book = core->book;
+  guint places = 0;
+  for (guint i = 0; i < book->machines->len; i++) {
+    const WsMachine *machine = ws_book_machine(book, i);
+    if (machine == without || !machine->stored || machine->marked || machine->spot
+        || machine->type == WS_NONE || machine->zone == WS_NONE
+        || !(is_booting(core, machine) || ws_machine_up(core, machine)))
+      continue;
+    WsAmount room = ws_book_type(book, machine->type)->room;
+    for (guint k = 0; k < machine->tasks->len; k++) {
+      const WsJob *job = ws_book_job(book, g_array_index(machine->tasks, WsTaskRef, k).job);
+      if (job->spec->kind == WS_KIND_SERVICE)
+        ws_amount_add(&room, &job->spec->need, -1);
+    }
+    for (; ws_amount_fits(need, &room) && places < WS_MAX_TASKS; places++) {
+      ws_amount_add(&room, need, -1);
+      by_zone[machine->zone]++;
+    }
+  }
+  return places;
+}
+
+/* A critical job that stands for the next one: the largest open one. */
+static const WsJob *
+typical_critical(const WsBook *book)
+{
+  const WsJob *largest = NULL;
+  for (guint i = 0; i < book->active->len; i++) {
+    const WsJob *job = g_ptr_array_index(book->active, i);
+    if (job->spec->priority == WS_CRITICAL && job->state == WS_JOB_ACTIVE
+        && (largest == NULL || job->spec->need.gpus > largest->spec->need.gpus))
+      largest = job;
+  }
+  return largest;
+}
+
+gboolean
+ws_spare_without(const WsCore *core, const WsMachine *machine)
+{
+  const WsJob *job = typical_critical(core->book);
+  if (job == NULL || core->properties->spare_tasks == 0)
+    return TRUE;
+  g_autofree guint *by_zone = g_new0(guint, core->settings->zones->len);
+  return count_places(core, &job->spec->need, machine, by_zone) >= core->properties->spare_tasks;
+}
+
+/* Critical jobs can't wait for a machine to boot, so some places for them are always kept. */
+static void
+add_spare(WsDemand *demand)
+{
+  const WsCore *core = demand->core;
+  const WsJob *job = typical_critical(core->book);
+  if (job == NULL)
+    return;
+  g_autofree guint *by_zone = g_new0(guint, core->settings->zones->len);
+  guint places = count_places(core, &job->spec->need, NULL, by_zone);
+  for (guint i = 0; i < demand->machines->len && places < core->properties->spare_tasks; i++) {
+    Virtual *machine = &g_array_index(demand->machines, Virtual, i);
+    if (!machine->on_order)
+      continue;
+    for (; !machine->spot && ws_amount_fits(&job->spec->need, &machine->room); places++)
+      ws_amount_add(&machine->room, &job->spec->need, -1);
+  }
+  for (; places < core->properties->spare_tasks; places++)
+    if (!put_in_new(demand, job) && !want_new(demand, job, WS_NONE, FALSE, &job->spec->need))
+      return;
+}
+
 /* Hands over what is wanted, counted by kind. */
 void
 ws_demand_end(WsDemand *demand)
 {
+  add_spare(demand);
   for (guint i = 0; i < demand->machines->len; i++) {
     Virtual first = g_array_index(demand->machines, Virtual, i);
     guint count = 0;
--- a/src/core/ws-giveback.c
+++ b/src/core/ws-giveback.c
@@ -122,6 +122,8 @@
     machine->empty_ms = core->now;
   if (core->now - machine->empty_ms < (gint64)(core->properties->hold_s * 1000.0))
     return;
+  if (!machine->spot && !ws_spare_without(core, machine))
+    return;
   if (!zone_is_whole(core, machine->zone) || !budget_allows(core, machine)) {
     g_debug("machine %s is idle, but its budget or its zone allows no give-back", machine->name);
     return;
--- a/src/core/ws-plan.c
+++ b/src/core/ws-plan.c
@@ -12,6 +12,10 @@
 #define ASK_MS 1500
 #define SPILL_MS 600
 #define TASKS_A_PLAN 400
+/* A job is given up as late only if it would be late at this part of its estimated time. */
+#define HOPE 0.6
+/* Seconds of work that a second of waiting outweighs, so that large jobs don't starve. */
+#define PATIENCE 5.0
 
 typedef struct {
   guint job;
@@ -30,7 +34,7 @@
   WsJob *job;
   gboolean guaranteed;
   guint lateness; /* 0: can be in time; 1: within half as long again; 2: late anyway */
-  double work_s;  /* what is left of it */
+  double weight;  /* what is left to start, less for what has waited */
 } Waiting;
 
 typedef struct {
@@ -166,8 +170,9 @@
   if (within_s < 0.0)
     within_s = ws_settings_finish_within(core->settings, job->spec->class_name);
   guint left = job->tasks - job->done_count;
-  double end_s = (double)(core->wall - job->at_ms) / 1000.0 + shortest_s(core, job, left);
-  waiting->work_s = job->spec->estimate_s * left;
+  double waited_s = (double)(core->wall - job->at_ms) / 1000.0;
+  double end_s = waited_s + HOPE * shortest_s(core, job, left);
+  waiting->weight = job->spec->estimate_s * (left - job->on_count) - PATIENCE * waited_s;
   if (within_s >= 0.0)
     waiting->lateness = end_s <= within_s ? 0 : end_s <= 1.5 * within_s ? 1 : 2;
 }
@@ -213,8 +218,8 @@
     return first->job->spec->priority < second->job->spec->priority ? -1 : 1;
   if (first->lateness != second->lateness)
     return first->lateness < second->lateness ? -1 : 1;
-  if (first->work_s != second->work_s)
-    return first->work_s < second->work_s ? -1 : 1;
+  if (first->weight != second->weight)
+    return first->weight < second->weight ? -1 : 1;
   return by_age(a, b);
 }
 
