--- a/src/bookkeeping/ws-book.h
+++ b/src/bookkeeping/ws-book.h
@@ -80,6 +80,7 @@
   guint64 token;
   gint64 notice_ms; /* when the cloud takes it; 0: no notice */
   gint64 empty_ms;  /* since when nothing is on it; 0: something is */
+  gint64 sparse_ms; /* since when it holds little; 0: it doesn't */
   GArray *images;   /* of guint, oldest first */
   guint bad_jobs;   /* jobs that failed here since one last succeeded */
   guint last_bad_job;
--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -169,6 +169,8 @@
 gboolean ws_plan_allowed(const WsBook *book, const WsSubmission *spec, guint zone,
                          const WsMachine *machine);
 gboolean ws_type_allowed(const WsSubmission *spec, const WsType *type);
+/* Stops a less urgent task of the job's own team, and returns it. */
+WsAssignment *ws_preempt_in_team(WsCore *core, const WsJob *job);
 
 /* ws-fleet.c */
 WsFleet *ws_fleet_new(const WsSettings *settings);
@@ -181,7 +183,11 @@
 gboolean ws_fleet_no_capacity(const WsCore *core, guint type, guint zone, gboolean spot);
 gboolean ws_fleet_gone(const WsCore *core, const char *machine);
 
+/* ws-merge.c: machines whose work fits on others. */
+void ws_merge_tick(WsCore *core);
+
 /* ws-giveback.c */
+gboolean ws_giveback_allowed(const WsCore *core, const WsMachine *machine);
 void ws_giveback_tick(WsCore *core);
 void ws_giveback_mark(WsCore *core, WsMachine *machine, const char *why, gboolean now);
 gboolean ws_giveback_may_stop(WsCore *core, WsMachine *machine, WsJob *job,
--- a/src/core/ws-giveback.c
+++ b/src/core/ws-giveback.c
@@ -111,6 +111,13 @@
   return FALSE;
 }
 
+gboolean
+ws_giveback_allowed(const WsCore *core, const WsMachine *machine)
+{
+  return zone_is_whole(core, machine->zone) && budget_allows(core, machine)
+         && (machine->spot || ws_spare_without(core, machine));
+}
+
 static void
 elect(WsCore *core, WsMachine *machine)
 {
@@ -122,13 +129,8 @@
     machine->empty_ms = core->now;
   if (core->now - machine->empty_ms < (gint64)(core->properties->hold_s * 1000.0))
     return;
-  if (!machine->spot && !ws_spare_without(core, machine))
-    return;
-  if (!zone_is_whole(core, machine->zone) || !budget_allows(core, machine)) {
-    g_debug("machine %s is idle, but its budget or its zone allows no give-back", machine->name);
-    return;
-  }
-  ws_giveback_mark(core, machine, "idle", FALSE);
+  if (ws_giveback_allowed(core, machine))
+    ws_giveback_mark(core, machine, "idle", FALSE);
 }
 
 static void
@@ -150,4 +152,5 @@
     if (machine->stored && ws_owns(core, machine))
       tend(core, machine);
   }
+  ws_merge_tick(core);
 }
--- a/src/core/ws-plan.c
+++ b/src/core/ws-plan.c
@@ -354,19 +354,11 @@
 }
 
 static void
-preempt_on(Run *run, const Waiting *waiting, WsMachine *machine)
+ask_stops(Run *run, guint owner, const WsMachine *machine)
 {
-  WsCore *core = run->core;
-  guint owner = ws_book_owner(core->book, machine);
-  if (acting_node(core->book, waiting->job) != core->settings->self)
-    return;
-  g_info("job %s needs room on %s: less urgent tasks there stop", waiting->job->id, machine->name);
-  ws_preempt(core, waiting->job, waiting->guaranteed, machine, &run->slots[machine->index]);
-  if (owner == core->settings->self)
-    return;
   for (guint i = 0; i < machine->tasks->len; i++) {
     const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, i);
-    const WsJob *victim = ws_book_job(core->book, ref->job);
+    const WsJob *victim = ws_book_job(run->core->book, ref->job);
     const WsAssignment *a = ws_job_assignment(victim, ref->task);
     if (a != NULL && a->stopping)
       ask_owner(run, owner, "stops",
@@ -374,6 +366,19 @@
   }
 }
 
+static void
+preempt_on(Run *run, const Waiting *waiting, WsMachine *machine)
+{
+  WsCore *core = run->core;
+  guint owner = ws_book_owner(core->book, machine);
+  if (acting_node(core->book, waiting->job) != core->settings->self)
+    return;
+  g_info("job %s needs room on %s: less urgent tasks there stop", waiting->job->id, machine->name);
+  ws_preempt(core, waiting->job, waiting->guaranteed, machine, &run->slots[machine->index]);
+  if (owner != core->settings->self)
+    ask_stops(run, owner, machine);
+}
+
 static gboolean
 preempt_somewhere(Run *run, const Waiting *waiting, const guint *counts)
 {
@@ -410,6 +415,24 @@
          && (team->limit.gpus == 0 || use.gpus <= team->limit.gpus);
 }
 
+/* A team whose own less urgent work fills its limit has a task of it stopped for the urgent one. */
+static void
+make_team_room(Run *run, const Waiting *waiting)
+{
+  WsCore *core = run->core;
+  const WsJob *job = waiting->job;
+  if (acting_node(core->book, job) != core->settings->self)
+    return;
+  WsAssignment *victim = ws_preempt_in_team(core, job);
+  if (victim == NULL)
+    return;
+  const WsMachine *machine = ws_book_machine(core->book, victim->machine);
+  guint owner = ws_book_owner(core->book, machine);
+  g_info("job %s needs its team's limit: a less urgent task on %s stops", job->id, machine->name);
+  if (owner != core->settings->self)
+    ask_stops(run, owner, machine);
+}
+
 typedef enum { PLACED, ROOM_COMES, NO_ROOM } Outcome;
 
 static Outcome
@@ -464,8 +487,10 @@
   for (guint task = 0; task < job->tasks && looked < most; task++) {
     if (!is_waiting(core, job, task))
       continue;
-    if (!within_team(run, job))
+    if (!within_team(run, job)) {
+      make_team_room(run, waiting);
       break;
+    }
     looked++;
     ws_amount_add(&run->use[job->team], &job->spec->need, 1);
     Outcome outcome = has_room ? place_task(run, waiting, task, counts) : NO_ROOM;
--- a/src/core/ws-preempt.c
+++ b/src/core/ws-preempt.c
@@ -89,3 +89,44 @@
       ws_workers_halt_now(core, victim, a);
   }
 }
+
+/* The youngest task of the victim, or NULL; what is being stopped already is counted. */
+static WsAssignment *
+youngest(const WsJob *victim, WsAssignment *best, WsAmount *coming)
+{
+  for (guint c = 0; c < victim->chunks->len; c++) {
+    WsChunk *chunk = g_ptr_array_index(victim->chunks, c);
+    for (guint i = 0; chunk != NULL && i < chunk->on->len; i++) {
+      WsAssignment *a = &g_array_index(chunk->on, WsAssignment, i);
+      if (a->stopping)
+        ws_amount_add(coming, &victim->spec->need, 1);
+      else if (best == NULL || a->at_ms > best->at_ms)
+        best = a;
+    }
+  }
+  return best;
+}
+
+WsAssignment *
+ws_preempt_in_team(WsCore *core, const WsJob *job)
+{
+  WsAssignment *best = NULL;
+  WsJob *best_job = NULL;
+  WsAmount coming = { 0 };
+  for (guint i = 0; i < core->book->active->len; i++) {
+    WsJob *victim = g_ptr_array_index(core->book->active, i);
+    if (victim->team != job->team || !ws_preempt_allowed(core, job, FALSE, victim))
+      continue;
+    WsAssignment *found = youngest(victim, best, &coming);
+    if (found != best)
+      best_job = victim;
+    best = found;
+  }
+  /* One at a time: what is coming is waited for. */
+  if (best == NULL || coming.cpus > 0 || coming.gpus > 0)
+    return NULL;
+  best->stopping = TRUE;
+  if (ws_owns(core, ws_book_machine(core->book, best->machine)))
+    ws_workers_halt_now(core, best_job, best);
+  return best;
+}
--- a/src/protocol/ws-properties.c
+++ b/src/protocol/ws-properties.c
@@ -20,7 +20,7 @@
   properties->hold_s = 20.0;
   properties->backoff_min_s = 1.0;
   properties->backoff_max_s = 30.0;
-  properties->spare_tasks = 2;
+  properties->spare_tasks = 1;
   properties->budgets = g_ptr_array_new_with_free_func(budget_free);
   return properties;
 }
