--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -75,6 +75,8 @@
 void ws_store_free(WsStore *store);
 void ws_store_tick(WsCore *core);
 void ws_store_pump(WsCore *core);
+/* Ends what is queued and whoever waits for a read. Returns whether there was any. */
+gboolean ws_store_stop(WsCore *core);
 gboolean ws_store_loaded(const WsCore *core);
 gboolean ws_store_ok(const WsCore *core);
 void ws_store_call(WsCore *core, WsFirst first, const char *method, const char *path,
--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 typedef struct {
+  guint64 id; /* the key under which it is kept */
   WsReply reply;
   gpointer data;
 } Call;
@@ -15,7 +16,7 @@
   core->properties = properties;
   core->incarnation = incarnation;
   core->book = ws_book_new(settings);
-  core->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+  core->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
   core->store = ws_store_new(settings);
   core->members = ws_members_new();
   core->assign = ws_assign_new();
@@ -25,6 +26,28 @@
   return core;
 }
 
+static gboolean
+stop_calls(WsCore *core)
+{
+  g_autoptr(GList) calls = g_hash_table_get_values(core->calls);
+  g_hash_table_steal_all(core->calls);
+  for (GList *at = calls; at != NULL; at = at->next) {
+    Call *call = at->data;
+    call->reply(core, 0, NULL, call->data);
+    g_free(call);
+  }
+  return calls != NULL;
+}
+
+void
+ws_core_stop(WsCore *core)
+{
+  /* An ended call may lead to another one, but none of them goes on for ever. */
+  gboolean any = TRUE;
+  for (guint round = 0; any && round < 20; round++)
+    any = stop_calls(core) | ws_store_stop(core);
+}
+
 void
 ws_core_free(WsCore *core)
 {
@@ -60,13 +83,11 @@
 ws_call(WsCore *core, const char *method, const char *address, const char *path, json_t *body,
         guint timeout_ms, WsReply reply, gpointer data)
 {
-  guint64 *key = g_new(guint64, 1);
-  *key = ++core->next_call;
   Call *call = g_new0(Call, 1);
-  *call = (Call){ reply, data };
-  g_hash_table_insert(core->calls, key, call);
+  *call = (Call){ ++core->next_call, reply, data };
+  g_hash_table_insert(core->calls, &call->id, call);
   WsOutput *output = g_new0(WsOutput, 1);
-  output->call = *key;
+  output->call = call->id;
   output->method = method;
   output->url = g_strdup_printf("http://%s%s", address, path);
   output->body = ws_json_text(body);
@@ -220,13 +241,12 @@
               const char *body, gsize length)
 {
   set_time(core, now_ms, wall_ms);
-  gpointer key, value;
-  if (!g_hash_table_steal_extended(core->calls, &id, &key, &value))
+  gpointer value;
+  if (!g_hash_table_steal_extended(core->calls, &id, NULL, &value))
     return;
   Call *call = value;
   g_autoptr(json_t) message = status != 0 ? ws_json_parse(body, length) : NULL;
   call->reply(core, status, message, call->data);
-  g_free(key);
   g_free(call);
   settle(core);
 }
--- a/src/core/ws-core.h
+++ b/src/core/ws-core.h
@@ -27,6 +27,8 @@
 /* incarnation: never the same for two runs of one node. */
 WsCore *ws_core_new(const WsSettings *settings, const WsProperties *properties,
                     guint64 incarnation);
+/* Ends every call as if no response had come; what that leads to can still be popped. */
+void ws_core_stop(WsCore *core);
 void ws_core_free(WsCore *core);
 void ws_core_tick(WsCore *core, gint64 now_ms, gint64 wall_ms);
 void ws_core_request(WsCore *core, gint64 now_ms, gint64 wall_ms, WsDoor door, const char *method,
--- a/src/core/ws-members.c
+++ b/src/core/ws-members.c
@@ -86,12 +86,30 @@
     lose_lease(core);
 }
 
+/* A late transaction of an earlier run of this node may have replaced the key, and taken it along
+   when that run's lease ended. */
+static void
+check_listed(WsCore *core)
+{
+  if (!ws_store_loaded(core))
+    return;
+  for (guint i = 0; i < core->book->members->len; i++) {
+    const WsMember *member = &g_array_index(core->book->members, WsMember, i);
+    if (member->node == core->settings->self && member->incarnation == core->incarnation)
+      return;
+  }
+  core->members->is_listed = FALSE;
+}
+
 static void
 keep_lease(WsCore *core)
 {
   WsMembers *members = core->members;
   if (members->asking || core->now < members->next_ms)
     return;
+  check_listed(core);
+  if (members->lease != 0 && !members->is_listed && !ws_store_loaded(core))
+    return;
   members->asking = TRUE;
   if (members->lease == 0) {
     ws_store_call(core, WS_FIRST_LEASE, "POST", "/holds", json_pack("{s:i}", "ttl_ms", LEASE_MS), 0,
@@ -100,6 +118,7 @@
     WsTxn *txn = ws_txn_new();
     g_autofree char *key
         = ws_key(WS_KEYS_MEMBER, ws_settings_node(core->settings, core->settings->self)->name);
+    ws_txn_if(txn, core->book, key);
     ws_txn_set_leased(txn, key, identity(core, FALSE), members->lease);
     ws_txn_commit(core, txn, WS_FIRST_LEASE, on_listed, NULL);
   } else {
--- a/src/core/ws-plan.c
+++ b/src/core/ws-plan.c
@@ -16,6 +16,7 @@
 #define HOPE 0.6
 /* Seconds of work that a second of waiting outweighs, so that large jobs don't starve. */
 #define PATIENCE 5.0
+#define LONG_FETCH_S 3.0
 
 typedef struct {
   guint job;
@@ -294,8 +295,10 @@
          && in_part(run, job, machine);
 }
 
+typedef enum { FREE_NOW = 0, WITH_COMING = 1 << 0, WITH_IMAGE = 1 << 1 } Room;
+
 static WsMachine *
-best_machine(const Run *run, const WsJob *job, const guint *counts, gboolean with_coming)
+best_machine(const Run *run, const WsJob *job, const guint *counts, guint room_kind)
 {
   WsMachine *best = NULL;
   double most = 0.0;
@@ -303,12 +306,13 @@
     WsAmount room = run->slots[i].free;
     if (!run->slots[i].usable)
       continue;
-    if (with_coming)
+    if (room_kind & WITH_COMING)
       ws_amount_add(&room, &run->slots[i].coming, 1);
     if (!ws_amount_fits(&job->spec->need, &room))
       continue;
     WsMachine *machine = ws_book_machine(run->core->book, i);
-    if (!is_eligible(run, job, counts, machine))
+    if (!is_eligible(run, job, counts, machine)
+        || ((room_kind & WITH_IMAGE) && !has_image(machine, job->image)))
       continue;
     double value = score(run, job, counts, machine);
     if (best == NULL || value > most) {
@@ -380,19 +384,20 @@
 }
 
 static gboolean
-preempt_somewhere(Run *run, const Waiting *waiting, const guint *counts)
+preempt_somewhere(Run *run, const Waiting *waiting, const guint *counts, guint room_kind)
 {
   WsCore *core = run->core;
   WsMachine *best = NULL;
   double least = 0.0;
   for (guint i = 0; i < core->book->machines->len; i++) {
     WsMachine *machine = ws_book_machine(core->book, i);
-    if (!is_eligible(run, waiting->job, counts, machine))
+    gboolean cached = has_image(machine, waiting->job->image);
+    if (!is_eligible(run, waiting->job, counts, machine) || ((room_kind & WITH_IMAGE) && !cached))
       continue;
     double cost = ws_preempt_cost(core, waiting->job, waiting->guaranteed, machine, &run->slots[i]);
     if (cost < 0.0)
       continue;
-    cost -= has_image(machine, waiting->job->image) ? 20.0 : 0.0;
+    cost -= cached ? 20.0 : 0.0;
     if (best == NULL || cost < least) {
       best = machine;
       least = cost;
@@ -435,22 +440,52 @@
 
 typedef enum { PLACED, ROOM_COMES, NO_ROOM } Outcome;
 
+static double
+fetch_s(const WsCore *core, const WsJob *job)
+{
+  return job->spec->image_gb / MAX(ws_book_type(core->book, 0)->fetch_gb_per_s, 0.01);
+}
+
+static void
+reserve(Run *run, const WsJob *job, const WsMachine *machine, guint *counts)
+{
+  ws_amount_add(&run->slots[machine->index].free, &job->spec->need, -1);
+  counts[machine->zone]++;
+}
+
+/* Someone waits for a critical task, so it isn't sent where it would first fetch its image for long
+   if less urgent work can make room where the image is. */
+static gboolean
+wait_for_image(Run *run, const Waiting *waiting, guint *counts)
+{
+  WsJob *job = waiting->job;
+  if (job->spec->priority != WS_CRITICAL || fetch_s(run->core, job) < LONG_FETCH_S)
+    return FALSE;
+  WsMachine *machine = best_machine(run, job, counts, WITH_COMING | WITH_IMAGE);
+  if (machine == NULL)
+    return preempt_somewhere(run, waiting, counts, WITH_IMAGE);
+  reserve(run, job, machine, counts);
+  return TRUE;
+}
+
 static Outcome
 place_task(Run *run, const Waiting *waiting, guint task, guint *counts)
 {
   WsJob *job = waiting->job;
-  WsMachine *machine = best_machine(run, job, counts, FALSE);
-  if (machine != NULL)
+  WsMachine *machine = best_machine(run, job, counts, FREE_NOW);
+  if ((machine == NULL || !has_image(machine, job->image)) && wait_for_image(run, waiting, counts))
+    return ROOM_COMES;
+  if (machine != NULL) {
     carry_out(run, job, task, machine);
-  Outcome outcome = machine != NULL ? PLACED : ROOM_COMES;
-  if (machine == NULL)
-    machine = best_machine(run, job, counts, TRUE);
+    reserve(run, job, machine, counts);
+    return PLACED;
+  }
+  machine = best_machine(run, job, counts, WITH_COMING);
   if (machine != NULL) {
-    ws_amount_add(&run->slots[machine->index].free, &job->spec->need, -1);
-    counts[machine->zone]++;
-    return outcome;
+    reserve(run, job, machine, counts);
+    return ROOM_COMES;
   }
-  return preempt_somewhere(run, waiting, counts) ? ROOM_COMES : NO_ROOM;
+  return preempt_somewhere(run, waiting, counts, FREE_NOW) ? ROOM_COMES : NO_ROOM;
 }
 
 static void
--- a/src/core/ws-store.c
+++ b/src/core/ws-store.c
@@ -393,3 +393,22 @@
     start_load(core);
   finish_reached(core);
 }
+
+gboolean
+ws_store_stop(WsCore *core)
+{
+  WsStore *store = core->store;
+  gboolean any = store->asked->len + store->sent->len + store->waiting->len > 0;
+  for (guint i = 0; i < WS_FIRST_LEVELS; i++) {
+    Queued *queued;
+    while ((queued = g_queue_pop_head(&store->queues[i])) != NULL) {
+      queued->reply(core, 0, NULL, queued->data);
+      queued_free(queued);
+      any = TRUE;
+    }
+  }
+  finish(core, take(&store->asked), FALSE);
+  finish(core, take(&store->sent), FALSE);
+  finish(core, take(&store->waiting), FALSE);
+  return any;
+}
--- a/src/core/ws-workers.c
+++ b/src/core/ws-workers.c
@@ -11,6 +11,7 @@
 #define STATUS_PAUSE_MS 600
 #define STATUS_TIMEOUT_MS 500
 #define DOUBT_MS 8000
+#define KNOWN_IMAGES 10
 
 static guint64
 token(const WsCore *core)
@@ -156,7 +157,7 @@
       break;
     }
   g_array_append_val(machine->images, image);
-  if (machine->images->len > 8)
+  if (machine->images->len > KNOWN_IMAGES)
     g_array_remove_index(machine->images, 0);
 }
 
--- /dev/null
+++ b/tests/sim/sim.c
@@ -0,0 +1,958 @@
+#include "sim/sim.h"
+
+#include "protocol/ws-json.h"
+#include "sim/state.h"
+#include "sim/worker.h"
+#include "ws-site.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define TICK_MS 50
+#define REPORT_MS 2000
+#define LEASE_MS 12000
+#define CANCEL_MS 30000
+#define BOOT_MS 8000
+#define PLACES 4 /* tasks on a machine; each takes one GPU */
+
+typedef enum { TOLD_NOTHING, TOLD_ACCEPTED, TOLD_DONE, TOLD_CANCELLED } Told;
+
+typedef struct {
+  char *id;
+  SimJob spec;
+  json_t *message;
+  Told told;
+  gboolean cancelling;
+  gint64 cancelled_ms;
+  gint64 next_ms; /* when its user asks again */
+  guint8 *completed;
+} Job;
+
+typedef struct {
+  SimWorker *worker;
+  gint64 up_ms;
+  gboolean returned;
+  gboolean dead;
+  gint64 hangs_until_ms;
+  gint64 report_ms;
+  guint node; /* where it reports */
+} Machine;
+
+typedef struct {
+  WsCore *core;
+  guint run; /* counts its lives */
+  gint64 back_ms;
+} Node;
+
+typedef void (*Run)(Sim *sim, gpointer data);
+
+typedef struct {
+  gint64 at_ms;
+  guint64 order;
+  Run run;
+  gpointer data;
+} Event;
+
+struct _Sim {
+  guint32 seed;
+  GRand *rand;
+  gint64 now_ms;
+  guint64 order;
+  guint64 lives;
+  GSequence *events;
+  SimState *state;
+  SimFaults faults;
+  Node nodes[SIM_NODES];
+  WsSettings *settings[SIM_NODES];
+  WsProperties *properties;
+  GPtrArray *machines;
+  GPtrArray *jobs;
+  GHashTable *rentals; /* request -> names */
+};
+
+static const char *const ZONES[] = { "a", "b", "c" };
+
+/* Time. */
+
+static gint
+event_order(gconstpointer a, gconstpointer b, gpointer data)
+{
+  (void)data;
+  const Event *first = a, *second = b;
+  if (first->at_ms != second->at_ms)
+    return first->at_ms < second->at_ms ? -1 : 1;
+  return first->order < second->order ? -1 : 1;
+}
+
+static void
+later(Sim *sim, gint64 after_ms, Run run, gpointer data)
+{
+  Event *event = g_new0(Event, 1);
+  *event = (Event){ sim->now_ms + MAX(after_ms, 0), ++sim->order, run, data };
+  g_sequence_insert_sorted(sim->events, event, event_order, NULL);
+}
+
+static gboolean
+chance(Sim *sim, double part)
+{
+  return part > 0.0 && g_rand_double(sim->rand) < part;
+}
+
+static gint64
+wall(const Sim *sim)
+{
+  return sim->now_ms + 1000000;
+}
+
+/* Calls on their way. One of these lives until its answer was taken or given up. */
+
+typedef struct {
+  Sim *sim;
+  guint refs;
+  gboolean over; /* the caller has its reply or gave up */
+  /* the caller: a node in one of its lives, a machine, or a user */
+  guint node;
+  guint run;
+  guint64 call;
+  Machine *machine;
+  gint64 sent_ms;
+  guint64 session;
+  Job *job;
+  /* what is asked */
+  char *method;
+  char *address;
+  char *path;
+  json_t *body;
+  /* the answer */
+  guint status;
+  json_t *answer;
+} Call;
+
+static void
+call_unref(Call *call)
+{
+  if (--call->refs > 0)
+    return;
+  g_free(call->method);
+  g_free(call->address);
+  g_free(call->path);
+  json_decref(call->body);
+  json_decref(call->answer);
+  g_free(call);
+}
+
+static void pump(Sim *sim, guint node);
+static void worker_replied(Sim *sim, Call *call);
+static void user_replied(Sim *sim, Call *call);
+
+static void
+deliver_reply(Sim *sim, gpointer data)
+{
+  Call *call = data;
+  if (!call->over) {
+    call->over = TRUE;
+    if (call->machine != NULL) {
+      worker_replied(sim, call);
+    } else if (call->job != NULL) {
+      user_replied(sim, call);
+    } else if (sim->nodes[call->node].core != NULL && sim->nodes[call->node].run == call->run) {
+      g_autofree char *text = ws_json_text(call->answer);
+      ws_core_reply(sim->nodes[call->node].core, sim->now_ms, wall(sim), call->call, call->status,
+                    text, text != NULL ? strlen(text) : 0);
+      pump(sim, call->node);
+    }
+  }
+  call_unref(call);
+}
+
+static void
+give_up(Sim *sim, gpointer data)
+{
+  Call *call = data;
+  if (!call->over) {
+    call->status = 0;
+    g_clear_pointer(&call->answer, json_decref);
+  }
+  deliver_reply(sim, call);
+}
+
+static gint64
+latency(Sim *sim)
+{
+  return g_rand_int_range(sim->rand, 1, 6);
+}
+
+/* The answer sets off; it may be lost, and then only the caller's patience ends the call. */
+static void
+reply(gpointer data, guint status, json_t *body)
+{
+  Call *call = data;
+  if (call->over || call->answer != NULL || chance(call->sim, call->sim->faults.net.lose)) {
+    json_decref(body);
+    call_unref(call);
+    return;
+  }
+  call->status = status;
+  call->answer = body;
+  later(call->sim, latency(call->sim), deliver_reply, call);
+}
+
+/* Requests to nodes: the core answers by the handle, which is the call. */
+
+static void
+ask_node(Sim *sim, Call *call, guint node, WsDoor door)
+{
+  g_autofree char *text = ws_json_text(call->body);
+  if (sim->nodes[node].core == NULL) {
+    call_unref(call);
+    return;
+  }
+  ws_core_request(sim->nodes[node].core, sim->now_ms, wall(sim), door, call->method, call->path,
+                  text, text != NULL ? strlen(text) : 0, call);
+  pump(sim, node);
+}
+
+/* The cloud. */
+
+static Machine *
+find_machine(const Sim *sim, const char *name)
+{
+  for (guint i = 0; i < sim->machines->len; i++) {
+    Machine *machine = g_ptr_array_index(sim->machines, i);
+    if (strcmp(machine->worker->name, name) == 0)
+      return machine;
+  }
+  return NULL;
+}
+
+static const char *
+zone_named(const char *name)
+{
+  for (guint z = 0; z < G_N_ELEMENTS(ZONES); z++)
+    if (strcmp(ZONES[z], name) == 0)
+      return ZONES[z];
+  g_error("no zone %s", name);
+}
+
+static json_t *
+rent(Sim *sim, const json_t *body)
+{
+  const char *request = json_string_value(json_object_get(body, "objednavka"));
+  json_t *names = g_hash_table_lookup(sim->rentals, request);
+  if (names == NULL) {
+    names = json_array();
+    for (json_int_t i = json_integer_value(json_object_get(body, "how_many")); i > 0; i--) {
+      g_autofree char *name = g_strdup_printf("m-%06u", sim->machines->len);
+      Machine *machine = g_new0(Machine, 1);
+      machine->up_ms = sim->now_ms + BOOT_MS / 2 + g_rand_int_range(sim->rand, 0, BOOT_MS);
+      if (chance(sim, 0.03))
+        machine->up_ms = G_MAXINT64;
+      machine->worker
+          = sim_worker_new(name, "g4", zone_named(json_string_value(json_object_get(body, "hala"))),
+                           json_is_true(json_object_get(body, "vypujcky")), sim->now_ms);
+      machine->report_ms = machine->up_ms;
+      machine->node = (guint)g_rand_int_range(sim->rand, 0, SIM_NODES);
+      g_ptr_array_add(sim->machines, machine);
+      json_array_append_new(names, json_string(name));
+    }
+    g_hash_table_insert(sim->rentals, g_strdup(request), names);
+  }
+  return json_pack("{s:O}", "stroje", names);
+}
+
+static json_t *
+list_machines(const Sim *sim)
+{
+  json_t *list = json_array();
+  for (guint i = 0; i < sim->machines->len; i++) {
+    const Machine *machine = g_ptr_array_index(sim->machines, i);
+    g_autofree char *endpoint = g_strdup_printf("w-%s:1", machine->worker->name);
+    if (!machine->returned)
+      json_array_append_new(list, json_pack("{s:s, s:s, s:s, s:s, s:b, s:s, s:f}", "id",
+                                            machine->worker->name, "endpoint", endpoint, "typ",
+                                            machine->worker->type, "hala", machine->worker->zone,
+                                            "vypujcky", machine->worker->spot, "stav",
+                                            machine->dead ? "failed" : "running", "age_s", 1.0));
+  }
+  return json_pack("{s:o, s:b}", "stroje", list, "more", 0);
+}
+
+static void
+take_back(Sim *sim, const json_t *body)
+{
+  size_t i;
+  const json_t *name;
+  json_array_foreach(json_object_get(body, "stroje"), i, name)
+  {
+    Machine *machine = find_machine(sim, json_string_value(name));
+    if (machine == NULL)
+      continue;
+    machine->returned = TRUE;
+    g_array_set_size(machine->worker->tasks, 0);
+  }
+}
+
+static void
+ask_cloud(Sim *sim, Call *call)
+{
+  if (sim->faults.cloud_out) {
+    reply(call, 503, json_pack("{s:s}", "error", "trouble"));
+  } else if (g_str_has_prefix(call->path, "/catalog")) {
+    reply(call, 200,
+          json_pack("{s:[{s:s, s:f, s:f, s:f, s:f, s:f, s:f, s:f, s:f, s:[s,s,s]}]}", "typy", "sku",
+                    "g4", "cpus", 32.0, "accelerators", (double)PLACES, "mem_gb", 64.0, "local_gb",
+                    100.0, "pull_gb_per_s", 1.0, "price", 8.0, "low_price", 3.0, "boot_s", 8.0,
+                    "haly", "a", "b", "c"));
+  } else if (strcmp(call->path, "/machines/return") == 0) {
+    take_back(sim, call->body);
+    reply(call, 200, json_object());
+  } else if (strcmp(call->path, "/machines") == 0) {
+    if (sim->faults.rent_nothing)
+      reply(call, 503, json_pack("{s:s}", "error", "no capacity"));
+    else
+      reply(call, 200, rent(sim, call->body));
+  } else {
+    reply(call, 200, list_machines(sim));
+  }
+}
+
+/* The rules, whenever a task starts. */
+
+static Job *
+find_job(const Sim *sim, const char *id)
+{
+  for (guint i = 0; i < sim->jobs->len; i++) {
+    Job *job = g_ptr_array_index(sim->jobs, i);
+    if (strcmp(job->id, id) == 0)
+      return job;
+  }
+  return NULL;
+}
+
+static gboolean
+describe(gpointer world, const char *id, guint task, double *run_s)
+{
+  const Job *job = find_job(world, id);
+  *run_s = job != NULL && !job->spec.service ? job->spec.run_s : -1.0;
+  return job != NULL && task < job->spec.tasks;
+}
+
+typedef struct {
+  guint same_task;
+  guint team;
+  guint in_zone;
+  guint on_machine;
+} Running;
+
+static void
+count_running(const Sim *sim, const Machine *where, const Job *job, guint number, Running *count)
+{
+  for (guint i = 0; i < sim->machines->len; i++) {
+    const Machine *machine = g_ptr_array_index(sim->machines, i);
+    for (guint k = 0; k < machine->worker->tasks->len; k++) {
+      const SimTask *task = &g_array_index(machine->worker->tasks, SimTask, k);
+      if (strcmp(task->state, "running") != 0)
+        continue;
+      const Job *other = find_job(sim, task->job);
+      count->same_task += other == job && task->task == number ? 1 : 0;
+      count->team += strcmp(other->spec.team, job->spec.team) == 0 ? 1 : 0;
+      count->in_zone += other == job && machine->worker->zone == where->worker->zone ? 1 : 0;
+      count->on_machine += machine == where ? 1 : 0;
+    }
+  }
+}
+
+static void
+check_start(Sim *sim, const Machine *machine, const SimTask *task)
+{
+  const Job *job = find_job(sim, task->job);
+  Running count = { 0 };
+  count_running(sim, machine, job, task->task, &count);
+  if (count.same_task != 0)
+    g_error("seed %u, %.1f s: ran_twice: %s/%u", sim->seed, sim->now_ms / 1000.0, job->id,
+            task->task);
+  if (count.team + 1 > (strcmp(job->spec.team, "red") == 0 ? 6 : 8))
+    g_error("seed %u, %.1f s: quota of %s", sim->seed, sim->now_ms / 1000.0, job->spec.team);
+  if ((machine->worker->spot && !job->spec.spot)
+      || (job->spec.scatter && count.in_zone + 1 > (job->spec.tasks + 1) / 2))
+    g_error("seed %u, %.1f s: wrong_place: %s/%u", sim->seed, sim->now_ms / 1000.0, job->id,
+            task->task);
+  g_assert_cmpuint(count.on_machine, <, PLACES);
+}
+
+static void
+check_cancelled(Sim *sim, const SimTask *task)
+{
+  const Job *job = find_job(sim, task->job);
+  if (job->told == TOLD_CANCELLED && strcmp(task->state, "running") == 0
+      && sim->now_ms > job->cancelled_ms + CANCEL_MS)
+    g_error("seed %u, %.1f s: ran_cancelled: %s/%u", sim->seed, sim->now_ms / 1000.0, job->id,
+            task->task);
+}
+
+static void
+step_task(Sim *sim, Machine *machine, SimTask *task)
+{
+  double run_s;
+  check_cancelled(sim, task);
+  if (sim->now_ms < task->next_ms || !describe(sim, task->job, task->task, &run_s))
+    return;
+  if (strcmp(task->state, "fetching") == 0) {
+    check_start(sim, machine, task);
+    task->state = "running";
+    task->next_ms = run_s < 0.0 ? G_MAXINT64 : sim->now_ms + (gint64)(run_s * 1000.0);
+    machine->report_ms = MIN(machine->report_ms, sim->now_ms + 500);
+  } else if (strcmp(task->state, "running") == 0) {
+    task->state = "exited";
+    task->why = "done";
+    find_job(sim, task->job)->completed[task->task] = 1;
+    machine->report_ms = MIN(machine->report_ms, sim->now_ms + 500);
+  }
+}
+
+/* Machines. */
+
+static gboolean
+is_up(const Sim *sim, const Machine *machine)
+{
+  return !machine->returned && !machine->dead && sim->now_ms >= machine->up_ms;
+}
+
+static gboolean
+hangs(const Sim *sim, const Machine *machine)
+{
+  return sim->now_ms < machine->hangs_until_ms;
+}
+
+static void
+ask_worker(Sim *sim, Call *call, Machine *machine)
+{
+  json_t *report = NULL;
+  if (strcmp(call->path, "/status") == 0) {
+    reply(call, 200, sim_worker_report(machine->worker, sim->now_ms));
+    return;
+  }
+  guint status
+      = sim_worker_commands(machine->worker, sim->now_ms, call->body, &report, describe, sim);
+  reply(call, status, report);
+}
+
+static gboolean
+is_cut(const Sim *sim, const char *one, const char *other)
+{
+  if (one == NULL || other == NULL || strcmp(one, other) == 0)
+    return FALSE;
+  return (sim->faults.cut >> (one[0] - 'a') & 1) != (sim->faults.cut >> (other[0] - 'a') & 1);
+}
+
+static void arrive(Sim *sim, gpointer data);
+
+/* Users, cloud and state service are in no zone. */
+static const char *
+zone_of_caller(const Call *call)
+{
+  if (call->machine != NULL)
+    return call->machine->worker->zone;
+  return call->job != NULL ? NULL : ZONES[call->node];
+}
+
+static void
+arrive_at_machine(Sim *sim, Call *call)
+{
+  g_autofree char *name = g_strndup(call->address + 2, strcspn(call->address + 2, ":"));
+  Machine *machine = find_machine(sim, name);
+  if (machine == NULL || !is_up(sim, machine)) {
+    call_unref(call);
+  } else if (hangs(sim, machine)) {
+    later(sim, machine->hangs_until_ms - sim->now_ms, arrive, call);
+  } else if (is_cut(sim, zone_of_caller(call), machine->worker->zone)) {
+    later(sim, 1000, arrive, call); /* held back until the cut ends */
+  } else {
+    ask_worker(sim, call, machine);
+  }
+}
+
+static void
+arrive_at_node(Sim *sim, Call *call)
+{
+  guint node = (guint)(strchr(call->address, '-')[1] - '0');
+  if (is_cut(sim, zone_of_caller(call), ZONES[node]))
+    later(sim, 1000, arrive, call);
+  else
+    ask_node(sim, call, node, call->address[0] == 'm' ? WS_DOOR_MESH : WS_DOOR_API);
+}
+
+static void
+arrive(Sim *sim, gpointer data)
+{
+  Call *call = data;
+  if (strcmp(call->address, "state:1") == 0) {
+    if (sim->faults.state_out || (sim->faults.state_refuses >> call->node & 1) != 0)
+      reply(call, 503, json_object());
+    else
+      sim_state_request(sim->state, sim->now_ms, call->method, call->path, call->body, reply, call);
+  } else if (strcmp(call->address, "cloud:1") == 0) {
+    ask_cloud(sim, call);
+  } else if (g_str_has_prefix(call->address, "w-")) {
+    arrive_at_machine(sim, call);
+  } else {
+    arrive_at_node(sim, call);
+  }
+}
+
+/* Sends a call that waits for its reply up to the timeout. */
+static void
+send(Sim *sim, Call *call, guint timeout_ms)
+{
+  call->sim = sim;
+  call->refs = 1;
+  call->sent_ms = sim->now_ms;
+  later(sim, timeout_ms, give_up, call);
+  if (chance(sim, sim->faults.net.lose))
+    return;
+  call->refs++;
+  gint64 after_ms = latency(sim);
+  if (chance(sim, sim->faults.net.late))
+    after_ms += g_rand_int_range(sim->rand, 2000, 60000);
+  later(sim, after_ms, arrive, call);
+  if (chance(sim, sim->faults.net.repeat)) {
+    call->refs++;
+    later(sim, after_ms + g_rand_int_range(sim->rand, 1, 3000), arrive, call);
+  }
+}
+
+static json_t *
+parse(const char *text)
+{
+  return text != NULL ? ws_json_parse(text, strlen(text)) : NULL;
+}
+
+static void
+pump(Sim *sim, guint node)
+{
+  WsOutput *output;
+  while ((output = ws_core_pop(sim->nodes[node].core)) != NULL) {
+    if (output->is_answer) {
+      reply(output->request, output->status, parse(output->body));
+    } else {
+      Call *call = g_new0(Call, 1);
+      const char *rest = output->url + strlen("http://");
+      const char *slash = strchr(rest, '/');
+      call->node = node;
+      call->run = sim->nodes[node].run;
+      call->call = output->call;
+      call->method = g_strdup(output->method);
+      call->address = g_strndup(rest, (gsize)(slash - rest));
+      call->path = g_strdup(slash);
+      call->body = parse(output->body);
+      send(sim, call, output->timeout_ms);
+    }
+    ws_output_free(output);
+  }
+}
+
+static void
+worker_replied(Sim *sim, Call *call)
+{
+  Machine *machine = call->machine;
+  machine->report_ms
+      = sim->now_ms + REPORT_MS * 3 / 4 + g_rand_int_range(sim->rand, 0, REPORT_MS / 2);
+  if (!is_up(sim, machine))
+    return;
+  if (call->status == 200) {
+    if (!hangs(sim, machine))
+      sim_worker_answer(machine->worker, sim->now_ms, call->sent_ms, call->session, call->answer,
+                        describe, sim);
+    return;
+  }
+  const char *to = json_string_value(json_object_get(call->answer, "hlasit_komu"));
+  guint next = (machine->node + 1) % SIM_NODES;
+  if (call->status == 421 && to != NULL)
+    next = (guint)(to[1] - '0');
+  machine->report_ms = sim->now_ms + (call->status == 421 && next != machine->node ? 100 : 1000);
+  machine->node = next;
+}
+
+static void
+send_report(Sim *sim, Machine *machine)
+{
+  Call *call = g_new0(Call, 1);
+  call->machine = machine;
+  call->session = machine->worker->session;
+  call->method = g_strdup("POST");
+  call->address = g_strdup_printf("api-%u:1", machine->node);
+  call->path = g_strdup("/v1/report");
+  call->body = sim_worker_report(machine->worker, sim->now_ms);
+  machine->report_ms = G_MAXINT64;
+  send(sim, call, 4000);
+}
+
+static void
+step_machine(Sim *sim, Machine *machine)
+{
+  if (!is_up(sim, machine))
+    return;
+  if (machine->worker->seq == 0)
+    machine->worker->renewed_ms = MAX(machine->worker->renewed_ms, machine->up_ms);
+  sim_worker_lease(machine->worker, sim->now_ms, LEASE_MS);
+  if (hangs(sim, machine))
+    return;
+  if (machine->worker->notice_ms > 0 && sim->now_ms >= machine->worker->notice_ms) {
+    machine->returned = TRUE;
+    g_array_set_size(machine->worker->tasks, 0);
+    return;
+  }
+  for (guint i = 0; i < machine->worker->tasks->len; i++)
+    step_task(sim, machine, &g_array_index(machine->worker->tasks, SimTask, i));
+  if (sim->now_ms >= machine->report_ms)
+    send_report(sim, machine);
+}
+
+/* Users. */
+
+static void
+ask(Sim *sim, Job *job, const char *method, const char *path, json_t *body)
+{
+  Call *call = g_new0(Call, 1);
+  call->job = job;
+  call->method = g_strdup(method);
+  call->address = g_strdup_printf("api-%d:1", g_rand_int_range(sim->rand, 0, SIM_NODES));
+  call->path = g_strdup(path);
+  call->body = json_incref(body);
+  send(sim, call, 5000);
+}
+
+static void
+step_user(Sim *sim, Job *job)
+{
+  g_autofree char *path = g_strdup_printf("/api/jobs/%s", job->id);
+  g_autofree char *withdraw = g_strconcat(path, "/withdraw", NULL);
+  if (sim->now_ms < job->next_ms)
+    return;
+  job->next_ms = G_MAXINT64;
+  if (job->told == TOLD_NOTHING || chance(sim, 0.1))
+    ask(sim, job, "POST", "/api/jobs", job->message);
+  else if (job->cancelling && job->told == TOLD_ACCEPTED)
+    ask(sim, job, "POST", withdraw, NULL);
+  else
+    ask(sim, job, "GET", path, NULL);
+}
+
+static void
+told_state(Sim *sim, Job *job, const char *state)
+{
+  Told told = strcmp(state, "done") == 0        ? TOLD_DONE
+              : strcmp(state, "cancelled") == 0 ? TOLD_CANCELLED
+                                                : TOLD_ACCEPTED;
+  if (told < job->told || (job->told == TOLD_DONE && told != TOLD_DONE))
+    g_error("seed %u, %.1f s: went_back: %s is %s", sim->seed, sim->now_ms / 1000.0, job->id,
+            state);
+  if (told == TOLD_CANCELLED && !job->cancelling)
+    g_error("seed %u: nobody cancelled %s", sim->seed, job->id);
+  for (guint i = 0; told == TOLD_DONE && i < job->spec.tasks; i++)
+    if (!job->completed[i])
+      g_error("seed %u, %.1f s: not_done: %s/%u", sim->seed, sim->now_ms / 1000.0, job->id, i);
+  if (told == TOLD_CANCELLED && job->told != TOLD_CANCELLED)
+    job->cancelled_ms = sim->now_ms;
+  job->told = told;
+}
+
+static void
+user_replied(Sim *sim, Call *call)
+{
+  Job *job = call->job;
+  job->next_ms = sim->now_ms + 1500;
+  if (call->status == 400 || call->status == 422
+      || (call->status == 404 && job->told > TOLD_NOTHING))
+    g_error("seed %u, %.1f s: forgotten: %s got %u", sim->seed, sim->now_ms / 1000.0, job->id,
+            call->status);
+  if (call->status == 200 || call->status == 201)
+    told_state(sim, job, json_string_value(json_object_get(call->answer, "stav")));
+}
+
+void
+sim_submit(Sim *sim, const SimJob *spec)
+{
+  Job *job = g_new0(Job, 1);
+  job->id = g_strdup_printf("req-%06u", sim->jobs->len);
+  job->spec = *spec;
+  job->completed = g_new0(guint8, spec->tasks);
+  job->message = json_pack(
+      "{s:s, s:s, s:s, s:s, s:s, s:i, s:f, s:f, s:f, s:s, s:f, s:n, s:n, s:b, s:b, s:b, s:f, s:f,"
+      " s:f, s:n}",
+      "id", job->id, "trida", spec->service ? "live" : "batch", "dilna", spec->team, "druh",
+      spec->service ? "service" : "sweep", "prednost", spec->priority, "kusy", (int)spec->tasks,
+      "cpus", 8.0, "accelerators", 1.0, "mem_gb", 16.0, "obraz", "img-1", "pull_gb", 2.0, "typy",
+      "hala", "one_zone", 0, "scatter", spec->scatter, "vypujcky", spec->spot, "odhad_s",
+      spec->service ? 0.0 : spec->run_s, "zaloha_s", 0.0, "ulozeni_s", 0.0, "termin_s");
+  g_assert_nonnull(job->message);
+  job->next_ms = sim->now_ms;
+  g_ptr_array_add(sim->jobs, job);
+}
+
+void
+sim_cancel_any(Sim *sim)
+{
+  if (sim->jobs->len == 0)
+    return;
+  Job *job
+      = g_ptr_array_index(sim->jobs, (guint)g_rand_int_range(sim->rand, 0, (gint32)sim->jobs->len));
+  job->cancelling = job->told == TOLD_ACCEPTED || job->cancelling;
+}
+
+/* Nodes. */
+
+static void
+start_node(Sim *sim, guint node)
+{
+  sim->nodes[node].run++;
+  sim->nodes[node].core = ws_core_new(sim->settings[node], sim->properties,
+                                      (guint64)sim->now_ms * 1000 + ++sim->lives);
+}
+
+static void
+step_node(Sim *sim, guint node)
+{
+  if (sim->nodes[node].core == NULL && sim->now_ms >= sim->nodes[node].back_ms)
+    start_node(sim, node);
+  if (sim->nodes[node].core == NULL)
+    return;
+  ws_core_tick(sim->nodes[node].core, sim->now_ms, wall(sim));
+  pump(sim, node);
+}
+
+/* Nothing that a crashed node would still have sent or answered gets out. */
+static void
+free_core(WsCore *core)
+{
+  WsOutput *output;
+  ws_core_stop(core);
+  while ((output = ws_core_pop(core)) != NULL) {
+    if (output->is_answer)
+      call_unref(output->request);
+    ws_output_free(output);
+  }
+  ws_core_free(core);
+}
+
+void
+sim_crash(Sim *sim, guint node, double back_after_s)
+{
+  WsCore *core = sim->nodes[node].core;
+  sim->nodes[node].core = NULL;
+  if (core != NULL)
+    free_core(core);
+  sim->nodes[node].back_ms = sim->now_ms + (gint64)(back_after_s * 1000.0);
+}
+
+gboolean
+sim_node_up(const Sim *sim, guint node)
+{
+  return sim->nodes[node].core != NULL;
+}
+
+static Machine *
+any_up(Sim *sim)
+{
+  guint count = sim->machines->len;
+  guint first = count > 0 ? (guint)g_rand_int_range(sim->rand, 0, (gint32)count) : 0;
+  for (guint i = 0; i < count; i++) {
+    Machine *machine = g_ptr_array_index(sim->machines, (first + i) % count);
+    if (is_up(sim, machine))
+      return machine;
+  }
+  return NULL;
+}
+
+void
+sim_kill_machine(Sim *sim)
+{
+  Machine *machine = any_up(sim);
+  if (machine == NULL)
+    return;
+  machine->dead = TRUE;
+  g_array_set_size(machine->worker->tasks, 0);
+}
+
+void
+sim_hang_machine(Sim *sim, double seconds)
+{
+  Machine *machine = any_up(sim);
+  if (machine != NULL)
+    machine->hangs_until_ms = sim->now_ms + (gint64)(seconds * 1000.0);
+}
+
+void
+sim_notice_machine(Sim *sim, double seconds)
+{
+  Machine *machine = any_up(sim);
+  if (machine != NULL && machine->worker->spot && machine->worker->notice_ms == 0)
+    machine->worker->notice_ms = sim->now_ms + (gint64)(seconds * 1000.0);
+}
+
+/* The world. */
+
+static void
+tick(Sim *sim, gpointer data)
+{
+  (void)data;
+  sim_state_tick(sim->state, sim->now_ms, sim->faults.state_out);
+  for (guint n = 0; n < SIM_NODES; n++)
+    step_node(sim, n);
+  for (guint i = 0; i < sim->machines->len; i++)
+    step_machine(sim, g_ptr_array_index(sim->machines, i));
+  for (guint i = 0; i < sim->jobs->len; i++)
+    step_user(sim, g_ptr_array_index(sim->jobs, i));
+  later(sim, TICK_MS, tick, NULL);
+}
+
+void
+sim_run(Sim *sim, double seconds)
+{
+  gint64 until_ms = sim->now_ms + (gint64)(seconds * 1000.0);
+  for (;;) {
+    GSequenceIter *first = g_sequence_get_begin_iter(sim->events);
+    Event event = *(Event *)g_sequence_get(first);
+    if (event.at_ms > until_ms)
+      break;
+    g_sequence_remove(first);
+    sim->now_ms = event.at_ms;
+    event.run(sim, event.data);
+  }
+  sim->now_ms = until_ms;
+}
+
+static void
+names_free(gpointer data)
+{
+  json_decref(data);
+}
+
+Sim *
+sim_new(guint32 seed)
+{
+  Sim *sim = g_new0(Sim, 1);
+  sim->seed = seed;
+  sim->now_ms = 1000;
+  sim->rand = g_rand_new_with_seed(seed);
+  sim->events = g_sequence_new(g_free);
+  sim->state = sim_state_new();
+  sim->properties = ws_properties_new();
+  sim->properties->hold_s = 5.0;
+  sim->machines = g_ptr_array_new();
+  sim->jobs = g_ptr_array_new();
+  sim->rentals = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, names_free);
+  for (guint n = 0; n < SIM_NODES; n++)
+    sim->settings[n] = ws_test_settings(n);
+  later(sim, 0, tick, NULL);
+  return sim;
+}
+
+/* What is still on its way is given up, so that everything allocated ends. */
+static void
+drain(Sim *sim)
+{
+  for (guint n = 0; n < SIM_NODES; n++)
+    sim_crash(sim, n, 1e9);
+  sim_state_free(sim->state);
+  while (g_sequence_get_length(sim->events) > 0) {
+    GSequenceIter *first = g_sequence_get_begin_iter(sim->events);
+    Event event = *(Event *)g_sequence_get(first);
+    g_sequence_remove(first);
+    if (event.run != tick)
+      call_unref(event.data);
+  }
+}
+
+void
+sim_free(Sim *sim)
+{
+  drain(sim);
+  for (guint i = 0; i < sim->machines->len; i++) {
+    Machine *machine = g_ptr_array_index(sim->machines, i);
+    sim_worker_free(machine->worker);
+    g_free(machine);
+  }
+  for (guint i = 0; i < sim->jobs->len; i++) {
+    Job *job = g_ptr_array_index(sim->jobs, i);
+    g_free(job->id);
+    g_free(job->completed);
+    json_decref(job->message);
+    g_free(job);
+  }
+  for (guint n = 0; n < SIM_NODES; n++)
+    ws_settings_free(sim->settings[n]);
+  ws_properties_free(sim->properties);
+  g_ptr_array_unref(sim->machines);
+  g_ptr_array_unref(sim->jobs);
+  g_hash_table_unref(sim->rentals);
+  g_sequence_free(sim->events);
+  g_rand_free(sim->rand);
+  g_free(sim);
+}
+
+SimFaults *
+sim_faults(Sim *sim)
+{
+  return &sim->faults;
+}
+
+GRand *
+sim_rand(Sim *sim)
+{
+  return sim->rand;
+}
+
+gint64
+sim_now(const Sim *sim)
+{
+  return sim->now_ms;
+}
+
+static guint
+count_told(const Sim *sim, Told told)
+{
+  guint count = 0;
+  for (guint i = 0; i < sim->jobs->len; i++)
+    count += ((Job *)g_ptr_array_index(sim->jobs, i))->told == told ? 1 : 0;
+  return count;
+}
+
+guint
+sim_open_jobs(const Sim *sim)
+{
+  return count_told(sim, TOLD_ACCEPTED) + count_told(sim, TOLD_NOTHING);
+}
+
+guint
+sim_done_jobs(const Sim *sim)
+{
+  return count_told(sim, TOLD_DONE);
+}
+
+guint
+sim_machines(const Sim *sim)
+{
+  guint count = 0;
+  for (guint i = 0; i < sim->machines->len; i++)
+    count += !((Machine *)g_ptr_array_index(sim->machines, i))->returned ? 1 : 0;
+  return count;
+}
+
+guint
+sim_marks(const Sim *sim)
+{
+  return sim_state_count(sim->state, "w/mark/");
+}
+
+guint
+sim_unrecorded(const Sim *sim)
+{
+  guint count = 0;
+  for (guint i = 0; i < sim->machines->len; i++) {
+    const Machine *machine = g_ptr_array_index(sim->machines, i);
+    g_autofree char *key = g_strconcat("w/machine/", machine->worker->name, NULL);
+    count += !machine->returned && !sim_state_has(sim->state, key) ? 1 : 0;
+  }
+  return count;
+}
--- /dev/null
+++ b/tests/sim/sim.h
@@ -0,0 +1,59 @@
+/* A small world in memory for whole cores: a state service, a cloud, workers and users that behave
+   as their published protocols say, and a network that loses, delays and repeats. The rules are
+   checked whenever a task starts and whenever a user is answered.
+
+   Everything follows from one seed. */
+#pragma once
+
+#include "core/ws-core.h"
+
+#define SIM_NODES 3
+
+typedef struct _Sim Sim;
+
+typedef struct {
+  double lose;   /* chance that a request or its answer is lost */
+  double repeat; /* chance that a request arrives twice */
+  double late;   /* chance that a request arrives long after its caller gave up */
+} SimNet;
+
+/* Faults may be set and ended at any time. */
+typedef struct {
+  SimNet net;
+  gboolean state_out;  /* the state service answers 503 */
+  guint state_refuses; /* bit for each node that alone is refused */
+  guint cut;           /* bit for each zone that is cut off from the other zones */
+  gboolean cloud_out;
+  gboolean rent_nothing;
+} SimFaults;
+
+typedef struct {
+  guint tasks;
+  gboolean service;
+  const char *team;
+  const char *priority;
+  gboolean scatter;
+  gboolean spot;
+  double run_s;
+} SimJob;
+
+Sim *sim_new(guint32 seed);
+void sim_free(Sim *sim);
+SimFaults *sim_faults(Sim *sim);
+GRand *sim_rand(Sim *sim);
+gint64 sim_now(const Sim *sim);
+void sim_run(Sim *sim, double seconds);
+void sim_crash(Sim *sim, guint node, double back_after_s);
+gboolean sim_node_up(const Sim *sim, guint node);
+void sim_submit(Sim *sim, const SimJob *job);
+void sim_cancel_any(Sim *sim);
+/* A random machine that is up: it dies, or hangs for a while. */
+void sim_kill_machine(Sim *sim);
+void sim_hang_machine(Sim *sim, double seconds);
+void sim_notice_machine(Sim *sim, double seconds);
+
+guint sim_open_jobs(const Sim *sim); /* told accepted, and neither done nor cancelled */
+guint sim_done_jobs(const Sim *sim);
+guint sim_machines(const Sim *sim);   /* rented and not returned: charged for */
+guint sim_marks(const Sim *sim);      /* in the state service */
+guint sim_unrecorded(const Sim *sim); /* charged for, without a record or an open rental */
--- /dev/null
+++ b/tests/sim/state.c
@@ -0,0 +1,322 @@
+#include "sim/state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct {
+  json_t *value;
+  guint64 version;
+  guint64 lease;
+} Entry;
+
+typedef struct {
+  gint64 ttl_ms;
+  gint64 ends_ms;
+} Lease;
+
+typedef struct {
+  guint64 from;
+  gint64 until_ms;
+  SimReply reply;
+  gpointer data;
+} Watch;
+
+struct _SimState {
+  GTree *entries;
+  GHashTable *leases;
+  GPtrArray *log; /* of json_t events */
+  GArray *watches;
+  guint64 revision;
+  guint64 next_lease;
+  gint64 ticked_ms;
+};
+
+static void
+entry_free(gpointer data)
+{
+  json_decref(((Entry *)data)->value);
+  g_free(data);
+}
+
+static gint
+compare(gconstpointer a, gconstpointer b, gpointer data)
+{
+  (void)data;
+  return strcmp(a, b);
+}
+
+static void
+event_free(gpointer data)
+{
+  json_decref(data);
+}
+
+SimState *
+sim_state_new(void)
+{
+  SimState *state = g_new0(SimState, 1);
+  state->entries = g_tree_new_full(compare, NULL, g_free, entry_free);
+  state->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+  state->log = g_ptr_array_new_with_free_func(event_free);
+  state->watches = g_array_new(FALSE, FALSE, sizeof(Watch));
+  return state;
+}
+
+void
+sim_state_free(SimState *state)
+{
+  for (guint i = 0; i < state->watches->len; i++) {
+    const Watch *watch = &g_array_index(state->watches, Watch, i);
+    watch->reply(watch->data, 503, json_object());
+  }
+  g_tree_unref(state->entries);
+  g_hash_table_unref(state->leases);
+  g_ptr_array_unref(state->log);
+  g_array_unref(state->watches);
+  g_free(state);
+}
+
+static void
+put(SimState *state, const char *key, json_t *value, guint64 lease)
+{
+  Entry *entry = g_new0(Entry, 1);
+  *entry = (Entry){ json_incref(value), state->revision, lease };
+  g_tree_replace(state->entries, g_strdup(key), entry);
+  g_ptr_array_add(state->log, json_pack("{s:s, s:O, s:I}", "set", key, "value", value, "verze",
+                                        (json_int_t)state->revision));
+}
+
+static void
+drop(SimState *state, const char *key)
+{
+  if (g_tree_lookup(state->entries, key) == NULL)
+    return;
+  g_ptr_array_add(state->log,
+                  json_pack("{s:s, s:I}", "remove", key, "verze", (json_int_t)state->revision));
+  g_tree_remove(state->entries, key);
+}
+
+static json_t *
+events_since(const SimState *state, guint64 from)
+{
+  json_t *events = json_array();
+  for (guint i = 0; i < state->log->len; i++) {
+    json_t *event = g_ptr_array_index(state->log, i);
+    if ((guint64)json_integer_value(json_object_get(event, "verze")) > from)
+      json_array_append(events, event);
+  }
+  return json_pack("{s:I, s:o}", "zmena", (json_int_t)state->revision, "log", events);
+}
+
+static void
+wake(SimState *state, gint64 now_ms, gboolean out)
+{
+  for (guint i = state->watches->len; i-- > 0;) {
+    Watch watch = g_array_index(state->watches, Watch, i);
+    if (out || (watch.from >= state->revision && now_ms < watch.until_ms))
+      continue;
+    g_array_remove_index(state->watches, i);
+    watch.reply(watch.data, 200, events_since(state, watch.from));
+  }
+}
+
+typedef struct {
+  guint64 lease;
+  GPtrArray *keys;
+} Attached;
+
+static gboolean
+collect(gpointer key, gpointer value, gpointer data)
+{
+  Attached *attached = data;
+  if (((Entry *)value)->lease == attached->lease)
+    g_ptr_array_add(attached->keys, g_strdup(key));
+  return FALSE;
+}
+
+static void
+end_lease(SimState *state, guint64 lease)
+{
+  g_autoptr(GPtrArray) keys = g_ptr_array_new_with_free_func(g_free);
+  Attached attached = { lease, keys };
+  g_tree_foreach(state->entries, collect, &attached);
+  if (keys->len > 0)
+    state->revision++;
+  for (guint i = 0; i < keys->len; i++)
+    drop(state, g_ptr_array_index(keys, i));
+}
+
+void
+sim_state_tick(SimState *state, gint64 now_ms, gboolean out)
+{
+  GHashTableIter iter;
+  gpointer key, value;
+  g_hash_table_iter_init(&iter, state->leases);
+  while (g_hash_table_iter_next(&iter, &key, &value)) {
+    Lease *lease = value;
+    if (out)
+      lease->ends_ms = now_ms + lease->ttl_ms;
+    if (now_ms < lease->ends_ms)
+      continue;
+    guint64 ended = *(guint64 *)key;
+    g_hash_table_iter_remove(&iter);
+    end_lease(state, ended);
+  }
+  wake(state, now_ms, out);
+}
+
+static guint64
+version_of(const SimState *state, const char *key)
+{
+  const Entry *entry = g_tree_lookup(state->entries, key);
+  return entry != NULL ? entry->version : 0;
+}
+
+static json_t *
+transact(SimState *state, const json_t *body, guint *status)
+{
+  size_t i;
+  const json_t *item;
+  json_array_foreach(json_object_get(body, "if"), i, item)
+  {
+    const char *key = json_string_value(json_object_get(item, "k"));
+    if (version_of(state, key) != (guint64)json_integer_value(json_object_get(item, "verze"))) {
+      *status = 409;
+      return json_pack("{s:[s], s:I}", "failed", key, "zmena", (json_int_t)state->revision);
+    }
+  }
+  const json_t *changes = json_object_get(body, "apply");
+  json_array_foreach(changes, i, item)
+  {
+    guint64 lease = (guint64)json_integer_value(json_object_get(item, "najem"));
+    if (lease != 0 && !g_hash_table_contains(state->leases, &lease)) {
+      *status = 400;
+      return json_pack("{s:s}", "error", "no such lease");
+    }
+  }
+  g_assert_cmpuint(json_array_size(changes), <=, 16);
+  state->revision += json_array_size(changes) > 0 ? 1 : 0;
+  json_array_foreach(changes, i, item)
+  {
+    const char *key = json_string_value(json_object_get(item, "set"));
+    if (key != NULL)
+      put(state, key, json_object_get(item, "value"),
+          (guint64)json_integer_value(json_object_get(item, "najem")));
+    else
+      drop(state, json_string_value(json_object_get(item, "remove")));
+  }
+  *status = 200;
+  return json_pack("{s:I}", "zmena", (json_int_t)state->revision);
+}
+
+/* A parameter of the query, or NULL. */
+static char *
+parameter(const char *path, const char *name)
+{
+  g_autofree char *marked = g_strconcat(name, "=", NULL);
+  const char *at = strchr(path, '?');
+  while (at != NULL) {
+    at++;
+    if (g_str_has_prefix(at, marked)) {
+      const char *value = at + strlen(marked);
+      return g_strndup(value, strcspn(value, "&"));
+    }
+    at = strchr(at, '&');
+  }
+  return NULL;
+}
+
+typedef struct {
+  const char *prefix;
+  const char *from;
+  json_t *pairs;
+  guint count;
+} Listing;
+
+static gboolean
+list_entry(gpointer key, gpointer value, gpointer data)
+{
+  Listing *listing = data;
+  const Entry *entry = value;
+  if (!g_str_has_prefix(key, listing->prefix)
+      || (listing->from != NULL && strcmp(key, listing->from) <= 0))
+    return FALSE;
+  listing->count++;
+  if (listing->pairs != NULL)
+    json_array_append_new(listing->pairs,
+                          json_pack("{s:s, s:O, s:I}", "k", key, "value", entry->value, "verze",
+                                    (json_int_t)entry->version));
+  return FALSE;
+}
+
+static json_t *
+list(SimState *state, const char *path)
+{
+  g_autofree char *prefix = parameter(path, "starts");
+  g_autofree char *from = parameter(path, "from");
+  Listing listing = { prefix, from, json_array(), 0 };
+  g_tree_foreach(state->entries, list_entry, &listing);
+  return json_pack("{s:o, s:b, s:I}", "pairs", listing.pairs, "more", 0, "zmena",
+                   (json_int_t)state->revision);
+}
+
+static void
+watch(SimState *state, gint64 now_ms, const char *path, SimReply reply, gpointer data)
+{
+  g_autofree char *from = parameter(path, "from");
+  g_autofree char *wait = parameter(path, "wait_ms");
+  Watch watch = { g_ascii_strtoull(from, NULL, 10), now_ms + atoi(wait), reply, data };
+  g_array_append_val(state->watches, watch);
+}
+
+static json_t *
+make_lease(SimState *state, gint64 now_ms, const json_t *body)
+{
+  guint64 *id = g_new(guint64, 1);
+  *id = ++state->next_lease;
+  Lease *lease = g_new0(Lease, 1);
+  lease->ttl_ms = json_integer_value(json_object_get(body, "ttl_ms"));
+  lease->ends_ms = now_ms + lease->ttl_ms;
+  g_hash_table_insert(state->leases, id, lease);
+  return json_pack("{s:I}", "najem", (json_int_t)*id);
+}
+
+void
+sim_state_request(SimState *state, gint64 now_ms, const char *method, const char *path,
+                  const json_t *body, SimReply reply, gpointer data)
+{
+  guint status = 200;
+  (void)method;
+  if (g_str_has_prefix(path, "/follow")) {
+    watch(state, now_ms, path, reply, data);
+  } else if (g_str_has_prefix(path, "/kv?")) {
+    reply(data, 200, list(state, path));
+  } else if (strcmp(path, "/multi") == 0) {
+    json_t *answer = transact(state, body, &status);
+    reply(data, status, answer);
+  } else if (strcmp(path, "/holds") == 0) {
+    reply(data, 200, make_lease(state, now_ms, body));
+  } else if (g_str_has_suffix(path, "/renew")) {
+    guint64 id = g_ascii_strtoull(path + strlen("/holds/"), NULL, 10);
+    Lease *lease = g_hash_table_lookup(state->leases, &id);
+    if (lease != NULL)
+      lease->ends_ms = now_ms + lease->ttl_ms;
+    reply(data, lease != NULL ? 200 : 404, json_object());
+  } else {
+    g_error("the state service has no %s", path);
+  }
+}
+
+guint
+sim_state_count(const SimState *state, const char *prefix)
+{
+  Listing listing = { prefix, NULL, NULL, 0 };
+  g_tree_foreach(state->entries, list_entry, &listing);
+  return listing.count;
+}
+
+gboolean
+sim_state_has(const SimState *state, const char *key)
+{
+  return g_tree_lookup(state->entries, key) != NULL;
+}
--- /dev/null
+++ b/tests/sim/state.h
@@ -0,0 +1,17 @@
+/* The state service of the simulated world. */
+#pragma once
+
+#include <glib.h>
+#include <jansson.h>
+
+typedef struct _SimState SimState;
+typedef void (*SimReply)(gpointer data, guint status, json_t *body /* taken */);
+
+SimState *sim_state_new(void);
+void sim_state_free(SimState *state);
+void sim_state_tick(SimState *state, gint64 now_ms, gboolean out);
+/* The watch is answered when something changes; everything else at once. */
+void sim_state_request(SimState *state, gint64 now_ms, const char *method, const char *path,
+                       const json_t *body, SimReply reply, gpointer data);
+guint sim_state_count(const SimState *state, const char *prefix);
+gboolean sim_state_has(const SimState *state, const char *key);
--- /dev/null
+++ b/tests/sim/worker.c
@@ -0,0 +1,164 @@
+#include "sim/worker.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define FETCH_MS 2000
+
+static void
+task_clear(gpointer data)
+{
+  g_free(((SimTask *)data)->job);
+}
+
+SimWorker *
+sim_worker_new(const char *name, const char *type, const char *zone, gboolean spot, gint64 now_ms)
+{
+  SimWorker *worker = g_new0(SimWorker, 1);
+  worker->name = g_strdup(name);
+  worker->type = type;
+  worker->zone = zone;
+  worker->spot = spot;
+  worker->session = 1;
+  worker->renewed_ms = now_ms;
+  worker->tasks = g_array_new(FALSE, TRUE, sizeof(SimTask));
+  g_array_set_clear_func(worker->tasks, task_clear);
+  return worker;
+}
+
+void
+sim_worker_free(SimWorker *worker)
+{
+  g_free(worker->name);
+  g_array_unref(worker->tasks);
+  g_free(worker);
+}
+
+SimTask *
+sim_worker_find(SimWorker *worker, const char *job, guint task)
+{
+  for (guint i = 0; i < worker->tasks->len; i++) {
+    SimTask *found = &g_array_index(worker->tasks, SimTask, i);
+    if (found->task == task && strcmp(found->job, job) == 0)
+      return found;
+  }
+  return NULL;
+}
+
+json_t *
+sim_worker_report(SimWorker *worker, gint64 now_ms)
+{
+  json_t *tasks = json_array();
+  for (guint i = 0; i < worker->tasks->len; i++) {
+    const SimTask *task = &g_array_index(worker->tasks, SimTask, i);
+    g_autofree char *name = g_strdup_printf("%s/%u", task->job, task->task);
+    json_t *item = json_pack("{s:s, s:I, s:s}", "kus", name, "pokus", (json_int_t)task->attempt,
+                             "stav", task->state);
+    if (task->why != NULL)
+      json_object_set_new(item, "duvod", json_string(task->why));
+    json_array_append_new(tasks, item);
+  }
+  g_autofree char *endpoint = g_strdup_printf("w-%s:1", worker->name);
+  json_t *notice
+      = worker->notice_ms > 0 ? json_real((worker->notice_ms - now_ms) / 1000.0) : json_null();
+  return json_pack("{s:s, s:s, s:s, s:s, s:b, s:I, s:I, s:I, s:o, s:o}", "stroj", worker->name,
+                   "endpoint", endpoint, "typ", worker->type, "hala", worker->zone, "vypujcky",
+                   worker->spot, "smena", (json_int_t)worker->session, "poradi",
+                   (json_int_t)++worker->seq, "pecet", (json_int_t)worker->token, "vypoved_s",
+                   notice, "kusy", tasks);
+}
+
+static void
+launch(SimWorker *worker, gint64 now_ms, const char *job, guint number, guint64 attempt,
+       SimDescribe describe, gpointer world)
+{
+  double run_s;
+  SimTask *held = sim_worker_find(worker, job, number);
+  SimTask task = { g_strdup(job), number, attempt, "fetching", NULL, now_ms + FETCH_MS };
+  if (held != NULL && held->attempt == attempt) {
+    g_free(task.job);
+    return;
+  }
+  if (held != NULL || !describe(world, job, number, &run_s)) {
+    task.state = "exited";
+    task.why = held != NULL ? "busy" : "no_such";
+  }
+  g_array_append_val(worker->tasks, task);
+}
+
+static void
+execute(SimWorker *worker, gint64 now_ms, const json_t *command, SimDescribe describe,
+        gpointer world)
+{
+  const char *op = json_string_value(json_object_get(command, "ukon"));
+  const char *name = json_string_value(json_object_get(command, "kus"));
+  guint64 attempt = (guint64)json_integer_value(json_object_get(command, "pokus"));
+  const char *slash = strchr(name, '/');
+  g_autofree char *job = g_strndup(name, (gsize)(slash - name));
+  guint number = (guint)atoi(slash + 1);
+  if (strcmp(op, "launch") == 0) {
+    launch(worker, now_ms, job, number, attempt, describe, world);
+    return;
+  }
+  for (guint i = 0; i < worker->tasks->len; i++) {
+    SimTask *task = &g_array_index(worker->tasks, SimTask, i);
+    if (task->task != number || task->attempt != attempt || strcmp(task->job, job) != 0)
+      continue;
+    gboolean exited = strcmp(task->state, "exited") == 0;
+    if (strcmp(op, "reap") == 0 && exited) {
+      g_array_remove_index(worker->tasks, i);
+    } else if (strcmp(op, "halt") == 0 && !exited) {
+      task->state = "exited";
+      task->why = "stopped";
+    }
+    return;
+  }
+}
+
+static void
+execute_all(SimWorker *worker, gint64 now_ms, const json_t *message, SimDescribe describe,
+            gpointer world)
+{
+  size_t i;
+  const json_t *command;
+  json_array_foreach(json_object_get(message, "prikazy"), i, command)
+      execute(worker, now_ms, command, describe, world);
+}
+
+void
+sim_worker_answer(SimWorker *worker, gint64 now_ms, gint64 sent_ms, guint64 session,
+                  const json_t *answer, SimDescribe describe, gpointer world)
+{
+  const json_t *token = json_object_get(answer, "pecet");
+  if (session != worker->session || !json_is_integer(token)
+      || (guint64)json_integer_value(token) < worker->token)
+    return;
+  worker->token = (guint64)json_integer_value(token);
+  worker->renewed_ms = sent_ms;
+  execute_all(worker, now_ms, answer, describe, world);
+}
+
+guint
+sim_worker_commands(SimWorker *worker, gint64 now_ms, const json_t *message, json_t **report,
+                    SimDescribe describe, gpointer world)
+{
+  guint64 token = (guint64)json_integer_value(json_object_get(message, "pecet"));
+  guint64 session = (guint64)json_integer_value(json_object_get(message, "smena"));
+  guint status = token < worker->token || session != worker->session ? 409 : 200;
+  if (status == 200) {
+    worker->token = token;
+    execute_all(worker, now_ms, message, describe, world);
+  }
+  *report = sim_worker_report(worker, now_ms);
+  return status;
+}
+
+void
+sim_worker_lease(SimWorker *worker, gint64 now_ms, gint64 lease_ms)
+{
+  if (now_ms - worker->renewed_ms <= lease_ms)
+    return;
+  g_array_set_size(worker->tasks, 0);
+  worker->session++;
+  worker->renewed_ms = now_ms;
+}
--- /dev/null
+++ b/tests/sim/worker.h
@@ -0,0 +1,44 @@
+/* A worker of the simulated world, as the protocol describes it. */
+#pragma once
+
+#include <glib.h>
+#include <jansson.h>
+
+typedef struct {
+  char *job;
+  guint task;
+  guint64 attempt;
+  const char *state; /* fetching, running, exited */
+  const char *why;
+  gint64 next_ms; /* when it has its image, or is done */
+} SimTask;
+
+typedef struct {
+  char *name;
+  const char *type;
+  const char *zone;
+  gboolean spot;
+  guint64 session;
+  guint64 seq;
+  guint64 token;
+  gint64 renewed_ms; /* when the last answered report was sent */
+  gint64 notice_ms;  /* 0: none */
+  GArray *tasks;     /* of SimTask */
+} SimWorker;
+
+/* What a start needs to know of a job; negative run_s: a service. */
+typedef gboolean (*SimDescribe)(gpointer world, const char *job, guint task, double *run_s);
+
+SimWorker *sim_worker_new(const char *name, const char *type, const char *zone, gboolean spot,
+                          gint64 now_ms);
+void sim_worker_free(SimWorker *worker);
+json_t *sim_worker_report(SimWorker *worker, gint64 now_ms);
+/* Takes the answer to a report that was sent at the time given, in the session given. */
+void sim_worker_answer(SimWorker *worker, gint64 now_ms, gint64 sent_ms, guint64 session,
+                       const json_t *answer, SimDescribe describe, gpointer world);
+/* Direct commands: returns the status, and the body is the worker's report. */
+guint sim_worker_commands(SimWorker *worker, gint64 now_ms, const json_t *message, json_t **report,
+                          SimDescribe describe, gpointer world);
+/* Ends the session when its lease has run out. */
+void sim_worker_lease(SimWorker *worker, gint64 now_ms, gint64 lease_ms);
+SimTask *sim_worker_find(SimWorker *worker, const char *job, guint task);
--- /dev/null
+++ b/tests/test-core.c
@@ -0,0 +1,164 @@
+/* Whole controllers in a simulated world: generated schedules of faults, with the rules checked at
+   every start of a task and every answer to a user. */
+#include "sim/sim.h"
+
+static void
+submit_some(Sim *sim, guint count)
+{
+  static const char *const PRIORITIES[] = { "critical", "standard", "best_effort" };
+  GRand *rand = sim_rand(sim);
+  for (guint i = 0; i < count; i++) {
+    SimJob job = { .tasks = (guint)g_rand_int_range(rand, 1, 6),
+                   .service = g_rand_int_range(rand, 0, 4) == 0,
+                   .team = g_rand_boolean(rand) ? "red" : "blue",
+                   .spot = g_rand_boolean(rand),
+                   .run_s = g_rand_int_range(rand, 2, 15) };
+    job.scatter = job.service;
+    job.priority = PRIORITIES[job.service ? 0 : g_rand_int_range(rand, 1, 3)];
+    sim_submit(sim, &job);
+  }
+}
+
+/* Without faults everything is done, services run until they are cancelled, and in the end the
+   machines are given back but for the place that is kept. */
+static void
+quiet_day(guint32 seed)
+{
+  Sim *sim = sim_new(seed);
+  static const SimJob ARRAY = { .tasks = 5, .team = "red", .priority = "standard", .run_s = 5.0 };
+  sim_run(sim, 3.0);
+  for (guint i = 0; i < 4; i++)
+    sim_submit(sim, &ARRAY);
+  sim_run(sim, 120.0);
+  g_assert_cmpuint(sim_open_jobs(sim), ==, 0);
+  g_assert_cmpuint(sim_done_jobs(sim), ==, 4);
+  sim_run(sim, 60.0);
+  g_assert_cmpuint(sim_machines(sim), ==, 0);
+  g_assert_cmpuint(sim_marks(sim), ==, 0);
+  sim_free(sim);
+}
+
+static void
+test_quiet(void)
+{
+  for (guint32 seed = 1; seed <= 3; seed++)
+    quiet_day(seed);
+}
+
+static void
+any_fault(Sim *sim)
+{
+  GRand *rand = sim_rand(sim);
+  SimFaults *faults = sim_faults(sim);
+  switch (g_rand_int_range(rand, 0, 12)) {
+  case 0:
+    sim_crash(sim, (guint)g_rand_int_range(rand, 0, SIM_NODES),
+              g_rand_double_range(rand, 0.1, 8.0));
+    break;
+  case 1:
+    for (guint n = 0; n < SIM_NODES; n++)
+      sim_crash(sim, n, g_rand_double_range(rand, 0.1, 8.0));
+    break;
+  case 2:
+    faults->state_out = !faults->state_out;
+    break;
+  case 3:
+    faults->state_refuses = faults->state_refuses ? 0 : 1u << g_rand_int_range(rand, 0, SIM_NODES);
+    break;
+  case 4:
+    faults->cut = faults->cut ? 0 : 1u << g_rand_int_range(rand, 0, 3);
+    break;
+  case 5:
+    faults->cloud_out = !faults->cloud_out;
+    break;
+  case 6:
+    faults->rent_nothing = !faults->rent_nothing;
+    break;
+  case 7:
+    sim_kill_machine(sim);
+    break;
+  case 8:
+    sim_hang_machine(sim, g_rand_double_range(rand, 1.0, 20.0));
+    break;
+  case 9:
+    sim_notice_machine(sim, g_rand_double_range(rand, 1.0, 10.0));
+    break;
+  case 10:
+    faults->net = faults->net.lose > 0.0 ? (SimNet){ 0 } : (SimNet){ 0.05, 0.05, 0.03 };
+    break;
+  default:
+    sim_cancel_any(sim);
+  }
+}
+
+static void
+rough_day(guint32 seed)
+{
+  Sim *sim = sim_new(seed);
+  GRand *rand = sim_rand(sim);
+  sim_run(sim, 2.0);
+  for (guint i = 0; i < 30; i++) {
+    submit_some(sim, (guint)g_rand_int_range(rand, 0, 3));
+    any_fault(sim);
+    sim_run(sim, g_rand_double_range(rand, 0.05, 6.0));
+  }
+  /* All faults end: what was accepted is done or can be cancelled, and no machine leaks. */
+  *sim_faults(sim) = (SimFaults){ 0 };
+  for (guint i = 0; i < 400 && sim_open_jobs(sim) > 0; i++) {
+    sim_cancel_any(sim);
+    sim_run(sim, 1.0);
+  }
+  if (sim_open_jobs(sim) > 0)
+    g_error("seed %u: %u jobs are still open", seed, sim_open_jobs(sim));
+  sim_run(sim, 150.0);
+  if (sim_machines(sim) > 0 || sim_marks(sim) > 0 || sim_unrecorded(sim) > 0)
+    g_error("seed %u: %u machines leaked, %u without a record, %u marks", seed, sim_machines(sim),
+            sim_unrecorded(sim), sim_marks(sim));
+  sim_free(sim);
+}
+
+static void
+test_rough(void)
+{
+  const char *only = g_getenv("WS_SEED");
+  guint32 first = only != NULL ? (guint32)g_ascii_strtoull(only, NULL, 10) : 1;
+  guint32 last = only != NULL ? first : 20;
+  for (guint32 seed = first; seed <= last; seed++) {
+    g_test_message("seed %u", seed);
+    rough_day(seed);
+  }
+}
+
+/* Two crashes of every controller within a second, in the middle of an election too. */
+static void
+test_crash_twice(void)
+{
+  for (guint32 seed = 100; seed < 106; seed++) {
+    Sim *sim = sim_new(seed);
+    sim_run(sim, 2.0);
+    submit_some(sim, 6);
+    sim_run(sim, 20.0);
+    for (guint round = 0; round < 2; round++) {
+      for (guint n = 0; n < SIM_NODES; n++)
+        sim_crash(sim, n, 0.2);
+      sim_run(sim, 0.5);
+    }
+    for (guint i = 0; i < 300 && sim_open_jobs(sim) > 0; i++) {
+      sim_cancel_any(sim);
+      sim_run(sim, 1.0);
+    }
+    g_assert_cmpuint(sim_open_jobs(sim), ==, 0);
+    sim_free(sim);
+  }
+}
+
+int
+main(int argc, char **argv)
+{
+  g_test_init(&argc, &argv, NULL);
+  g_log_set_always_fatal(G_LOG_LEVEL_ERROR);
+  g_test_add_func("/core/quiet", test_quiet);
+  g_test_add_func("/core/rough", test_rough);
+  g_test_add_func("/core/crash-twice", test_crash_twice);
+  return g_test_run();
+}
