--- a/src/bookkeeping/ws-book.h
+++ b/src/bookkeeping/ws-book.h
@@ -48,6 +48,7 @@
   guint on_count;
   /* soft: */
   guint errors;
+  gboolean guaranteed; /* within its team's guarantee, with the team's earlier open jobs */
   gint64 retry_ms;
   gint64 unplaced_ms; /* since when its home could not place it; 0: it could */
 } WsJob;
--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -24,6 +24,7 @@
   GArray *releases;
   GArray *picks;
   GArray *launching; /* of Pick: in the transaction on its way */
+  GArray *ending;    /* of guint: jobs that it ends */
   gboolean busy;
   gint64 next_ms;
 };
@@ -51,6 +52,7 @@
   assign->releases = g_array_new(FALSE, FALSE, sizeof(Release));
   assign->picks = g_array_new(FALSE, FALSE, sizeof(Pick));
   assign->launching = g_array_new(FALSE, FALSE, sizeof(Pick));
+  assign->ending = g_array_new(FALSE, FALSE, sizeof(guint));
   return assign;
 }
 
@@ -60,6 +62,7 @@
   g_array_unref(assign->releases);
   g_array_unref(assign->picks);
   g_array_unref(assign->launching);
+  g_array_unref(assign->ending);
   g_free(assign);
 }
 
@@ -367,6 +370,7 @@
     return FALSE;
   g_autofree char *key = ws_key_job(job->id);
   ws_txn_set(txn, key, ws_job_encode_final(job, is_done ? WS_JOB_DONE : WS_JOB_CANCELLED));
+  g_array_append_val(draft->core->assign->ending, job->index);
   return TRUE;
 }
 
@@ -453,6 +457,17 @@
   }
 }
 
+static void
+tell_ended(WsCore *core)
+{
+  for (guint i = 0; i < core->assign->ending->len; i++) {
+    const WsJob *job = ws_book_job(core->book, g_array_index(core->assign->ending, guint, i));
+    g_info("job %s is %s, %.0f s after it was accepted", job->id,
+           job->state == WS_JOB_DONE ? "done" : "cancelled and gone",
+           (double)(core->wall - job->at_ms) / 1000.0);
+  }
+}
+
 static void
 on_written(WsCore *core, WsTxnResult result, gpointer data)
 {
@@ -463,6 +478,7 @@
   GArray *launching = assign->launching;
   assign->launching = g_array_new(FALSE, FALSE, sizeof(Pick));
   if (result == WS_TXN_OK) {
+    tell_ended(core);
     launch_all(core, launching);
   } else {
     /* Whoever was first is seen through the watch, and what is still wanted then is tried again.
@@ -486,6 +502,7 @@
       || (assign->releases->len == 0 && assign->picks->len == 0))
     return;
   Draft *draft = draft_new(core);
+  g_array_set_size(assign->ending, 0);
   draft_releases(draft, assign->releases);
   draft_picks(draft, assign->picks, assign->launching);
   if (draft->works->len > 0) {
--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -159,14 +159,12 @@
   gboolean usable;
 } WsSlot;
 /* Whether the job may have the other one's task stopped. */
-gboolean ws_preempt_allowed(const WsCore *core, const WsJob *job, gboolean guaranteed,
-                            const WsJob *victim);
+gboolean ws_preempt_allowed(const WsCore *core, const WsJob *job, const WsJob *victim);
 /* Stops the cheapest tasks that make room on the machine; the cost says how much work is lost,
    negative: it can't be done. */
-double ws_preempt_cost(const WsCore *core, const WsJob *job, gboolean guaranteed,
-                       const WsMachine *machine, const WsSlot *slot);
-void ws_preempt(WsCore *core, const WsJob *job, gboolean guaranteed, WsMachine *machine,
-                WsSlot *slot);
+double ws_preempt_cost(const WsCore *core, const WsJob *job, const WsMachine *machine,
+                       const WsSlot *slot);
+void ws_preempt(WsCore *core, const WsJob *job, WsMachine *machine, WsSlot *slot);
 /* Whether the type, zone and kind of the machine are allowed. */
 gboolean ws_plan_allowed(const WsBook *book, const WsSubmission *spec, guint zone,
                          const WsMachine *machine);
--- a/src/core/ws-demand.c
+++ b/src/core/ws-demand.c
@@ -14,6 +14,7 @@
   WsAmount room;
   gboolean is_new;
   gboolean on_order;
+  gboolean is_running; /* what running tasks will leave some time soon */
 } Virtual;
 
 struct _WsDemand {
@@ -26,11 +27,12 @@
 add_virtual(WsDemand *demand, guint type, guint zone, gboolean spot, const WsAmount *room,
             gboolean is_new)
 {
-  Virtual made = { type, zone, spot, *room, is_new, FALSE };
+  Virtual made = { type, zone, spot, *room, is_new, FALSE, FALSE };
   g_array_append_val(demand->machines, made);
 }
 
-/* A place whose array task ends some time soon is worth half a place of a new machine. */
+/* A place whose array task ends some time soon is worth a part of a place of a new machine, to a
+   task that can wait for it. */
 static void
 add_running(WsDemand *demand, const WsMachine *machine)
 {
@@ -44,8 +46,10 @@
   soon.cpus /= 2;
   soon.gpus /= 2;
   soon.memory /= 2;
-  if (soon.cpus > 0)
-    add_virtual(demand, machine->type, machine->zone, machine->spot, &soon, FALSE);
+  if (soon.cpus == 0)
+    return;
+  add_virtual(demand, machine->type, machine->zone, machine->spot, &soon, FALSE);
+  g_array_index(demand->machines, Virtual, demand->machines->len - 1).is_running = TRUE;
 }
 
 static guint
@@ -145,9 +149,11 @@
 static gboolean
 put_in(WsDemand *demand, const WsJob *job, guint zone, const WsAmount *need)
 {
+  gboolean waits = job->spec->kind == WS_KIND_ARRAY;
   for (guint i = 0; i < demand->machines->len; i++) {
     Virtual *machine = &g_array_index(demand->machines, Virtual, i);
-    if ((machine->spot && !job->spec->spot) || !zone_fits(job, machine->zone, zone)
+    if ((machine->spot && !job->spec->spot) || (machine->is_running && !waits)
+        || !zone_fits(job, machine->zone, zone)
         || !ws_type_allowed(job->spec, ws_book_type(demand->core->book, machine->type))
         || !ws_amount_fits(need, &machine->room))
       continue;
--- a/src/core/ws-plan.c
+++ b/src/core/ws-plan.c
@@ -33,7 +33,6 @@
 
 typedef struct {
   WsJob *job;
-  gboolean guaranteed;
   guint lateness; /* 0: can be in time; 1: within half as long again; 2: late anyway */
   double weight;  /* what is left to start, less for what has waited */
 } Waiting;
@@ -197,7 +196,7 @@
     Waiting *waiting = &g_array_index(jobs, Waiting, i);
     const WsTeamSettings *team = g_ptr_array_index(core->settings->teams, waiting->job->team);
     ws_amount_add(&sums[waiting->job->team], &waiting->job->spec->need, waiting->job->tasks);
-    waiting->guaranteed = within(&sums[waiting->job->team], &team->guarantee);
+    waiting->job->guaranteed = within(&sums[waiting->job->team], &team->guarantee);
   }
   return jobs;
 }
@@ -213,8 +212,8 @@
       = (second->job->spec->priority == WS_CRITICAL) - (first->job->spec->priority == WS_CRITICAL);
   if (critical != 0)
     return critical;
-  if (first->guaranteed != second->guaranteed)
-    return first->guaranteed ? -1 : 1;
+  if (first->job->guaranteed != second->job->guaranteed)
+    return first->job->guaranteed ? -1 : 1;
   if (first->job->spec->priority != second->job->spec->priority)
     return first->job->spec->priority < second->job->spec->priority ? -1 : 1;
   if (first->lateness != second->lateness)
@@ -378,7 +377,7 @@
   if (acting_node(core->book, waiting->job) != core->settings->self)
     return;
   g_info("job %s needs room on %s: less urgent tasks there stop", waiting->job->id, machine->name);
-  ws_preempt(core, waiting->job, waiting->guaranteed, machine, &run->slots[machine->index]);
+  ws_preempt(core, waiting->job, machine, &run->slots[machine->index]);
   if (owner != core->settings->self)
     ask_stops(run, owner, machine);
 }
@@ -394,7 +393,7 @@
     gboolean cached = has_image(machine, waiting->job->image);
     if (!is_eligible(run, waiting->job, counts, machine) || ((room_kind & WITH_IMAGE) && !cached))
       continue;
-    double cost = ws_preempt_cost(core, waiting->job, waiting->guaranteed, machine, &run->slots[i]);
+    double cost = ws_preempt_cost(core, waiting->job, machine, &run->slots[i]);
     if (cost < 0.0)
       continue;
     cost -= cached ? 20.0 : 0.0;
--- a/src/core/ws-preempt.c
+++ b/src/core/ws-preempt.c
@@ -13,14 +13,17 @@
 }
 
 gboolean
-ws_preempt_allowed(const WsCore *core, const WsJob *job, gboolean guaranteed, const WsJob *victim)
+ws_preempt_allowed(const WsCore *core, const WsJob *job, const WsJob *victim)
 {
   /* A service's task is never worth stopping for an array's. */
   if (victim->state != WS_JOB_ACTIVE || victim->spec->kind == WS_KIND_SERVICE)
     return FALSE;
   if (job->spec->priority < victim->spec->priority)
     return TRUE;
-  return guaranteed && job->team != victim->team && beyond_guarantee(core, victim);
+  /* Never between two that are both guaranteed: they would take the place from each other in turn.
+   */
+  return job->guaranteed && !victim->guaranteed && job->team != victim->team
+         && beyond_guarantee(core, victim);
 }
 
 /* A guarantee among equals isn't worth work that is half done: its place is soon free. */
@@ -33,8 +36,8 @@
 
 /* The cheapest task on the machine that may be stopped and is not yet: the youngest one. */
 static WsAssignment *
-cheapest(const WsCore *core, const WsJob *job, gboolean guaranteed, const WsMachine *machine,
-         gint64 younger_than_ms, WsJob **owner)
+cheapest(const WsCore *core, const WsJob *job, const WsMachine *machine, gint64 younger_than_ms,
+         WsJob **owner)
 {
   WsAssignment *best = NULL;
   for (guint i = 0; i < machine->tasks->len; i++) {
@@ -42,7 +45,7 @@
     WsJob *victim = ws_book_job(core->book, ref->job);
     WsAssignment *a = ws_job_assignment(victim, ref->task);
     if (a == NULL || a->stopping || a->at_ms >= younger_than_ms
-        || !ws_preempt_allowed(core, job, guaranteed, victim) || !is_worth(core, job, victim, a))
+        || !ws_preempt_allowed(core, job, victim) || !is_worth(core, job, victim, a))
       continue;
     if (best == NULL || a->at_ms > best->at_ms) {
       best = a;
@@ -53,8 +56,7 @@
 }
 
 double
-ws_preempt_cost(const WsCore *core, const WsJob *job, gboolean guaranteed, const WsMachine *machine,
-                const WsSlot *slot)
+ws_preempt_cost(const WsCore *core, const WsJob *job, const WsMachine *machine, const WsSlot *slot)
 {
   WsAmount room = slot->free;
   double cost = 0.0;
@@ -62,7 +64,7 @@
   ws_amount_add(&room, &slot->coming, 1);
   while (!ws_amount_fits(&job->spec->need, &room)) {
     WsJob *victim = NULL;
-    const WsAssignment *a = cheapest(core, job, guaranteed, machine, younger_than_ms, &victim);
+    const WsAssignment *a = cheapest(core, job, machine, younger_than_ms, &victim);
     if (a == NULL)
       return -1.0;
     younger_than_ms = a->at_ms;
@@ -73,13 +75,13 @@
 }
 
 void
-ws_preempt(WsCore *core, const WsJob *job, gboolean guaranteed, WsMachine *machine, WsSlot *slot)
+ws_preempt(WsCore *core, const WsJob *job, WsMachine *machine, WsSlot *slot)
 {
   WsAmount room = slot->free;
   ws_amount_add(&room, &slot->coming, 1);
   while (!ws_amount_fits(&job->spec->need, &room)) {
     WsJob *victim = NULL;
-    WsAssignment *a = cheapest(core, job, guaranteed, machine, G_MAXINT64, &victim);
+    WsAssignment *a = cheapest(core, job, machine, G_MAXINT64, &victim);
     if (a == NULL)
       return;
     a->stopping = TRUE;
@@ -115,7 +117,7 @@
   WsAmount coming = { 0 };
   for (guint i = 0; i < core->book->active->len; i++) {
     WsJob *victim = g_ptr_array_index(core->book->active, i);
-    if (victim->team != job->team || !ws_preempt_allowed(core, job, FALSE, victim))
+    if (victim->team != job->team || !ws_preempt_allowed(core, job, victim))
       continue;
     WsAssignment *found = youngest(victim, best, &coming);
     if (found != best)
