--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -162,7 +162,6 @@
     WsMachine *machine = ws_book_machine(core->book, i);
     machine->redirected_ms = 0;
     machine->status_failed = 0;
-    machine->marking = FALSE;
   }
   g_info("epoch %" G_GUINT64_FORMAT ": %u members, leader %s", core->epoch_seen,
          core->book->epoch.members->len,
--- a/src/core/ws-fleet.c
+++ b/src/core/ws-fleet.c
@@ -43,7 +43,7 @@
 ws_fleet_new(const WsSettings *settings)
 {
   WsFleet *fleet = g_new0(WsFleet, 1);
-  ws_rate_init(&fleet->rate, settings->cloud_rps * 0.8, settings->cloud_rps);
+  ws_rate_init(&fleet->rate, settings->cloud_rps * 0.9, settings->cloud_rps * 1.8);
   fleet->scarce = g_hash_table_new_full(NULL, NULL, NULL, g_free);
   fleet->gone = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   fleet->renting = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -181,11 +181,24 @@
   core->fleet->intending = FALSE;
 }
 
+/* While a rental waits for its turn at the cloud, what else is needed gathers: fewer and larger
+   requests get the machines sooner than many small ones. */
+static gboolean
+has_unsent(const WsCore *core)
+{
+  for (guint i = 0; i < core->book->rents->len; i++) {
+    const WsRent *rent = g_ptr_array_index(core->book->rents, i);
+    if (!g_hash_table_contains(core->fleet->renting, rent->request))
+      return TRUE;
+  }
+  return FALSE;
+}
+
 void
 ws_fleet_need(WsCore *core, guint type, guint zone, gboolean spot, guint machines)
 {
   WsFleet *fleet = core->fleet;
-  if (fleet->intending)
+  if (fleet->intending || has_unsent(core))
     return;
   if (fleet->intent == NULL) {
     fleet->intent = ws_txn_new();
@@ -366,30 +379,35 @@
 static void
 on_cleared(WsCore *core, WsTxnResult result, gpointer data)
 {
-  WsMachine *machine = ws_book_machine(core->book, GPOINTER_TO_UINT(data));
-  machine->marking = FALSE;
-  if (result == WS_TXN_OK)
-    g_info("machine %s is returned and its mark cleared", machine->name);
+  g_autoptr(GArray) machines = data;
+  for (guint i = 0; i < machines->len; i++) {
+    WsMachine *machine = ws_book_machine(core->book, g_array_index(machines, guint, i));
+    machine->marking = FALSE;
+    if (result == WS_TXN_OK)
+      g_info("machine %s is returned and its mark cleared", machine->name);
+  }
 }
 
+/* Marks that are over go with the records of their machines, many in one transaction. */
 static void
-clear_mark(WsCore *core, WsMachine *machine)
+clear_marks(WsCore *core, GArray *machines /* taken */)
 {
-  if (machine->marking)
-    return;
-  machine->marking = TRUE;
-  g_autofree char *mark = ws_key(WS_KEYS_MARK, machine->name);
-  g_autofree char *record = ws_key(WS_KEYS_MACHINE, machine->name);
   WsTxn *txn = ws_txn_new();
   ws_txn_if(txn, core->book, WS_KEY_EPOCH);
-  ws_txn_remove(txn, mark);
-  ws_txn_remove(txn, record);
-  ws_txn_commit(core, txn, WS_FIRST_REST, on_cleared, GUINT_TO_POINTER(machine->index));
+  for (guint i = 0; i < machines->len; i++) {
+    WsMachine *machine = ws_book_machine(core->book, g_array_index(machines, guint, i));
+    g_autofree char *mark = ws_key(WS_KEYS_MARK, machine->name);
+    g_autofree char *record = ws_key(WS_KEYS_MACHINE, machine->name);
+    machine->marking = TRUE;
+    ws_txn_remove(txn, mark);
+    ws_txn_remove(txn, record);
+  }
+  ws_txn_commit(core, txn, WS_FIRST_REST, on_cleared, machines);
 }
 
 /* A machine that the cloud has taken back is gone with everything on it. */
 static void
-finish_return(WsCore *core, WsMachine *machine)
+release_all(WsCore *core, WsMachine *machine)
 {
   for (guint i = 0; i < machine->tasks->len; i++) {
     const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, i);
@@ -398,8 +416,24 @@
     if (a != NULL)
       ws_assign_release(core, job, a, FALSE);
   }
-  if (machine->tasks->len == 0)
-    clear_mark(core, machine);
+}
+
+static void
+keep_marks(WsCore *core)
+{
+  GArray *over = g_array_new(FALSE, FALSE, sizeof(guint));
+  for (guint i = 0; i < core->book->machines->len; i++) {
+    WsMachine *machine = ws_book_machine(core->book, i);
+    if (!machine->marked || machine->marking || !ws_fleet_gone(core, machine->name))
+      continue;
+    release_all(core, machine);
+    if (machine->tasks->len == 0 && 2 * (over->len + 1) <= core->settings->state_txn_ops)
+      g_array_append_val(over, machine->index);
+  }
+  if (over->len > 0)
+    clear_marks(core, over);
+  else
+    g_array_unref(over);
 }
 
 static void
@@ -430,12 +464,9 @@
   WsFleet *fleet = core->fleet;
   GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
   for (guint i = 0; i < core->book->machines->len; i++) {
-    WsMachine *machine = ws_book_machine(core->book, i);
-    if (!machine->marked)
-      continue;
-    if (ws_fleet_gone(core, machine->name))
-      finish_return(core, machine);
-    else if ((machine->mark_now || machine->tasks->len == 0) && names->len < 100)
+    const WsMachine *machine = ws_book_machine(core->book, i);
+    if (machine->marked && !ws_fleet_gone(core, machine->name)
+        && (machine->mark_now || machine->tasks->len == 0) && names->len < 100)
       g_ptr_array_add(names, g_strdup(machine->name));
   }
   if (names->len == 0 || fleet->returning || core->now < fleet->return_ms
@@ -468,6 +499,7 @@
 {
   if (!ws_is_leader(core) || !ws_store_ok(core))
     return;
+  keep_marks(core);
   keep_returns(core);
   keep_catalog(core);
   for (guint i = 0; i < core->book->rents->len; i++)
--- a/src/core/ws-store.c
+++ b/src/core/ws-store.c
@@ -5,6 +5,11 @@
 
 #define LONG_WAIT_MS 8000
 #define GIVE_UP_MS 1500
+/* The budget of the state service is split unevenly, for the leader writes most: machines, rentals,
+   marks, and the placements of jobs that fit no part. Bursts of two nodes at once are rare. */
+#define LEADER_SHARE 0.5
+#define ALL_SHARE 0.95
+#define BURST_SHARE 0.5
 
 typedef struct {
   const char *method;
@@ -49,12 +54,9 @@
 ws_store_new(const WsSettings *settings)
 {
   WsStore *store = g_new0(WsStore, 1);
-  double share = 0.9 / settings->nodes->len;
-  double requests = settings->state_rps * share, writes = settings->state_write_rps * share;
-  ws_rate_init(&store->requests, requests, requests);
-  ws_rate_init(&store->writes, writes, MAX(writes, (double)settings->state_txn_ops));
-  /* Changes gather while the watch is closed: it takes at most a third of this node's requests. */
-  store->watch_pause_ms = (gint64)(3000.0 / requests);
+  ws_rate_init(&store->requests, 1.0, settings->state_rps * BURST_SHARE);
+  ws_rate_init(&store->writes, 1.0,
+               MAX(settings->state_write_rps * BURST_SHARE, (double)settings->state_txn_ops));
   store->asked = g_array_new(FALSE, FALSE, sizeof(Read));
   store->sent = g_array_new(FALSE, FALSE, sizeof(Read));
   store->waiting = g_array_new(FALSE, FALSE, sizeof(Read));
@@ -343,6 +345,18 @@
   finish_reached(core);
 }
 
+static void
+set_shares(WsCore *core)
+{
+  WsStore *store = core->store;
+  double others = (ALL_SHARE - LEADER_SHARE) / MAX(core->settings->nodes->len - 1, 1u);
+  double share = ws_is_leader(core) ? LEADER_SHARE : others;
+  store->requests.per_second = core->settings->state_rps * share;
+  store->writes.per_second = core->settings->state_write_rps * share;
+  /* Changes gather while the watch is closed: it takes at most a third of the requests. */
+  store->watch_pause_ms = (gint64)(3000.0 / store->requests.per_second);
+}
+
 static void
 watch_tick(WsCore *core)
 {
@@ -389,6 +403,7 @@
 ws_store_tick(WsCore *core)
 {
   WsStore *store = core->store;
+  set_shares(core);
   if (!store->loaded && !store->loading && !store->watching && core->now >= store->load_retry_ms)
     start_load(core);
   finish_reached(core);
