--- a/src/core/ws-demand.c
+++ b/src/core/ws-demand.c
@@ -4,6 +4,11 @@
 /* Without a deadline or an objective an array's tasks may follow each other for this long. */
 #define DEFAULT_SLACK_S 100.0
 #define LEAST_SHARE 0.2
+/* Some machines take twice as long to boot as others. A critical task that must wait for one gets
+   the first of several, where boots are long enough to be worth it; arrays use the rest. */
+#define SHORT_BOOT_S 30.0
+#define LONG_BOOT_S 60.0
+#define LONG_BOOT_EXTRA 0.5
 /* Estimates are often wrong by half, so only a part of the slack is counted on. */
 #define USED_SLACK 0.7
 
@@ -124,16 +129,26 @@
   return MAX(0.0, USED_SLACK * spare_s);
 }
 
+static double
+service_share(const WsDemand *demand, const WsJob *job)
+{
+  if (job->spec->priority != WS_CRITICAL)
+    return 1.0;
+  double boot_s = ws_book_type(demand->core->book, 0)->boot_s;
+  double length = (boot_s - SHORT_BOOT_S) / (LONG_BOOT_S - SHORT_BOOT_S);
+  return 1.0 + LONG_BOOT_EXTRA * CLAMP(length, 0.0, 1.0);
+}
+
 /* What the task takes of a place that is there for a while: less, if others can follow it and
    still be in time. */
 static WsAmount
 share(const WsDemand *demand, const WsJob *job)
 {
   WsAmount need = job->spec->need;
-  if (job->spec->kind == WS_KIND_SERVICE)
-    return need;
   double run_s = job->spec->estimate_s + 5.0;
-  double part = MAX(LEAST_SHARE, run_s / (run_s + slack_s(demand, job)));
+  double part = job->spec->kind == WS_KIND_SERVICE
+                    ? service_share(demand, job)
+                    : MAX(LEAST_SHARE, run_s / (run_s + slack_s(demand, job)));
   need.cpus = (gint64)((double)need.cpus * part);
   need.gpus = (gint64)((double)need.gpus * part);
   need.memory = (gint64)((double)need.memory * part);
