--- a/src/main.c
+++ b/src/main.c
@@ -121,30 +121,38 @@
     return 1;
   }
   g_main_loop_run(loop);
-  ws_runtime_free(runtime);
   return 0;
 }
 
-int
-main(int argc, char **argv)
+static int
+start(int argc, char **argv, Options *options)
 {
-  Options options = { 0 };
-  if (!parse_options(&argc, &argv, &options))
+  if (!parse_options(&argc, &argv, options))
     return EXIT_USAGE;
-  if (options.version) {
+  if (options->version) {
     printf("wrenshore %s\n", WS_VERSION);
     return 0;
   }
   g_log_set_writer_func(write_log, GUINT_TO_POINTER(log_level()), NULL);
-  g_autoptr(WsSettings) settings = read_settings(options.config);
+  g_autoptr(WsSettings) settings = read_settings(options->config);
   if (settings == NULL)
     return EXIT_USAGE;
-  g_autoptr(WsProperties) properties = read_properties(options.properties, settings);
+  g_autoptr(WsProperties) properties = read_properties(options->properties, settings);
   if (properties == NULL)
     return EXIT_USAGE;
-  if (options.check) {
+  if (options->check) {
     printf("wrenshore: the settings are good\n");
     return 0;
   }
   return run(settings, properties);
 }
+
+int
+main(int argc, char **argv)
+{
+  Options options = { 0 };
+  int status = start(argc, argv, &options);
+  g_free(options.config);
+  g_free(options.properties);
+  return status;
+}
