--- a/src/bookkeeping/ws-book.c
+++ b/src/bookkeeping/ws-book.c
@@ -521,8 +521,10 @@
   guint64 at;
   if (value == NULL) {
     WsMachine *machine = ws_book_find_machine(book, name);
-    if (machine != NULL)
+    if (machine != NULL) {
       machine->stored = FALSE;
+      machine->gone = TRUE;
+    }
     return;
   }
   if (!ws_json_string(value, "type", &type) || !ws_json_string(value, "zone", &zone)
--- a/src/bookkeeping/ws-book.h
+++ b/src/bookkeeping/ws-book.h
@@ -62,6 +62,7 @@
   guint index;
   const char *name;
   gboolean stored; /* there is a record: the machine is ours, and is charged for */
+  gboolean gone;   /* its record was removed: the cloud has confirmed its return */
   guint type;      /* in catalog order, WS_NONE: unknown */
   char *type_name;
   guint zone;
--- a/src/core/ws-fleet.c
+++ b/src/core/ws-fleet.c
@@ -62,10 +62,12 @@
   g_free(fleet);
 }
 
+/* Late reports and old lists still show machines that were returned; names are never used again. */
 gboolean
-ws_fleet_gone(const WsCore *core, const char *machine)
+ws_fleet_gone(const WsCore *core, const char *name)
 {
-  return g_hash_table_contains(core->fleet->gone, machine);
+  const WsMachine *machine = ws_book_find_machine(core->book, name);
+  return (machine != NULL && machine->gone) || g_hash_table_contains(core->fleet->gone, name);
 }
 
 /* Where the cloud had nothing to rent. */
--- a/src/core/ws-giveback.c
+++ b/src/core/ws-giveback.c
@@ -65,7 +65,12 @@
   machine->marking = FALSE;
   core->plan_due = TRUE;
   if (result == WS_TXN_OK)
-    g_info("machine %s is marked: %s", machine->name, marking->why);
+    g_info("machine %s (%s, %s, %u tasks) is marked: %s", machine->name,
+           machine->spot ? "spot" : "ordinary",
+           machine->zone != WS_NONE
+               ? (char *)g_ptr_array_index(core->settings->zones, machine->zone)
+               : "no zone",
+           machine->tasks->len, marking->why);
   g_free(marking->why);
   g_free(marking);
 }
--- a/src/core/ws-workers.c
+++ b/src/core/ws-workers.c
@@ -474,6 +474,23 @@
   return silent >= 3 && 2 * silent > all;
 }
 
+/* Spot machines are taken in waves; when ordinary ones fall silent together, something between them
+   and us is interrupted, and their tasks go on until the lease runs out. */
+static gboolean
+is_interruption(const WsCore *core)
+{
+  guint silent = 0, all = 0;
+  for (guint i = 0; i < core->book->machines->len; i++) {
+    const WsMachine *machine = ws_book_machine(core->book, i);
+    if (machine->spot || !machine->stored || machine->heard_ms == 0
+        || (machine->marked && g_strcmp0(machine->mark_why, "silent") != 0))
+      continue;
+    all++;
+    silent += ws_machine_silent(core, machine) ? 1 : 0;
+  }
+  return silent >= 3 && 5 * silent >= all;
+}
+
 static gint64
 silent_since(const WsCore *core, const WsMachine *machine)
 {
@@ -506,7 +523,8 @@
             GUINT_TO_POINTER(machine->index));
   }
   gboolean failed = machine->endpoint == NULL || machine->status_failed >= 2;
-  gboolean is_cut = machine->zone != WS_NONE && zone_is_cut(core, machine->zone);
+  gboolean is_cut
+      = is_interruption(core) || (machine->zone != WS_NONE && zone_is_cut(core, machine->zone));
   gint64 patience
       = is_cut ? (gint64)(core->settings->lease_s * 1000.0) + 6000 : patience_ms(core) + 1500;
   /* A cancelled task must be gone in time, cut or not. */
--- a/tests/test-guards.c
+++ b/tests/test-guards.c
@@ -318,6 +318,25 @@
   rig_free(rig);
 }
 
+/* A late report of a machine that was returned must not bring it back as a new one. */
+static void
+test_ghost(void)
+{
+  Rig *rig = rig_new(TRUE);
+  g_autoptr(json_t) remove
+      = json_pack("{s:[], s:[{s:s}]}", "if", "apply", "remove", "w/machine/m-1");
+  Asked *asked = g_new0(Asked, 1);
+  *asked = (Asked){ rig, 0 };
+  g_assert_true(sim_state_has(rig->state, "w/machine/m-1"));
+  sim_state_request(rig->state, rig->now_ms, "POST", "/multi", remove, on_state, asked);
+  run(rig, 0.5);
+  send_report(rig, 1, json_array());
+  g_assert_cmpuint(rig->status, ==, 503);
+  run(rig, 1.0);
+  g_assert_false(sim_state_has(rig->state, "w/machine/m-1"));
+  rig_free(rig);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -331,5 +350,6 @@
   g_test_add_func("/guards/no-reap-in-doubt", test_no_reap_in_doubt);
   g_test_add_func("/guards/absence", test_absence);
   g_test_add_func("/guards/entitlement", test_entitlement);
+  g_test_add_func("/guards/ghost", test_ghost);
   return g_test_run();
 }
