--- a/src/bookkeeping/ws-book.c
+++ b/src/bookkeeping/ws-book.c
@@ -119,8 +119,17 @@
   return machine;
 }
 
-static guint
-find_type(const WsBook *book, const char *name)
+gboolean
+ws_machine_has_image(const WsMachine *machine, guint image)
+{
+  for (guint i = 0; i < machine->images->len; i++)
+    if (g_array_index(machine->images, guint, i) == image)
+      return TRUE;
+  return FALSE;
+}
+
+guint
+ws_book_find_type(const WsBook *book, const char *name)
 {
   for (guint t = 0; book->catalog != NULL && name != NULL && t < book->catalog->len; t++)
     if (strcmp(ws_book_type(book, t)->name, name) == 0)
@@ -136,7 +145,7 @@
     g_free(machine->type_name);
     machine->type_name = g_strdup(type);
   }
-  machine->type = find_type(book, type);
+  machine->type = ws_book_find_type(book, type);
   machine->zone = ws_book_find_zone(book, zone);
   machine->spot = spot;
 }
@@ -149,7 +158,7 @@
   book->catalog = catalog;
   for (guint i = 0; i < book->machines->len; i++) {
     WsMachine *machine = ws_book_machine(book, i);
-    machine->type = find_type(book, machine->type_name);
+    machine->type = ws_book_find_type(book, machine->type_name);
   }
 }
 
@@ -289,8 +298,8 @@
   }
 }
 
-static void
-replace_chunk(WsBook *book, WsJob *job, guint index, WsChunk *chunk)
+void
+ws_book_replace_chunk(WsBook *book, WsJob *job, guint index, WsChunk *chunk)
 {
   if (job->chunks->len <= index)
     g_ptr_array_set_size(job->chunks, (gint)index + 1);
@@ -307,103 +316,8 @@
   ws_chunk_free(old);
 }
 
-json_t *
-ws_chunk_encode(const WsChunk *chunk, const WsBook *book)
-{
-  json_t *on = json_array();
-  for (guint i = 0; i < chunk->on->len; i++) {
-    const WsAssignment *a = &g_array_index(chunk->on, WsAssignment, i);
-    json_array_append_new(on, json_pack("[i, s, I, I]", (int)a->task,
-                                        ws_book_machine(book, a->machine)->name,
-                                        (json_int_t)a->attempt, (json_int_t)a->at_ms));
-  }
-  char hex[2 * sizeof chunk->done + 1];
-  for (guint i = 0; i < sizeof chunk->done; i++)
-    g_snprintf(hex + 2 * i, 3, "%02x", chunk->done[i]);
-  return json_pack("{s:I, s:o, s:s}", "a", (json_int_t)chunk->attempts, "on", on, "d", hex);
-}
-
-static gboolean
-decode_done(WsChunk *chunk, const char *hex)
-{
-  if (strlen(hex) != 2 * sizeof chunk->done)
-    return FALSE;
-  for (guint i = 0; i < sizeof chunk->done; i++) {
-    gint high = g_ascii_xdigit_value(hex[2 * i]), low = g_ascii_xdigit_value(hex[2 * i + 1]);
-    if (high < 0 || low < 0)
-      return FALSE;
-    chunk->done[i] = (guint8)(high << 4 | low);
-    for (guint bits = chunk->done[i]; bits != 0; bits &= bits - 1)
-      chunk->done_count++;
-  }
-  return TRUE;
-}
-
-static WsChunk *
-decode_chunk(WsBook *book, const json_t *value)
-{
-  WsChunk *chunk = ws_chunk_copy(NULL);
-  const char *hex = "";
-  size_t i;
-  const json_t *item;
-  gboolean good = ws_json_count(value, "a", &chunk->attempts) && ws_json_string(value, "d", &hex)
-                  && decode_done(chunk, hex);
-  json_array_foreach(json_object_get(value, "on"), i, item)
-  {
-    const char *machine = json_string_value(json_array_get(item, 1));
-    good = good && machine != NULL;
-    if (!good)
-      break;
-    WsAssignment assignment = { 0 };
-    assignment.task = (guint)json_integer_value(json_array_get(item, 0));
-    assignment.attempt = (guint64)json_integer_value(json_array_get(item, 2));
-    assignment.at_ms = json_integer_value(json_array_get(item, 3));
-    assignment.machine = ws_book_get_machine(book, machine)->index;
-    g_array_append_val(chunk->on, assignment);
-  }
-  if (good)
-    return chunk;
-  ws_chunk_free(chunk);
-  return NULL;
-}
-
-static void
-apply_chunk(WsBook *book, const char *name, const json_t *value)
-{
-  const char *slash = strrchr(name, '/');
-  if (slash == NULL)
-    return;
-  g_autofree char *id = g_strndup(name, (gsize)(slash - name));
-  WsJob *job = ws_book_find_job(book, id);
-  guint64 index;
-  if (job == NULL || job->spec == NULL
-      || !g_ascii_string_to_unsigned(slash + 1, 10, 0, ws_job_chunk_count(job) - 1, &index, NULL))
-    return;
-  WsChunk *chunk = value != NULL ? decode_chunk(book, value) : NULL;
-  if (value != NULL && chunk == NULL) {
-    g_warning("record of tasks %s is damaged", name);
-    return;
-  }
-  replace_chunk(book, job, (guint)index, chunk);
-}
-
-static const char *const JOB_STATES[] = { "active", "done", "cancelled" };
-
-json_t *
-ws_job_encode(const WsJob *job, WsJobState state, const char *home)
-{
-  return json_pack("{s:s, s:I, s:s, s:o}", "s", JOB_STATES[state], "at", (json_int_t)job->at_ms,
-                   "home", home, "spec", ws_submission_encode(job->spec));
-}
-
-json_t *
-ws_job_encode_final(const WsJob *job, WsJobState state)
-{
-  return json_pack("{s:s, s:i}", "s", JOB_STATES[state], "n", (int)job->tasks);
-}
-
-static WsJob *
-add_job(WsBook *book, const char *id)
+WsJob *
+ws_book_add_job(WsBook *book, const char *id)
 {
   WsJob *job = g_new0(WsJob, 1);
   job->index = book->jobs->len;
@@ -415,19 +329,19 @@
   return job;
 }
 
-static void
-shrink_job(WsBook *book, WsJob *job)
+void
+ws_book_shrink_job(WsBook *book, WsJob *job)
 {
   for (guint i = 0; i < job->chunks->len; i++)
-    replace_chunk(book, job, i, NULL);
+    ws_book_replace_chunk(book, job, i, NULL);
   g_ptr_array_set_size(job->chunks, 0);
   g_ptr_array_remove(book->active, job);
   ws_submission_free(job->spec);
   job->spec = NULL;
 }
 
-static void
-describe_job(WsBook *book, WsJob *job, WsSubmission *spec)
+void
+ws_book_describe_job(WsBook *book, WsJob *job, WsSubmission *spec)
 {
   job->spec = spec;
   job->tasks = spec->tasks;
@@ -437,283 +351,9 @@
   g_ptr_array_add(book->active, job);
 }
 
-static gboolean
-decode_job_state(const json_t *value, WsJobState *state)
-{
-  const char *word;
-  if (!ws_json_string(value, "s", &word))
-    return FALSE;
-  for (guint s = 0; s < G_N_ELEMENTS(JOB_STATES); s++)
-    if (strcmp(JOB_STATES[s], word) == 0) {
-      *state = (WsJobState)s;
-      return TRUE;
-    }
-  return FALSE;
-}
-
-static void
-apply_job(WsBook *book, const char *id, const json_t *value)
-{
-  WsJobState state;
-  if (value == NULL || !decode_job_state(value, &state)) {
-    g_warning("record of job %s is %s", id, value == NULL ? "removed" : "damaged");
-    return;
-  }
-  WsJob *job = ws_book_find_job(book, id);
-  if (job == NULL)
-    job = add_job(book, id);
-  job->state = state;
-  const json_t *spec = json_object_get(value, "spec");
-  const char *home = "";
-  if (spec == NULL) {
-    guint64 tasks = job->tasks;
-    if (job->spec != NULL)
-      shrink_job(book, job);
-    (void)ws_json_count(value, "n", &tasks);
-    job->tasks = (guint)tasks;
-    return;
-  }
-  guint64 at = 0;
-  (void)ws_json_count(value, "at", &at);
-  (void)ws_json_string(value, "home", &home);
-  job->at_ms = (gint64)at;
-  job->home = ws_settings_find_node(book->settings, home);
-  if (job->spec != NULL)
-    return;
-  g_autofree char *reason = NULL;
-  WsSubmission *parsed = ws_submission_parse(spec, &reason);
-  if (parsed != NULL)
-    describe_job(book, job, parsed);
-  else
-    g_warning("record of job %s: %s", id, reason);
-}
-
-/* The other records. */
-
-json_t *
-ws_amount_encode(const WsAmount *amount)
-{
-  return json_pack("{s:I, s:I}", "c", (json_int_t)amount->cpus, "g", (json_int_t)amount->gpus);
-}
-
-static void
-apply_team(WsBook *book, const char *name, const json_t *value)
-{
-  guint team = ws_book_find_team(book, name);
-  if (team == WS_NONE)
-    return;
-  book->team_use[team].cpus = json_integer_value(json_object_get(value, "c"));
-  book->team_use[team].gpus = json_integer_value(json_object_get(value, "g"));
-}
-
-json_t *
-ws_machine_encode(const char *type, const char *zone, gboolean spot, gint64 at_ms)
-{
-  return json_pack("{s:s, s:s, s:b, s:I}", "type", type, "zone", zone, "spot", spot, "at",
-                   (json_int_t)at_ms);
-}
-
-static void
-apply_machine(WsBook *book, const char *name, const json_t *value)
-{
-  const char *type, *zone;
-  gboolean spot;
-  guint64 at;
-  if (value == NULL) {
-    WsMachine *machine = ws_book_find_machine(book, name);
-    if (machine != NULL) {
-      machine->stored = FALSE;
-      machine->gone = TRUE;
-    }
-    return;
-  }
-  if (!ws_json_string(value, "type", &type) || !ws_json_string(value, "zone", &zone)
-      || !ws_json_bool(value, "spot", &spot) || !ws_json_count(value, "at", &at)) {
-    g_warning("record of machine %s is damaged", name);
-    return;
-  }
-  WsMachine *machine = ws_book_get_machine(book, name);
-  ws_book_describe_machine(book, machine, type, zone, spot);
-  machine->stored = TRUE;
-  machine->at_ms = (gint64)at;
-}
-
-json_t *
-ws_mark_encode(const char *why, gboolean now)
-{
-  return json_pack("{s:s, s:b}", "why", why, "now", now);
-}
-
-static void
-apply_mark(WsBook *book, const char *name, const json_t *value)
-{
-  WsMachine *machine = ws_book_get_machine(book, name);
-  const char *why = "";
-  machine->marked = value != NULL;
-  machine->mark_now = FALSE;
-  machine->marking = FALSE;
-  g_clear_pointer(&machine->mark_why, g_free);
-  if (value == NULL)
-    return;
-  (void)ws_json_string(value, "why", &why);
-  (void)ws_json_bool(value, "now", &machine->mark_now);
-  machine->mark_why = g_strdup(why);
-}
-
-json_t *
-ws_rent_encode(const WsRent *rent)
-{
-  return json_pack("{s:s, s:s, s:b, s:i}", "type", rent->type, "zone", rent->zone, "spot",
-                   rent->spot, "count", (int)rent->count);
-}
-
-static void
-apply_rent(WsBook *book, const char *request, const json_t *value)
-{
-  for (guint i = 0; i < book->rents->len; i++) {
-    const WsRent *rent = g_ptr_array_index(book->rents, i);
-    if (strcmp(rent->request, request) == 0) {
-      g_ptr_array_remove_index(book->rents, i);
-      break;
-    }
-  }
-  const char *type, *zone;
-  gboolean spot;
-  guint64 count;
-  if (value == NULL)
-    return;
-  if (!ws_json_string(value, "type", &type) || !ws_json_string(value, "zone", &zone)
-      || !ws_json_bool(value, "spot", &spot) || !ws_json_count(value, "count", &count)) {
-    g_warning("record of rental %s is damaged", request);
-    return;
-  }
-  WsRent *rent = g_new0(WsRent, 1);
-  *rent = (WsRent){ g_strdup(request), g_strdup(type), g_strdup(zone), spot, (guint)count };
-  g_ptr_array_add(book->rents, rent);
-}
-
-static void
-apply_member(WsBook *book, const char *name, const json_t *value)
-{
-  guint node = ws_settings_find_node(book->settings, name);
-  guint i = 0;
-  while (i < book->members->len && g_array_index(book->members, WsMember, i).node < node)
-    i++;
-  if (i < book->members->len && g_array_index(book->members, WsMember, i).node == node)
-    g_array_remove_index(book->members, i);
-  WsMember member = { node, 0 };
-  if (node != WS_NONE && value != NULL && ws_json_count(value, "incarnation", &member.incarnation))
-    g_array_insert_val(book->members, i, member);
-}
-
-static void
-apply_leader(WsBook *book, const json_t *value)
-{
-  const char *name = NULL;
-  book->leader_incarnation = 0;
-  (void)ws_json_string(value, "node", &name);
-  (void)ws_json_count(value, "incarnation", &book->leader_incarnation);
-  book->leader_node = ws_settings_find_node(book->settings, name);
-}
-
-static void
-apply_value(WsBook *book, const char *key, const json_t *value)
-{
-  static const struct {
-    const char *prefix;
-    void (*apply)(WsBook *, const char *, const json_t *);
-  } KINDS[] = { { WS_KEYS_JOB, apply_job },      { WS_KEYS_TASKS, apply_chunk },
-                { WS_KEYS_TEAM, apply_team },    { WS_KEYS_MACHINE, apply_machine },
-                { WS_KEYS_MARK, apply_mark },    { WS_KEYS_RENT, apply_rent },
-                { WS_KEYS_MEMBER, apply_member } };
-  if (strcmp(key, WS_KEY_EPOCH) == 0) {
-    if (value == NULL || !ws_epoch_parse(&book->epoch, value, book->settings))
-      g_warning("the epoch's record is missing or damaged");
-    return;
-  }
-  if (strcmp(key, WS_KEY_LEADER) == 0) {
-    apply_leader(book, value);
-    return;
-  }
-  if (strcmp(key, WS_KEY_CATALOG) == 0) {
-    GPtrArray *catalog = ws_catalog_parse(value);
-    if (catalog != NULL)
-      ws_book_set_catalog(book, catalog);
-    return;
-  }
-  for (gsize i = 0; i < G_N_ELEMENTS(KINDS); i++)
-    if (g_str_has_prefix(key, KINDS[i].prefix))
-      KINDS[i].apply(book, key + strlen(KINDS[i].prefix), value);
-}
-
 guint64
 ws_book_version(const WsBook *book, const char *key)
 {
   const WsKeyVersion *known = g_hash_table_lookup(book->versions, key);
   return known != NULL && known->present ? known->version : 0;
 }
-
-gboolean
-ws_book_apply(WsBook *book, const char *key, const json_t *value, guint64 version)
-{
-  WsKeyVersion *known = g_hash_table_lookup(book->versions, key);
-  if (known != NULL && known->version >= version)
-    return FALSE;
-  if (known == NULL) {
-    known = g_new0(WsKeyVersion, 1);
-    g_hash_table_insert(book->versions, g_strdup(key), known);
-  }
-  if (value == NULL && known->present)
-    book->removed++;
-  known->version = version;
-  known->present = value != NULL;
-  apply_value(book, key, value);
-  return TRUE;
-}
-
-void
-ws_book_forget_missing(WsBook *book, GHashTable *read, guint64 revision)
-{
-  g_autoptr(GPtrArray) gone = g_ptr_array_new_with_free_func(g_free);
-  GHashTableIter iter;
-  gpointer key, value;
-  g_hash_table_iter_init(&iter, book->versions);
-  while (g_hash_table_iter_next(&iter, &key, &value)) {
-    const WsKeyVersion *known = value;
-    if (known->present && known->version <= revision && !g_hash_table_contains(read, key))
-      g_ptr_array_add(gone, g_strdup(key));
-  }
-  for (guint i = 0; i < gone->len; i++) {
-    const char *name = g_ptr_array_index(gone, i);
-    WsKeyVersion *known = g_hash_table_lookup(book->versions, name);
-    known->present = FALSE;
-    book->removed++;
-    apply_value(book, name, NULL);
-  }
-}
-
-/* A removed key is remembered only until the watch has passed its removal: from then on no older
-   value of it can come. */
-void
-ws_book_advance(WsBook *book, guint64 revision)
-{
-  if (revision <= book->revision)
-    return;
-  book->revision = revision;
-  if (book->removed == 0)
-    return;
-  guint left = 0;
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init(&iter, book->versions);
-  while (g_hash_table_iter_next(&iter, NULL, &value)) {
-    const WsKeyVersion *known = value;
-    if (known->present)
-      continue;
-    if (known->version <= revision)
-      g_hash_table_iter_remove(&iter);
-    else
-      left++;
-  }
-  book->removed = left;
-}
--- a/src/bookkeeping/ws-book.h
+++ b/src/bookkeeping/ws-book.h
@@ -150,8 +150,16 @@
 WsMachine *ws_book_get_machine(WsBook *book, const char *name); /* made if missing */
 void ws_book_describe_machine(WsBook *book, WsMachine *machine, const char *type, const char *zone,
                               gboolean spot);
+/* What records change; see ws-records.c. */
+WsJob *ws_book_add_job(WsBook *book, const char *id);
+void ws_book_describe_job(WsBook *book, WsJob *job, WsSubmission *spec /* taken */);
+void ws_book_shrink_job(WsBook *book, WsJob *job);
+void ws_book_replace_chunk(WsBook *book, WsJob *job, guint index, WsChunk *chunk /* taken */);
+
 guint ws_book_owner(const WsBook *book, const WsMachine *machine);
+gboolean ws_machine_has_image(const WsMachine *machine, guint image);
 const WsType *ws_book_type(const WsBook *book, guint type);
+guint ws_book_find_type(const WsBook *book, const char *name);
 guint ws_book_find_team(const WsBook *book, const char *name);
 guint ws_book_find_zone(const WsBook *book, const char *name);
 
--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -253,8 +253,7 @@
   const WsTeamSettings *team = g_ptr_array_index(draft->core->settings->teams, job->team);
   WsAmount use = draft->use[job->team];
   ws_amount_add(&use, &job->spec->need, 1);
-  return (team->limit.cpus == 0 || use.cpus <= team->limit.cpus)
-         && (team->limit.gpus == 0 || use.gpus <= team->limit.gpus);
+  return ws_team_allows(team, &use);
 }
 
 static gboolean
--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -113,7 +113,11 @@
 void ws_workers_launch_now(WsCore *core, WsMachine *machine, GArray *tasks /* of WsTaskRef */);
 void ws_workers_halt_now(WsCore *core, WsJob *job, WsAssignment *assignment);
 void ws_workers_cancelled(WsCore *core, WsJob *job);
-void ws_workers_tick(WsCore *core);
+/* Believes what a message says of tasks that are there; concludes nothing from absence. */
+void ws_workers_presence(WsCore *core, WsMachine *machine, const WsReport *report);
+
+/* ws-silence.c */
+void ws_silence_tick(WsCore *core);
 gboolean ws_machine_up(const WsCore *core, const WsMachine *machine);
 gboolean ws_machine_silent(const WsCore *core, const WsMachine *machine);
 
@@ -138,6 +142,15 @@
 /* Whether the rules on zones let one more task of the job be in the zone. counts: by zone. */
 gboolean ws_zone_allowed(const WsJob *job, const guint *counts, guint zones, guint zone);
 
+/* ws-order.c */
+typedef struct {
+  WsJob *job;
+  guint lateness; /* 0: can be in time; 1: within half as long again; 2: late anyway */
+  double weight;  /* what is left to start, less for what has waited */
+} WsWaiting;
+/* The open jobs, the most urgent first; also says which are within a guarantee. */
+GArray *ws_order_jobs(const WsCore *core); /* of WsWaiting */
+
 /* ws-plan.c */
 WsPlan *ws_plan_new(void);
 void ws_plan_free(WsPlan *plan);
--- a/src/core/ws-demand.c
+++ b/src/core/ws-demand.c
@@ -57,22 +57,13 @@
   g_array_index(demand->machines, Virtual, demand->machines->len - 1).is_running = TRUE;
 }
 
-static guint
-find_type(const WsBook *book, const char *name)
-{
-  for (guint t = 0; t < book->catalog->len; t++)
-    if (g_strcmp0(ws_book_type(book, t)->name, name) == 0)
-      return t;
-  return WS_NONE;
-}
-
 static void
 add_rents(WsDemand *demand)
 {
   const WsBook *book = demand->core->book;
   for (guint i = 0; i < book->rents->len; i++) {
     const WsRent *rent = g_ptr_array_index(book->rents, i);
-    guint type = find_type(book, rent->type), zone = ws_book_find_zone(book, rent->zone);
+    guint type = ws_book_find_type(book, rent->type), zone = ws_book_find_zone(book, rent->zone);
     for (guint n = 0; n < rent->count && type != WS_NONE && zone != WS_NONE; n++) {
       add_virtual(demand, type, zone, rent->spot, &ws_book_type(book, type)->room, FALSE);
       g_array_index(demand->machines, Virtual, demand->machines->len - 1).on_order = TRUE;
--- a/src/core/ws-fleet.c
+++ b/src/core/ws-fleet.c
@@ -296,9 +296,8 @@
   }
   guint zone = ws_book_find_zone(core->book, rent->zone);
   guint count = names != NULL ? names->len : 0;
-  for (guint t = 0; core->book->catalog != NULL && t < core->book->catalog->len; t++)
-    if (strcmp(ws_book_type(core->book, t)->name, rent->type) == 0)
-      note_capacity(core, t, zone, rent->spot, count >= rent->count);
+  note_capacity(core, ws_book_find_type(core->book, rent->type), zone, rent->spot,
+                count >= rent->count);
   g_info("the cloud rented %u of %u %s machines in %s", count, rent->count,
          rent->spot ? "spot" : "ordinary", rent->zone);
   close_rent(core, rent, names);
--- a/src/core/ws-merge.c
+++ b/src/core/ws-merge.c
@@ -19,15 +19,6 @@
   return core->now - core->epoch_ms > 15000;
 }
 
-static gboolean
-has_image(const WsMachine *machine, guint image)
-{
-  for (guint i = 0; i < machine->images->len; i++)
-    if (g_array_index(machine->images, guint, i) == image)
-      return TRUE;
-  return FALSE;
-}
-
 static gboolean
 is_target(const WsCore *core, const WsMachine *machine, const WsMachine *target, const WsJob *job)
 {
@@ -35,7 +26,7 @@
          && target->tasks->len > 0 && ws_machine_up(core, target)
          && ws_plan_allowed(core->book, job->spec, job->zone, target)
          && (!(job->spec->spread || job->spec->one_zone) || target->zone == machine->zone)
-         && has_image(target, job->image);
+         && ws_machine_has_image(target, job->image);
 }
 
 /* Gives each task a place elsewhere, in thought. */
--- a/src/core/ws-plan.c
+++ b/src/core/ws-plan.c
@@ -12,10 +12,6 @@
 #define ASK_MS 1500
 #define SPILL_MS 600
 #define TASKS_A_PLAN 400
-/* A job is given up as late only if it would be late at this part of its estimated time. */
-#define HOPE 0.6
-/* Seconds of work that a second of waiting outweighs, so that large jobs don't starve. */
-#define PATIENCE 5.0
 #define LONG_FETCH_S 3.0
 
 typedef struct {
@@ -31,12 +27,6 @@
   gboolean spilling;
 };
 
-typedef struct {
-  WsJob *job;
-  guint lateness; /* 0: can be in time; 1: within half as long again; 2: late anyway */
-  double weight;  /* what is left to start, less for what has waited */
-} Waiting;
-
 typedef struct {
   WsCore *core;
   WsSlot *slots;
@@ -131,107 +121,6 @@
   return slots;
 }
 
-/* A job is within its team's guarantee when it fits there with the team's earlier open jobs. */
-static gint
-by_age(gconstpointer a, gconstpointer b)
-{
-  const Waiting *first = a, *second = b;
-  return first->job->at_ms < second->job->at_ms ? -1 : first->job->at_ms > second->job->at_ms;
-}
-
-static gboolean
-within(const WsAmount *need, const WsAmount *guarantee)
-{
-  return (guarantee->cpus > 0 || guarantee->gpus > 0)
-         && (guarantee->cpus == 0 || need->cpus <= guarantee->cpus)
-         && (guarantee->gpus == 0 || need->gpus <= guarantee->gpus);
-}
-
-/* How long the job still takes at best: its team's limit lets only so many tasks run at once. */
-static double
-shortest_s(const WsCore *core, const WsJob *job, guint left)
-{
-  const WsTeamSettings *team = g_ptr_array_index(core->settings->teams, job->team);
-  const WsAmount *need = &job->spec->need;
-  gint64 at_once = left;
-  if (team->limit.gpus > 0 && need->gpus > 0)
-    at_once = MIN(at_once, team->limit.gpus / need->gpus);
-  if (team->limit.cpus > 0 && need->cpus > 0)
-    at_once = MIN(at_once, team->limit.cpus / need->cpus);
-  guint rounds = (left + (guint)at_once - 1) / MAX((guint)at_once, 1u);
-  return job->spec->estimate_s * rounds;
-}
-
-static void
-foresee(const WsCore *core, Waiting *waiting)
-{
-  const WsJob *job = waiting->job;
-  double within_s = job->spec->deadline_s;
-  if (within_s < 0.0)
-    within_s = ws_settings_finish_within(core->settings, job->spec->class_name);
-  guint left = job->tasks - job->done_count;
-  double waited_s = (double)(core->wall - job->at_ms) / 1000.0;
-  double end_s = waited_s + HOPE * shortest_s(core, job, left);
-  waiting->weight = job->spec->estimate_s * (left - job->on_count) - PATIENCE * waited_s;
-  if (within_s >= 0.0)
-    waiting->lateness = end_s <= within_s ? 0 : end_s <= 1.5 * within_s ? 1 : 2;
-}
-
-static GArray *
-open_jobs(WsCore *core)
-{
-  const WsBook *book = core->book;
-  GArray *jobs = g_array_new(FALSE, FALSE, sizeof(Waiting));
-  for (guint i = 0; i < book->active->len; i++) {
-    WsJob *job = g_ptr_array_index(book->active, i);
-    if (job->state != WS_JOB_ACTIVE || job->team == WS_NONE)
-      continue;
-    Waiting waiting = { .job = job };
-    foresee(core, &waiting);
-    g_array_append_val(jobs, waiting);
-  }
-  g_array_sort(jobs, by_age);
-  g_autofree WsAmount *sums = g_new0(WsAmount, MAX(core->settings->teams->len, 1u));
-  for (guint i = 0; i < jobs->len; i++) {
-    Waiting *waiting = &g_array_index(jobs, Waiting, i);
-    const WsTeamSettings *team = g_ptr_array_index(core->settings->teams, waiting->job->team);
-    ws_amount_add(&sums[waiting->job->team], &waiting->job->spec->need, waiting->job->tasks);
-    waiting->job->guaranteed = within(&sums[waiting->job->team], &team->guarantee);
-  }
-  return jobs;
-}
-
-/* Critical work first: it is what people wait for; then guarantees and priority. Of the rest, what
-   can still be in time goes before what can't, and less work before more: when there isn't room for
-   everything, that makes the fewest late. */
-static gint
-by_urgency(gconstpointer a, gconstpointer b)
-{
-  const Waiting *first = a, *second = b;
-  gint critical
-      = (second->job->spec->priority == WS_CRITICAL) - (first->job->spec->priority == WS_CRITICAL);
-  if (critical != 0)
-    return critical;
-  if (first->job->guaranteed != second->job->guaranteed)
-    return first->job->guaranteed ? -1 : 1;
-  if (first->job->spec->priority != second->job->spec->priority)
-    return first->job->spec->priority < second->job->spec->priority ? -1 : 1;
-  if (first->lateness != second->lateness)
-    return first->lateness < second->lateness ? -1 : 1;
-  if (first->weight != second->weight)
-    return first->weight < second->weight ? -1 : 1;
-  return by_age(a, b);
-}
-
-static gboolean
-has_image(const WsMachine *machine, guint image)
-{
-  for (guint i = 0; i < machine->images->len; i++)
-    if (g_array_index(machine->images, guint, i) == image)
-      return TRUE;
-  return FALSE;
-}
-
 static gboolean
 has_service(const WsBook *book, const WsMachine *machine)
 {
@@ -249,7 +138,7 @@
   const WsAmount *room = &ws_book_type(book, machine->type)->room;
   const WsAmount *free = &run->slots[machine->index].free;
   gboolean is_service = job->spec->kind == WS_KIND_SERVICE;
-  double value = has_image(machine, job->image) ? 100.0 : 0.0;
+  double value = ws_machine_has_image(machine, job->image) ? 100.0 : 0.0;
   if (job->spec->spot && machine->spot)
     value += 30.0;
   if (!is_service && has_service(book, machine))
@@ -311,7 +200,7 @@
       continue;
     WsMachine *machine = ws_book_machine(run->core->book, i);
     if (!is_eligible(run, job, counts, machine)
-        || ((room_kind & WITH_IMAGE) && !has_image(machine, job->image)))
+        || ((room_kind & WITH_IMAGE) && !ws_machine_has_image(machine, job->image)))
       continue;
     double value = score(run, job, counts, machine);
     if (best == NULL || value > most) {
@@ -370,7 +259,7 @@
 }
 
 static void
-preempt_on(Run *run, const Waiting *waiting, WsMachine *machine)
+preempt_on(Run *run, const WsWaiting *waiting, WsMachine *machine)
 {
   WsCore *core = run->core;
   guint owner = ws_book_owner(core->book, machine);
@@ -383,14 +272,14 @@
 }
 
 static gboolean
-preempt_somewhere(Run *run, const Waiting *waiting, const guint *counts, guint room_kind)
+preempt_somewhere(Run *run, const WsWaiting *waiting, const guint *counts, guint room_kind)
 {
   WsCore *core = run->core;
   WsMachine *best = NULL;
   double least = 0.0;
   for (guint i = 0; i < core->book->machines->len; i++) {
     WsMachine *machine = ws_book_machine(core->book, i);
-    gboolean cached = has_image(machine, waiting->job->image);
+    gboolean cached = ws_machine_has_image(machine, waiting->job->image);
     if (!is_eligible(run, waiting->job, counts, machine) || ((room_kind & WITH_IMAGE) && !cached))
       continue;
     double cost = ws_preempt_cost(core, waiting->job, machine, &run->slots[i]);
@@ -415,13 +304,12 @@
   const WsTeamSettings *team = g_ptr_array_index(run->core->settings->teams, job->team);
   WsAmount use = run->use[job->team];
   ws_amount_add(&use, &job->spec->need, 1);
-  return (team->limit.cpus == 0 || use.cpus <= team->limit.cpus)
-         && (team->limit.gpus == 0 || use.gpus <= team->limit.gpus);
+  return ws_team_allows(team, &use);
 }
 
 /* A team whose own less urgent work fills its limit has a task of it stopped for the urgent one. */
 static void
-make_team_room(Run *run, const Waiting *waiting)
+make_team_room(Run *run, const WsWaiting *waiting)
 {
   WsCore *core = run->core;
   const WsJob *job = waiting->job;
@@ -455,7 +343,7 @@
 /* Someone waits for a critical task, so it isn't sent where it would first fetch its image for long
    if less urgent work can make room where the image is. */
 static gboolean
-wait_for_image(Run *run, const Waiting *waiting, guint *counts)
+wait_for_image(Run *run, const WsWaiting *waiting, guint *counts)
 {
   WsJob *job = waiting->job;
   if (job->spec->priority != WS_CRITICAL || fetch_s(run->core, job) < LONG_FETCH_S)
@@ -468,11 +356,12 @@
 }
 
 static Outcome
-place_task(Run *run, const Waiting *waiting, guint task, guint *counts)
+place_task(Run *run, const WsWaiting *waiting, guint task, guint *counts)
 {
   WsJob *job = waiting->job;
   WsMachine *machine = best_machine(run, job, counts, FREE_NOW);
-  if ((machine == NULL || !has_image(machine, job->image)) && wait_for_image(run, waiting, counts))
+  if ((machine == NULL || !ws_machine_has_image(machine, job->image))
+      && wait_for_image(run, waiting, counts))
     return ROOM_COMES;
   if (machine != NULL) {
     carry_out(run, job, task, machine);
@@ -510,7 +399,7 @@
 
 /* Returns how many tasks of the job were looked at. */
 static guint
-place_job(Run *run, const Waiting *waiting, guint most)
+place_job(Run *run, const WsWaiting *waiting, guint most)
 {
   WsCore *core = run->core;
   WsJob *job = waiting->job;
@@ -592,11 +481,10 @@
   run.use = g_memdup2(core->book->team_use, sizeof(WsAmount) * MAX(core->settings->teams->len, 1u));
   run.demand = ws_is_leader(core) ? ws_demand_new(core) : NULL;
   run.asks = g_new0(json_t *, core->settings->nodes->len);
-  g_autoptr(GArray) jobs = open_jobs(core);
-  g_array_sort(jobs, by_urgency);
+  g_autoptr(GArray) jobs = ws_order_jobs(core);
   guint left = TASKS_A_PLAN;
   for (guint i = 0; i < jobs->len && left > 0; i++) {
-    const Waiting *waiting = &g_array_index(jobs, Waiting, i);
+    const WsWaiting *waiting = &g_array_index(jobs, WsWaiting, i);
     if (core->now >= waiting->job->retry_ms)
       left -= place_job(&run, waiting, left);
   }
--- /dev/null
+++ b/src/core/ws-silence.c
@@ -0,0 +1,134 @@
+/* Machines that say nothing: which are asked, which are waited for, and which are given up. */
+#include "core/ws-core-private.h"
+
+#include <string.h>
+
+#define STATUS_PAUSE_MS 600
+#define STATUS_TIMEOUT_MS 500
+#define DOUBT_MS 8000
+
+/* The longest pause between two reports, and what a slow moment here or there may add. */
+static gint64
+patience_ms(const WsCore *core)
+{
+  return (gint64)(core->settings->report_s * 1250.0) + 900;
+}
+
+gboolean
+ws_machine_up(const WsCore *core, const WsMachine *machine)
+{
+  return machine->heard_ms > 0 && core->now - machine->heard_ms <= patience_ms(core);
+}
+
+gboolean
+ws_machine_silent(const WsCore *core, const WsMachine *machine)
+{
+  return machine->heard_ms > 0 && !ws_machine_up(core, machine);
+}
+
+static void
+on_status(WsCore *core, guint status, const json_t *body, gpointer data)
+{
+  WsMachine *machine = ws_book_machine(core->book, GPOINTER_TO_UINT(data));
+  g_autofree char *reason = NULL;
+  g_autoptr(WsReport) report = status == 200 ? ws_report_parse(body, &reason) : NULL;
+  if (report != NULL && strcmp(report->machine, machine->name) == 0 && ws_owns(core, machine))
+    ws_workers_presence(core, machine, report);
+  else
+    machine->status_failed++;
+}
+
+/* Whether it is the way to the machines of the zone that is silent, not they: a node of the zone is
+   out of reach, or many of its machines are silent together. Such machines go on working, and their
+   reports come through another node after a while. */
+static gboolean
+zone_is_cut(const WsCore *core, guint zone)
+{
+  guint silent = 0, all = 0;
+  for (guint n = 0; n < core->settings->nodes->len; n++)
+    if (ws_book_find_zone(core->book, ws_settings_node(core->settings, n)->zone) == zone
+        && ws_epoch_has_node(&core->book->epoch, n) && !ws_mesh_reaches(core, n))
+      return TRUE;
+  for (guint i = 0; i < core->book->machines->len; i++) {
+    const WsMachine *machine = ws_book_machine(core->book, i);
+    if (machine->zone != zone || !machine->stored || machine->marked || machine->heard_ms == 0)
+      continue;
+    all++;
+    silent += ws_machine_silent(core, machine) ? 1 : 0;
+  }
+  return silent >= 3 && 2 * silent > all;
+}
+
+/* Spot machines are taken in waves; when ordinary ones fall silent together, something between them
+   and us is interrupted, and their tasks go on until the lease runs out. */
+static gboolean
+is_interruption(const WsCore *core)
+{
+  guint silent = 0, all = 0;
+  for (guint i = 0; i < core->book->machines->len; i++) {
+    const WsMachine *machine = ws_book_machine(core->book, i);
+    if (machine->spot || !machine->stored || machine->heard_ms == 0
+        || (machine->marked && g_strcmp0(machine->mark_why, "silent") != 0))
+      continue;
+    all++;
+    silent += ws_machine_silent(core, machine) ? 1 : 0;
+  }
+  return silent >= 3 && 5 * silent >= all;
+}
+
+static gint64
+silent_since(const WsCore *core, const WsMachine *machine)
+{
+  if (machine->heard_ms > 0)
+    return machine->heard_ms;
+  /* Never heard by this run of the program: its silence counts from when its owner began. */
+  return machine->tasks->len > 0 ? core->epoch_ms + 2000 : 0;
+}
+
+static gboolean
+has_cancelled(const WsCore *core, const WsMachine *machine)
+{
+  for (guint i = 0; i < machine->tasks->len; i++)
+    if (ws_book_job(core->book, g_array_index(machine->tasks, WsTaskRef, i).job)->state
+        == WS_JOB_CANCELLED)
+      return TRUE;
+  return FALSE;
+}
+
+static void
+watch_machine(WsCore *core, WsMachine *machine)
+{
+  gint64 since = silent_since(core, machine);
+  gint64 silent_ms = since > 0 ? core->now - since : 0;
+  if (silent_ms <= patience_ms(core))
+    return;
+  if (machine->endpoint != NULL && core->now - machine->status_ms >= STATUS_PAUSE_MS) {
+    machine->status_ms = core->now;
+    ws_call(core, "GET", machine->endpoint, "/status", NULL, STATUS_TIMEOUT_MS, on_status,
+            GUINT_TO_POINTER(machine->index));
+  }
+  gboolean failed = machine->endpoint == NULL || machine->status_failed >= 2;
+  gboolean is_cut
+      = is_interruption(core) || (machine->zone != WS_NONE && zone_is_cut(core, machine->zone));
+  gint64 patience
+      = is_cut ? (gint64)(core->settings->lease_s * 1000.0) + 6000 : patience_ms(core) + 1500;
+  /* A cancelled task must be gone in time, cut or not. */
+  if (has_cancelled(core, machine))
+    patience = MIN(patience, (gint64)(core->settings->cancel_s * 400.0));
+  if (failed && silent_ms > patience)
+    ws_giveback_mark(core, machine, "silent", TRUE);
+}
+
+void
+ws_silence_tick(WsCore *core)
+{
+  for (guint i = 0; i < core->book->machines->len; i++) {
+    WsMachine *machine = ws_book_machine(core->book, i);
+    if (!machine->stored || !ws_owns(core, machine))
+      continue;
+    if (machine->doubts > 0 && core->now - machine->doubt_ms > DOUBT_MS)
+      core->wants_epoch = TRUE;
+    if (!machine->marked || !machine->mark_now)
+      watch_machine(core, machine);
+  }
+}
--- a/src/core/ws-users.c
+++ b/src/core/ws-users.c
@@ -124,8 +124,7 @@
 {
   WsAmount need = { 0 };
   ws_amount_add(&need, &spec->need, spec->kind == WS_KIND_SERVICE ? (gint64)spec->tasks : 1);
-  return (team->limit.cpus == 0 || need.cpus <= team->limit.cpus)
-         && (team->limit.gpus == 0 || need.gpus <= team->limit.gpus);
+  return ws_team_allows(team, &need);
 }
 
 static gboolean
--- a/src/protocol/ws-settings.c
+++ b/src/protocol/ws-settings.c
@@ -199,6 +199,13 @@
   return g_steal_pointer(&settings);
 }
 
+gboolean
+ws_team_allows(const WsTeamSettings *team, const WsAmount *use)
+{
+  return (team->limit.cpus == 0 || use->cpus <= team->limit.cpus)
+         && (team->limit.gpus == 0 || use->gpus <= team->limit.gpus);
+}
+
 void
 ws_settings_free(WsSettings *settings)
 {
--- a/src/protocol/ws-settings.h
+++ b/src/protocol/ws-settings.h
@@ -45,6 +45,8 @@
 } WsSettings;
 
 WsSettings *ws_settings_parse(const json_t *message, char **reason);
+/* Whether the use is within the team's limit. */
+gboolean ws_team_allows(const WsTeamSettings *team, const WsAmount *use);
 void ws_settings_free(WsSettings *settings);
 const WsNode *ws_settings_node(const WsSettings *settings, guint node);
 /* Negative: nothing is said about the class. */
