--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -56,6 +56,7 @@
   gint64 epoch_ms; /* since when the present epoch is known */
   guint64 epoch_seen;
   gint64 upkeep_ms;
+  gint64 sweep_ms;
   gboolean wants_epoch; /* a doubt can only be ended by a higher token */
 };
 
@@ -199,6 +200,9 @@
 /* ws-merge.c: machines whose work fits on others. */
 void ws_merge_tick(WsCore *core);
 
+/* ws-sweep.c */
+void ws_sweep_tick(WsCore *core);
+
 /* ws-giveback.c */
 gboolean ws_giveback_allowed(const WsCore *core, const WsMachine *machine);
 void ws_giveback_tick(WsCore *core);
--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -191,6 +191,7 @@
     ws_silence_tick(core);
     ws_giveback_tick(core);
     ws_fleet_tick(core);
+    ws_sweep_tick(core);
     core->plan_due = TRUE;
   }
   settle(core);
--- a/src/core/ws-plan.c
+++ b/src/core/ws-plan.c
@@ -408,6 +408,11 @@
   g_autofree guint *counts = g_new0(guint, core->settings->zones->len);
   count_zones(core, job, counts);
   for (guint task = 0; task < job->tasks && looked < most; task++) {
+    const WsChunk *chunk = ws_job_chunk(job, task);
+    if (chunk != NULL && chunk->done_count == WS_CHUNK_TASKS) {
+      task += WS_CHUNK_TASKS - 1; /* the last one of a chunk that is done */
+      continue;
+    }
     if (!is_waiting(core, job, task))
       continue;
     if (!within_team(run, job)) {
--- a/src/core/ws-silence.c
+++ b/src/core/ws-silence.c
@@ -111,7 +111,7 @@
   gboolean is_cut
       = is_interruption(core) || (machine->zone != WS_NONE && zone_is_cut(core, machine->zone));
   gint64 patience
-      = is_cut ? (gint64)(core->settings->lease_s * 1000.0) + 6000 : patience_ms(core) + 1500;
+      = is_cut ? (gint64)(core->settings->lease_s * 1000.0) + 500 : patience_ms(core) + 1500;
   /* A cancelled task must be gone in time, cut or not. */
   if (has_cancelled(core, machine))
     patience = MIN(patience, (gint64)(core->settings->cancel_s * 400.0));
--- a/tests/sim/sim.c
+++ b/tests/sim/sim.c
@@ -945,6 +945,12 @@
   return sim_state_count(sim->state, "w/mark/");
 }
 
+guint
+sim_task_records(const Sim *sim)
+{
+  return sim_state_count(sim->state, "w/task/");
+}
+
 guint
 sim_unrecorded(const Sim *sim)
 {
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -54,6 +54,7 @@
 
 guint sim_open_jobs(const Sim *sim); /* told accepted, and neither done nor cancelled */
 guint sim_done_jobs(const Sim *sim);
-guint sim_machines(const Sim *sim);   /* rented and not returned: charged for */
+guint sim_machines(const Sim *sim); /* rented and not returned: charged for */
+guint sim_task_records(const Sim *sim);
 guint sim_marks(const Sim *sim);      /* in the state service */
 guint sim_unrecorded(const Sim *sim); /* charged for, without a record or an open rental */
--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -45,6 +45,23 @@
     quiet_day(seed);
 }
 
+/* A job of several chunks is done with its last task, and leaves no records of tasks behind. */
+static void
+test_large(void)
+{
+  Sim *sim = sim_new(7);
+  static const SimJob LARGE
+      = { .tasks = 300, .team = "blue", .priority = "standard", .spot = TRUE, .run_s = 0.5 };
+  sim_run(sim, 3.0);
+  sim_submit(sim, &LARGE);
+  for (guint i = 0; i < 600 && sim_done_jobs(sim) == 0; i++)
+    sim_run(sim, 1.0);
+  g_assert_cmpuint(sim_done_jobs(sim), ==, 1);
+  sim_run(sim, 10.0);
+  g_assert_cmpuint(sim_task_records(sim), ==, 0);
+  sim_free(sim);
+}
+
 static void
 any_fault(Sim *sim)
 {
@@ -158,6 +175,7 @@
   g_test_init(&argc, &argv, NULL);
   g_log_set_always_fatal(G_LOG_LEVEL_ERROR);
   g_test_add_func("/core/quiet", test_quiet);
+  g_test_add_func("/core/large", test_large);
   g_test_add_func("/core/rough", test_rough);
   g_test_add_func("/core/crash-twice", test_crash_twice);
   return g_test_run();
