--- a/tests/test-guards.c
+++ b/tests/test-guards.c
@@ -19,6 +19,7 @@
   guint status; /* the last answer to a request of ours */
   json_t *answer;
   json_t *last_txn;
+  json_t *member_txn; /* the last one that wrote the member's own record */
 } Rig;
 
 typedef struct {
@@ -65,6 +66,10 @@
     if (strcmp(path, "/multi") == 0) {
       json_decref(rig->last_txn);
       rig->last_txn = json_incref(body);
+      if (strstr(output->body, "\"set\":\"w/member/n0\"") != NULL) {
+        json_decref(rig->member_txn);
+        rig->member_txn = json_incref(body);
+      }
     }
     sim_state_request(rig->state, rig->now_ms, output->method, path, body, on_state, asked);
   } else if (strcmp(path, "/catalog") == 0) {
@@ -202,9 +207,33 @@
   ws_settings_free(rig->settings);
   json_decref(rig->answer);
   json_decref(rig->last_txn);
+  json_decref(rig->member_txn);
   g_free(rig);
 }
 
+static void
+remove_key(Rig *rig, const char *key)
+{
+  g_autoptr(json_t) remove = json_pack("{s:[], s:[{s:s}]}", "if", "apply", "remove", key);
+  Asked *asked = g_new0(Asked, 1);
+  *asked = (Asked){ rig, 0 };
+  g_assert_true(sim_state_has(rig->state, key));
+  sim_state_request(rig->state, rig->now_ms, "POST", "/multi", remove, on_state, asked);
+}
+
+static gboolean
+has_condition(const json_t *txn, const char *key)
+{
+  size_t i;
+  const json_t *condition;
+  json_array_foreach(json_object_get(txn, "if"), i, condition)
+  {
+    if (strcmp(json_string_value(json_object_get(condition, "k")), key) == 0)
+      return TRUE;
+  }
+  return FALSE;
+}
+
 /* Every write of assignments carries the epoch, the job and the team as conditions. */
 static void
 test_conditions(void)
@@ -212,16 +241,8 @@
   Rig *rig = rig_new(TRUE);
   static const char *const KEYS[] = { "w/epoch", "w/job/req-1", "w/task/req-1/0", "w/team/red" };
   send_report(rig, 1, one_task("exited", "error"));
-  gboolean found[G_N_ELEMENTS(KEYS)] = { FALSE };
-  size_t i;
-  const json_t *condition;
-  json_array_foreach(json_object_get(rig->last_txn, "if"), i, condition)
-  {
-    for (guint k = 0; k < G_N_ELEMENTS(KEYS); k++)
-      found[k] |= strcmp(json_string_value(json_object_get(condition, "k")), KEYS[k]) == 0;
-  }
   for (guint k = 0; k < G_N_ELEMENTS(KEYS); k++)
-    g_assert_true(found[k]);
+    g_assert_true(has_condition(rig->last_txn, KEYS[k]));
   rig_free(rig);
 }
 
@@ -318,17 +339,25 @@
   rig_free(rig);
 }
 
+/* A late transaction of an earlier run must not replace the member's record, so it's written on a
+   condition; and a node whose record is gone all the same writes it again. */
+static void
+test_member(void)
+{
+  Rig *rig = rig_new(TRUE);
+  g_assert_true(has_condition(rig->member_txn, "w/member/n0"));
+  remove_key(rig, "w/member/n0");
+  run(rig, 2.5);
+  g_assert_true(sim_state_has(rig->state, "w/member/n0"));
+  rig_free(rig);
+}
+
 /* A late report of a machine that was returned must not bring it back as a new one. */
 static void
 test_ghost(void)
 {
   Rig *rig = rig_new(TRUE);
-  g_autoptr(json_t) remove
-      = json_pack("{s:[], s:[{s:s}]}", "if", "apply", "remove", "w/machine/m-1");
-  Asked *asked = g_new0(Asked, 1);
-  *asked = (Asked){ rig, 0 };
-  g_assert_true(sim_state_has(rig->state, "w/machine/m-1"));
-  sim_state_request(rig->state, rig->now_ms, "POST", "/multi", remove, on_state, asked);
+  remove_key(rig, "w/machine/m-1");
   run(rig, 0.5);
   send_report(rig, 1, json_array());
   g_assert_cmpuint(rig->status, ==, 503);
@@ -350,6 +379,7 @@
   g_test_add_func("/guards/no-reap-in-doubt", test_no_reap_in_doubt);
   g_test_add_func("/guards/absence", test_absence);
   g_test_add_func("/guards/entitlement", test_entitlement);
+  g_test_add_func("/guards/member", test_member);
   g_test_add_func("/guards/ghost", test_ghost);
   return g_test_run();
 }
