--- a/src/bookkeeping/ws-book.c
+++ b/src/bookkeeping/ws-book.c
@@ -239,6 +239,19 @@
   return NULL;
 }
 
+void
+ws_job_count_zones(const WsBook *book, const WsJob *job, guint *counts)
+{
+  for (guint c = 0; c < job->chunks->len; c++) {
+    const WsChunk *chunk = g_ptr_array_index(job->chunks, c);
+    for (guint i = 0; chunk != NULL && i < chunk->on->len; i++) {
+      guint zone = ws_book_machine(book, g_array_index(chunk->on, WsAssignment, i).machine)->zone;
+      if (zone != WS_NONE)
+        counts[zone]++;
+    }
+  }
+}
+
 gboolean
 ws_job_task_done(const WsJob *job, guint task)
 {
--- a/src/bookkeeping/ws-book.h
+++ b/src/bookkeeping/ws-book.h
@@ -166,6 +166,8 @@
 WsChunk *ws_job_chunk(const WsJob *job, guint task);
 WsAssignment *ws_job_assignment(const WsJob *job, guint task);
 gboolean ws_job_task_done(const WsJob *job, guint task);
+/* The job's assigned tasks by zone. */
+void ws_job_count_zones(const WsBook *book, const WsJob *job, guint *counts);
 guint ws_job_chunk_count(const WsJob *job);
 json_t *ws_job_encode(const WsJob *job, WsJobState state, const char *home);
 json_t *ws_job_encode_final(const WsJob *job, WsJobState state);
--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -102,7 +102,7 @@
 ws_assign_pick(WsCore *core, guint job, guint task, guint machine)
 {
   Pick pick = { job, task, machine };
-  if (!contains_pick(core->assign->picks, job, task))
+  if (!ws_assign_pending(core, job, task))
     g_array_append_val(core->assign->picks, pick);
 }
 
@@ -276,14 +276,25 @@
   return ws_zone_allowed(job, counts, zones, zone);
 }
 
+/* The leader may ask for a task that is already in this very transaction, on another machine. */
+static gboolean
+is_drafted(const Draft *draft, const WsJob *job, guint task)
+{
+  const Work *work = find_work(draft, job->index, task / WS_CHUNK_TASKS);
+  for (guint i = 0; work != NULL && i < work->chunk->on->len; i++)
+    if (g_array_index(work->chunk->on, WsAssignment, i).task == task)
+      return TRUE;
+  return FALSE;
+}
+
 static gboolean
 still_wanted(Draft *draft, const WsJob *job, const Pick *pick)
 {
   const WsMachine *machine = ws_book_machine(draft->core->book, pick->machine);
   return job->state == WS_JOB_ACTIVE && job->spec != NULL && pick->task < job->tasks
          && !ws_job_task_done(job, pick->task) && ws_job_assignment(job, pick->task) == NULL
-         && machine->stored && !machine->marked && !machine->marking
-         && ws_owns(draft->core, machine)
+         && !is_drafted(draft, job, pick->task) && machine->stored && !machine->marked
+         && !machine->marking && ws_owns(draft->core, machine)
          && ws_plan_allowed(draft->core->book, job->spec, job->zone, machine)
          && machine_has_room(draft, machine, job) && within_team(draft, job)
          && zone_has_room(draft, job, machine->zone);
@@ -484,7 +495,10 @@
        After no answer the transaction may yet be carried out: its conditions make that harmless. */
     assign->next_ms
         = core->now + (result == WS_TXN_CONFLICT ? CONFLICT_PAUSE_MS : FAILURE_PAUSE_MS);
-    g_array_append_vals(assign->picks, launching->data, launching->len);
+    for (guint i = 0; i < launching->len; i++) {
+      const Pick *pick = &g_array_index(launching, Pick, i);
+      ws_assign_pick(core, pick->job, pick->task, pick->machine);
+    }
   }
   g_array_unref(launching);
 }
--- a/src/core/ws-merge.c
+++ b/src/core/ws-merge.c
@@ -19,13 +19,25 @@
   return core->now - core->epoch_ms > 15000;
 }
 
+/* Whether the rules on zones let a task of the job move. */
+static gboolean
+may_move(const WsCore *core, const WsJob *job, guint from, guint to)
+{
+  guint zones = core->settings->zones->len;
+  g_autofree guint *counts = g_new0(guint, zones);
+  ws_job_count_zones(core->book, job, counts);
+  if (counts[from] > 0)
+    counts[from]--;
+  return ws_zone_allowed(job, counts, zones, to);
+}
+
 static gboolean
 is_target(const WsCore *core, const WsMachine *machine, const WsMachine *target, const WsJob *job)
 {
   return target != machine && target->stored && !target->marked && target->notice_ms == 0
          && target->tasks->len > 0 && ws_machine_up(core, target)
          && ws_plan_allowed(core->book, job->spec, job->zone, target)
-         && (!(job->spec->spread || job->spec->one_zone) || target->zone == machine->zone)
+         && may_move(core, job, machine->zone, target->zone)
          && ws_machine_has_image(target, job->image);
 }
 
--- a/src/core/ws-plan.c
+++ b/src/core/ws-plan.c
@@ -376,20 +376,6 @@
   return preempt_somewhere(run, waiting, counts, FREE_NOW) ? ROOM_COMES : NO_ROOM;
 }
 
-static void
-count_zones(const WsCore *core, const WsJob *job, guint *counts)
-{
-  for (guint c = 0; c < job->chunks->len; c++) {
-    const WsChunk *chunk = g_ptr_array_index(job->chunks, c);
-    for (guint i = 0; chunk != NULL && i < chunk->on->len; i++) {
-      guint zone
-          = ws_book_machine(core->book, g_array_index(chunk->on, WsAssignment, i).machine)->zone;
-      if (zone != WS_NONE)
-        counts[zone]++;
-    }
-  }
-}
-
 static gboolean
 is_waiting(const WsCore *core, const WsJob *job, guint task)
 {
@@ -406,7 +392,7 @@
   guint looked = 0, unplaced = 0;
   gboolean has_room = TRUE;
   g_autofree guint *counts = g_new0(guint, core->settings->zones->len);
-  count_zones(core, job, counts);
+  ws_job_count_zones(core->book, job, counts);
   for (guint task = 0; task < job->tasks && looked < most; task++) {
     const WsChunk *chunk = ws_job_chunk(job, task);
     if (chunk != NULL && chunk->done_count == WS_CHUNK_TASKS) {
--- a/src/core/ws-workers.c
+++ b/src/core/ws-workers.c
@@ -327,7 +327,7 @@
     const WsTaskRef *ref = &g_array_index(answer->machine->tasks, WsTaskRef, i);
     WsJob *job = ws_book_job(book, ref->job);
     WsAssignment *a = ws_job_assignment(job, ref->task);
-    if (a != NULL && !is_reported(answer, job, a))
+    if (a != NULL && a->machine == answer->machine->index && !is_reported(answer, job, a))
       command_absent(answer, job, a);
   }
 }
--- a/tests/sim/state.c
+++ b/tests/sim/state.c
@@ -320,3 +320,10 @@
 {
   return g_tree_lookup(state->entries, key) != NULL;
 }
+
+const json_t *
+sim_state_get(const SimState *state, const char *key)
+{
+  const Entry *entry = g_tree_lookup(state->entries, key);
+  return entry != NULL ? entry->value : NULL;
+}
--- a/tests/sim/state.h
+++ b/tests/sim/state.h
@@ -15,3 +15,4 @@
                        const json_t *body, SimReply reply, gpointer data);
 guint sim_state_count(const SimState *state, const char *prefix);
 gboolean sim_state_has(const SimState *state, const char *key);
+const json_t *sim_state_get(const SimState *state, const char *key); /* NULL: no such key */
--- a/tests/test-guards.c
+++ b/tests/test-guards.c
@@ -18,6 +18,8 @@
   guint64 seq;
   guint status; /* the last answer to a request of ours */
   json_t *answer;
+  gboolean hold; /* the next transaction that assigns a task waits for held's answer */
+  guint64 held;
   json_t *last_txn;
   json_t *member_txn; /* the last one that wrote the member's own record */
 } Rig;
@@ -71,6 +73,12 @@
         rig->member_txn = json_incref(body);
       }
     }
+    if (rig->hold && output->body != NULL && strstr(output->body, "w/task/") != NULL) {
+      rig->hold = FALSE;
+      rig->held = output->call;
+      g_free(asked);
+      return;
+    }
     sim_state_request(rig->state, rig->now_ms, output->method, path, body, on_state, asked);
   } else if (strcmp(path, "/catalog") == 0) {
     g_autoptr(json_t) message = catalog();
@@ -122,12 +130,19 @@
   run(rig, 0.3);
 }
 
+static json_t *
+report_of(const char *machine, guint64 token, guint64 seq, json_t *tasks)
+{
+  return json_pack("{s:s, s:s, s:s, s:s, s:b, s:i, s:I, s:I, s:n, s:o}", "stroj", machine,
+                   "endpoint", "w-1:1", "typ", "g4", "hala", "a", "vypujcky", 0, "smena", 1,
+                   "poradi", (json_int_t)seq, "pecet", (json_int_t)token, "vypoved_s", "kusy",
+                   tasks);
+}
+
 static json_t *
 report(guint64 token, guint64 seq, json_t *tasks)
 {
-  return json_pack("{s:s, s:s, s:s, s:s, s:b, s:i, s:I, s:I, s:n, s:o}", "stroj", "m-1", "endpoint",
-                   "w-1:1", "typ", "g4", "hala", "a", "vypujcky", 0, "smena", 1, "poradi",
-                   (json_int_t)seq, "pecet", (json_int_t)token, "vypoved_s", "kusy", tasks);
+  return report_of("m-1", token, seq, tasks);
 }
 
 static void
@@ -339,6 +354,34 @@
   rig_free(rig);
 }
 
+/* The leader asks again for a task whose assignment is on its way, on another machine, and then
+   that transaction fails: the task must still be assigned once. It was assigned twice in one
+   transaction, which broke ran_twice on a rough day of dvorak-lodni. */
+static void
+test_asked_twice(void)
+{
+  Rig *rig = rig_new(TRUE);
+  ask(rig, "POST", "/v1/report", report_of("m-2", 0, 1, json_array()));
+  ask(rig, "POST", "/v1/report", report_of("m-2", 1, 2, json_array()));
+  json_t *second = submission();
+  json_object_set_new(second, "id", json_string("req-2"));
+  rig->hold = TRUE;
+  ask(rig, "POST", "/api/jobs", second);
+  g_assert_cmpuint(rig->held, !=, 0);
+  g_autoptr(json_t) picks = json_pack("{s:i, s:[[s, i, s], [s, i, s]], s:[]}", "epoch", 1, "picks",
+                                      "req-2", 0, "m-1", "req-2", 0, "m-2", "stops");
+  g_autofree char *text = ws_json_text(picks);
+  ws_core_request(rig->core, rig->now_ms, rig->now_ms, WS_DOOR_MESH, "POST", "/ask", text,
+                  strlen(text), rig);
+  pump(rig);
+  reply_text(rig, rig->held, 409, NULL);
+  pump(rig);
+  run(rig, 1.0);
+  const json_t *record = sim_state_get(rig->state, "w/task/req-2/0");
+  g_assert_cmpuint(json_array_size(json_object_get(record, "on")), ==, 1);
+  rig_free(rig);
+}
+
 /* A late transaction of an earlier run must not replace the member's record, so it's written on a
    condition; and a node whose record is gone all the same writes it again. */
 static void
@@ -379,6 +422,7 @@
   g_test_add_func("/guards/no-reap-in-doubt", test_no_reap_in_doubt);
   g_test_add_func("/guards/absence", test_absence);
   g_test_add_func("/guards/entitlement", test_entitlement);
+  g_test_add_func("/guards/asked-twice", test_asked_twice);
   g_test_add_func("/guards/member", test_member);
   g_test_add_func("/guards/ghost", test_ghost);
   return g_test_run();
