--- a/src/bookkeeping/ws-book.c
+++ b/src/bookkeeping/ws-book.c
@@ -252,6 +252,18 @@
   }
 }
 
+gboolean
+ws_job_is_broken_gang(const WsJob *job)
+{
+  for (guint c = 0; job->spec->kind == WS_KIND_GANG && c < job->chunks->len; c++) {
+    const WsChunk *chunk = g_ptr_array_index(job->chunks, c);
+    for (guint i = 0; chunk != NULL && i < chunk->on->len; i++)
+      if (g_array_index(chunk->on, WsAssignment, i).attempt < chunk->attempts)
+        return TRUE;
+  }
+  return FALSE;
+}
+
 gboolean
 ws_job_task_done(const WsJob *job, guint task)
 {
--- a/src/bookkeeping/ws-book.h
+++ b/src/bookkeeping/ws-book.h
@@ -165,6 +165,9 @@
 
 WsChunk *ws_job_chunk(const WsJob *job, guint task);
 WsAssignment *ws_job_assignment(const WsJob *job, guint task);
+/* A gang of which a task has ended early: the others stop too, and all start again together. The
+   tasks of a gang share the attempt number, which rises when one of them ends early. */
+gboolean ws_job_is_broken_gang(const WsJob *job);
 gboolean ws_job_task_done(const WsJob *job, guint task);
 /* The job's assigned tasks by zone. */
 void ws_job_count_zones(const WsBook *book, const WsJob *job, guint *counts);
--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -221,6 +221,8 @@
     ws_amount_add(taken(draft, a->machine), &job->spec->need, -1);
     g_array_remove_index(chunk->on, i);
     use_team(draft, job, -1);
+    if (job->spec->kind == WS_KIND_GANG && !release->done)
+      chunk->attempts++;
     break;
   }
   guint bit = release->task % WS_CHUNK_TASKS;
@@ -293,8 +295,8 @@
   const WsMachine *machine = ws_book_machine(draft->core->book, pick->machine);
   return job->state == WS_JOB_ACTIVE && job->spec != NULL && pick->task < job->tasks
          && !ws_job_task_done(job, pick->task) && ws_job_assignment(job, pick->task) == NULL
-         && !is_drafted(draft, job, pick->task) && machine->stored && !machine->marked
-         && !machine->marking && ws_owns(draft->core, machine)
+         && !is_drafted(draft, job, pick->task) && !ws_job_is_broken_gang(job) && machine->stored
+         && !machine->marked && !machine->marking && ws_owns(draft->core, machine)
          && ws_plan_allowed(draft->core->book, job->spec, job->zone, machine)
          && machine_has_room(draft, machine, job) && within_team(draft, job)
          && zone_has_room(draft, job, machine->zone);
@@ -305,7 +307,9 @@
 {
   WsChunk *chunk = open_chunk(draft, job, pick->task);
   WsAssignment assignment = { .task = pick->task, .machine = pick->machine };
-  assignment.attempt = ++chunk->attempts;
+  if (job->spec->kind != WS_KIND_GANG || chunk->on->len == 0)
+    chunk->attempts++;
+  assignment.attempt = chunk->attempts;
   assignment.at_ms = draft->core->wall;
   g_array_append_val(chunk->on, assignment);
   ws_amount_add(taken(draft, pick->machine), &job->spec->need, 1);
--- a/src/core/ws-demand.c
+++ b/src/core/ws-demand.c
@@ -121,7 +121,7 @@
 }
 
 static double
-service_share(const WsDemand *demand, const WsJob *job)
+whole_share(const WsDemand *demand, const WsJob *job)
 {
   if (job->spec->priority != WS_CRITICAL)
     return 1.0;
@@ -137,9 +137,9 @@
 {
   WsAmount need = job->spec->need;
   double run_s = job->spec->estimate_s + 5.0;
-  double part = job->spec->kind == WS_KIND_SERVICE
-                    ? service_share(demand, job)
-                    : MAX(LEAST_SHARE, run_s / (run_s + slack_s(demand, job)));
+  double part = job->spec->kind == WS_KIND_ARRAY
+                    ? MAX(LEAST_SHARE, run_s / (run_s + slack_s(demand, job)))
+                    : whole_share(demand, job);
   need.cpus = (gint64)((double)need.cpus * part);
   need.gpus = (gint64)((double)need.gpus * part);
   need.memory = (gint64)((double)need.memory * part);
--- a/src/core/ws-plan.c
+++ b/src/core/ws-plan.c
@@ -383,6 +383,58 @@
          && !ws_assign_pending(core, job->index, task) && !is_asked(core, job->index, task);
 }
 
+static void
+note_unplaced(const WsCore *core, WsJob *job, gboolean is_unplaced)
+{
+  if (!is_unplaced)
+    job->unplaced_ms = 0;
+  else if (job->unplaced_ms == 0)
+    job->unplaced_ms = core->now;
+}
+
+/* The machines for all waiting tasks of a gang, or NULL if there isn't room for every one. */
+static GArray *
+gang_machines(Run *run, const WsJob *job, const GArray *tasks, guint *counts)
+{
+  g_autoptr(GArray) machines = g_array_new(FALSE, FALSE, sizeof(guint));
+  for (guint i = 0; i < tasks->len; i++) {
+    if (!within_team(run, job))
+      return NULL;
+    ws_amount_add(&run->use[job->team], &job->spec->need, 1);
+    const WsMachine *machine = best_machine(run, job, counts, FREE_NOW);
+    if (machine == NULL)
+      return NULL;
+    reserve(run, job, machine, counts);
+    g_array_append_val(machines, machine->index);
+  }
+  return g_steal_pointer(&machines);
+}
+
+/* All of a gang's tasks or none: a few of them would only hold their places and wait. */
+static guint
+place_gang(Run *run, const WsWaiting *waiting, guint *counts)
+{
+  WsCore *core = run->core;
+  WsJob *job = waiting->job;
+  guint slots = MAX(core->book->machines->len, 1u);
+  g_autoptr(GArray) tasks = g_array_new(FALSE, FALSE, sizeof(guint));
+  g_autofree WsSlot *before = g_memdup2(run->slots, sizeof(WsSlot) * slots);
+  for (guint task = 0; task < job->tasks && !ws_job_is_broken_gang(job); task++)
+    if (is_waiting(core, job, task))
+      g_array_append_val(tasks, task);
+  g_autoptr(GArray) machines = gang_machines(run, job, tasks, counts);
+  note_unplaced(core, job, machines == NULL);
+  for (guint i = 0; machines != NULL && i < tasks->len; i++)
+    carry_out(run, job, g_array_index(tasks, guint, i),
+              ws_book_machine(core->book, g_array_index(machines, guint, i)));
+  if (machines != NULL)
+    return tasks->len;
+  memcpy(run->slots, before, sizeof(WsSlot) * slots);
+  for (guint i = 0; run->demand != NULL && i < tasks->len; i++)
+    ws_demand_add(run->demand, job, WS_NONE);
+  return tasks->len;
+}
+
 /* Returns how many tasks of the job were looked at. */
 static guint
 place_job(Run *run, const WsWaiting *waiting, guint most)
@@ -393,6 +445,8 @@
   gboolean has_room = TRUE;
   g_autofree guint *counts = g_new0(guint, core->settings->zones->len);
   ws_job_count_zones(core->book, job, counts);
+  if (job->spec->kind == WS_KIND_GANG)
+    return MIN(place_gang(run, waiting, counts), most);
   for (guint task = 0; task < job->tasks && looked < most; task++) {
     const WsChunk *chunk = ws_job_chunk(job, task);
     if (chunk != NULL && chunk->done_count == WS_CHUNK_TASKS) {
@@ -415,10 +469,7 @@
     if (run->demand != NULL && outcome == NO_ROOM)
       ws_demand_add(run->demand, job, WS_NONE);
   }
-  if (unplaced == 0)
-    job->unplaced_ms = 0;
-  else if (job->unplaced_ms == 0)
-    job->unplaced_ms = core->now;
+  note_unplaced(core, job, unplaced > 0);
   return looked;
 }
 
--- a/src/core/ws-preempt.c
+++ b/src/core/ws-preempt.c
@@ -15,8 +15,8 @@
 gboolean
 ws_preempt_allowed(const WsCore *core, const WsJob *job, const WsJob *victim)
 {
-  /* A service's task is never worth stopping for an array's. */
-  if (victim->state != WS_JOB_ACTIVE || victim->spec->kind == WS_KIND_SERVICE)
+  /* Stopping a service's task is noticed at once, and a gang's would stop its whole gang. */
+  if (victim->state != WS_JOB_ACTIVE || victim->spec->kind != WS_KIND_ARRAY)
     return FALSE;
   if (job->spec->priority < victim->spec->priority)
     return TRUE;
--- a/src/core/ws-users.c
+++ b/src/core/ws-users.c
@@ -123,7 +123,7 @@
 within_limit(const WsSubmission *spec, const WsTeamSettings *team)
 {
   WsAmount need = { 0 };
-  ws_amount_add(&need, &spec->need, spec->kind == WS_KIND_SERVICE ? (gint64)spec->tasks : 1);
+  ws_amount_add(&need, &spec->need, spec->kind == WS_KIND_ARRAY ? 1 : (gint64)spec->tasks);
   return ws_team_allows(team, &need);
 }
 
--- a/src/core/ws-workers.c
+++ b/src/core/ws-workers.c
@@ -286,7 +286,7 @@
   }
   if (task->state == WS_TASK_EXITED || task->state == WS_TASK_SAVING)
     return;
-  if (job->state == WS_JOB_CANCELLED || a->stopping
+  if (job->state == WS_JOB_CANCELLED || a->stopping || ws_job_is_broken_gang(job)
       || (machine->marked && ws_giveback_may_stop(answer->core, machine, job, a)))
     command(answer, WS_OP_HALT, task->job, task->task, task->attempt, grace(job));
 }
@@ -307,7 +307,8 @@
 static void
 command_absent(Answer *answer, WsJob *job, WsAssignment *a)
 {
-  gboolean unwanted = job->state == WS_JOB_CANCELLED || a->stopping || answer->machine->marked;
+  gboolean unwanted = job->state == WS_JOB_CANCELLED || a->stopping || answer->machine->marked
+                      || ws_job_is_broken_gang(job);
   if (!unwanted) {
     a->launched = TRUE;
     command(answer, WS_OP_LAUNCH, job->id, a->task, a->attempt, 0.0);
--- a/src/protocol/ws-submission.c
+++ b/src/protocol/ws-submission.c
@@ -5,7 +5,7 @@
 #include <math.h>
 #include <string.h>
 
-static const char *const KINDS[] = { "sweep", "service", NULL };
+static const char *const KINDS[] = { "sweep", "service", "group", NULL };
 static const char *const PRIORITIES[] = { "critical", "urgent", "standard", "best_effort", NULL };
 
 /* Far above any machine; keeps sums of 100,000 tasks within 64 bits. */
--- a/src/protocol/ws-submission.h
+++ b/src/protocol/ws-submission.h
@@ -5,7 +5,7 @@
 
 #define WS_MAX_TASKS 100000
 
-typedef enum { WS_KIND_ARRAY, WS_KIND_SERVICE } WsKind;
+typedef enum { WS_KIND_ARRAY, WS_KIND_SERVICE, WS_KIND_GANG } WsKind;
 typedef enum { WS_CRITICAL, WS_URGENT, WS_STANDARD, WS_BEST_EFFORT } WsPriority;
 
 typedef struct {
--- a/tests/test-guards.c
+++ b/tests/test-guards.c
@@ -382,6 +382,30 @@
   rig_free(rig);
 }
 
+/* The tasks of a gang share their attempt, and when one ends early the others are stopped. */
+static void
+test_gang(void)
+{
+  Rig *rig = rig_new(TRUE);
+  json_t *gang = submission();
+  json_object_set_new(gang, "id", json_string("req-2"));
+  json_object_set_new(gang, "druh", json_string("group"));
+  json_object_set_new(gang, "kusy", json_integer(2));
+  ask(rig, "POST", "/api/jobs", gang);
+  run(rig, 1.0);
+  const json_t *on = json_object_get(sim_state_get(rig->state, "w/task/req-2/0"), "on");
+  g_assert_cmpuint(json_array_size(on), ==, 2);
+  for (guint i = 0; i < 2; i++)
+    g_assert_cmpint(json_integer_value(json_array_get(json_array_get(on, i), 2)), ==, 1);
+  for (guint i = 0; i < 2; i++)
+    send_report(rig, 1,
+                json_pack("[{s:s, s:i, s:s, s:s}, {s:s, s:i, s:s}]", "kus", "req-2/0", "pokus", 1,
+                          "stav", "exited", "duvod", "error", "kus", "req-2/1", "pokus", 1, "stav",
+                          "running"));
+  g_assert_true(has_command(rig, "halt"));
+  rig_free(rig);
+}
+
 /* A late transaction of an earlier run must not replace the member's record, so it's written on a
    condition; and a node whose record is gone all the same writes it again. */
 static void
@@ -423,6 +447,7 @@
   g_test_add_func("/guards/absence", test_absence);
   g_test_add_func("/guards/entitlement", test_entitlement);
   g_test_add_func("/guards/asked-twice", test_asked_twice);
+  g_test_add_func("/guards/gang", test_gang);
   g_test_add_func("/guards/member", test_member);
   g_test_add_func("/guards/ghost", test_ghost);
   return g_test_run();
