Dead fields go; a job's allowed time and its fetch have one owner each

Found on rereading the change: two fields that were written and never read, counts by zone that nobody used, a zone argument that was always 'any', and the same two computations in placement, order and demand.

--- a/src/bookkeeping/ws-book.c
+++ b/src/bookkeeping/ws-book.c
@@ -252,6 +252,20 @@
   }
 }
 
+double
+ws_job_allowed_s(const WsBook *book, const WsJob *job)
+{
+  return job->spec->deadline_s >= 0.0
+             ? job->spec->deadline_s
+             : ws_settings_finish_within(book->settings, job->spec->class_name);
+}
+
+double
+ws_job_fetch_s(const WsBook *book, const WsJob *job)
+{
+  return job->spec->image_gb / MAX(ws_book_type(book, 0)->fetch_gb_per_s, 0.01);
+}
+
 gboolean
 ws_job_is_broken_gang(const WsJob *job)
 {
--- a/src/bookkeeping/ws-book.h
+++ b/src/bookkeeping/ws-book.h
@@ -22,7 +22,6 @@
   /* soft: */
   WsTaskState state;
   gboolean stopping; /* a stop is wanted, so that something else gets the room or the machine */
-  gboolean launched; /* a launch was sent; only its owner knows */
 } WsAssignment;
 
 typedef struct {
@@ -165,6 +164,10 @@
 
 WsChunk *ws_job_chunk(const WsJob *job, guint task);
 WsAssignment *ws_job_assignment(const WsJob *job, guint task);
+/* How long the job may take in all, by its deadline or its class; negative: nothing is said. */
+double ws_job_allowed_s(const WsBook *book, const WsJob *job);
+/* How long its image takes to fetch; the catalog must be known. */
+double ws_job_fetch_s(const WsBook *book, const WsJob *job);
 /* A gang of which a task has ended early: the others stop too, and all start again together. The
    tasks of a gang share the attempt number, which rises when one of them ends early. */
 gboolean ws_job_is_broken_gang(const WsJob *job);
--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -161,7 +161,7 @@
 /* ws-demand.c: what the leader would have to rent. */
 typedef struct _WsDemand WsDemand;
 WsDemand *ws_demand_new(WsCore *core);
-void ws_demand_add(WsDemand *demand, const WsJob *job, guint zone);
+void ws_demand_add(WsDemand *demand, const WsJob *job);
 void ws_demand_end(WsDemand *demand); /* takes it */
 /* Whether the places kept for critical jobs are there without the machine too. */
 gboolean ws_spare_without(const WsCore *core, const WsMachine *machine);
--- a/src/core/ws-demand.c
+++ b/src/core/ws-demand.c
@@ -28,12 +28,13 @@
   guint *by_zone;   /* machines there are, by zone */
 };
 
-static void
+static Virtual *
 add_virtual(WsDemand *demand, guint type, guint zone, gboolean spot, const WsAmount *room,
             gboolean is_new)
 {
   Virtual made = { type, zone, spot, *room, is_new, FALSE, FALSE };
   g_array_append_val(demand->machines, made);
+  return &g_array_index(demand->machines, Virtual, demand->machines->len - 1);
 }
 
 /* A place whose array task ends some time soon is worth a part of a place of a new machine, to a
@@ -53,8 +54,7 @@
   soon.memory /= 2;
   if (soon.cpus == 0)
     return;
-  add_virtual(demand, machine->type, machine->zone, machine->spot, &soon, FALSE);
-  g_array_index(demand->machines, Virtual, demand->machines->len - 1).is_running = TRUE;
+  add_virtual(demand, machine->type, machine->zone, machine->spot, &soon, FALSE)->is_running = TRUE;
 }
 
 static void
@@ -64,10 +64,9 @@
   for (guint i = 0; i < book->rents->len; i++) {
     const WsRent *rent = g_ptr_array_index(book->rents, i);
     guint type = ws_book_find_type(book, rent->type), zone = ws_book_find_zone(book, rent->zone);
-    for (guint n = 0; n < rent->count && type != WS_NONE && zone != WS_NONE; n++) {
-      add_virtual(demand, type, zone, rent->spot, &ws_book_type(book, type)->room, FALSE);
-      g_array_index(demand->machines, Virtual, demand->machines->len - 1).on_order = TRUE;
-    }
+    for (guint n = 0; n < rent->count && type != WS_NONE && zone != WS_NONE; n++)
+      add_virtual(demand, type, zone, rent->spot, &ws_book_type(book, type)->room, FALSE)->on_order
+          = TRUE;
   }
 }
 
@@ -107,15 +106,12 @@
 static double
 slack_s(const WsDemand *demand, const WsJob *job)
 {
-  const WsSettings *settings = demand->core->settings;
-  double allowed_s = job->spec->deadline_s;
-  if (allowed_s < 0.0)
-    allowed_s = ws_settings_finish_within(settings, job->spec->class_name);
+  double allowed_s = ws_job_allowed_s(demand->core->book, job);
   if (allowed_s < 0.0)
     return DEFAULT_SLACK_S;
   const WsType *type = ws_book_type(demand->core->book, 0);
   double waited_s = (double)(demand->core->wall - job->at_ms) / 1000.0;
-  double fetch_s = job->spec->image_gb / MAX(type->fetch_gb_per_s, 0.01);
+  double fetch_s = ws_job_fetch_s(demand->core->book, job);
   double spare_s = allowed_s - waited_s - 1.2 * job->spec->estimate_s - fetch_s - type->boot_s;
   return MAX(0.0, USED_SLACK * spare_s);
 }
@@ -147,19 +143,19 @@
 }
 
 static gboolean
-zone_fits(const WsJob *job, guint zone, guint wanted)
+zone_fits(const WsJob *job, guint zone)
 {
-  return (job->spec->zone == NULL || job->zone == zone) && (wanted == WS_NONE || wanted == zone);
+  return job->spec->zone == NULL || job->zone == zone;
 }
 
 static gboolean
-put_in(WsDemand *demand, const WsJob *job, guint zone, const WsAmount *need)
+put_in(WsDemand *demand, const WsJob *job, const WsAmount *need)
 {
   gboolean waits = job->spec->kind == WS_KIND_ARRAY;
   for (guint i = 0; i < demand->machines->len; i++) {
     Virtual *machine = &g_array_index(demand->machines, Virtual, i);
     if ((machine->spot && !job->spec->spot) || (machine->is_running && !waits)
-        || !zone_fits(job, machine->zone, zone)
+        || !zone_fits(job, machine->zone)
         || !ws_type_allowed(job->spec, ws_book_type(demand->core->book, machine->type))
         || !ws_amount_fits(need, &machine->room))
       continue;
@@ -171,13 +167,13 @@
 
 /* The zone with fewest machines that may have one more, or WS_NONE. */
 static guint
-pick_zone(const WsDemand *demand, const WsJob *job, guint wanted, guint type, gboolean spot)
+pick_zone(const WsDemand *demand, const WsJob *job, guint type, gboolean spot)
 {
   guint best = WS_NONE;
   char **zones = ws_book_type(demand->core->book, type)->zones;
   for (; *zones != NULL; zones++) {
     guint zone = ws_book_find_zone(demand->core->book, *zones);
-    if (zone == WS_NONE || !zone_fits(job, zone, wanted)
+    if (zone == WS_NONE || !zone_fits(job, zone)
         || ws_fleet_no_capacity(demand->core, type, zone, spot))
       continue;
     if (best == WS_NONE || demand->by_zone[zone] < demand->by_zone[best])
@@ -187,7 +183,7 @@
 }
 
 static gboolean
-want_new(WsDemand *demand, const WsJob *job, guint wanted, gboolean spot, const WsAmount *need)
+want_new(WsDemand *demand, const WsJob *job, gboolean spot, const WsAmount *need)
 {
   const WsBook *book = demand->core->book;
   guint best = WS_NONE, best_zone = WS_NONE;
@@ -195,7 +191,7 @@
     const WsType *type = ws_book_type(book, t);
     if (!ws_type_allowed(job->spec, type) || !ws_amount_fits(&job->spec->need, &type->room))
       continue;
-    guint zone = pick_zone(demand, job, wanted, t, spot);
+    guint zone = pick_zone(demand, job, t, spot);
     if (zone == WS_NONE || (best != WS_NONE && type->price >= ws_book_type(book, best)->price))
       continue;
     best = t;
@@ -211,13 +207,13 @@
 }
 
 void
-ws_demand_add(WsDemand *demand, const WsJob *job, guint zone)
+ws_demand_add(WsDemand *demand, const WsJob *job)
 {
   WsAmount need = share(demand, job);
-  if (put_in(demand, job, zone, &need))
+  if (put_in(demand, job, &need))
     return;
-  if (!(job->spec->spot && want_new(demand, job, zone, TRUE, &need)))
-    want_new(demand, job, zone, FALSE, &need);
+  if (!(job->spec->spot && want_new(demand, job, TRUE, &need)))
+    want_new(demand, job, FALSE, &need);
 }
 
 /* Room on a machine that is wanted anyway. */
@@ -237,7 +233,7 @@
 /* Places for one more critical task on ordinary machines: free ones, and those of arrays, which
    may be stopped for it. */
 static guint
-count_places(const WsCore *core, const WsAmount *need, const WsMachine *without, guint *by_zone)
+count_places(const WsCore *core, const WsAmount *need, const WsMachine *without)
 {
   const WsBook *book = core->book;
   guint places = 0;
@@ -253,10 +249,8 @@
       if (job->spec->kind == WS_KIND_SERVICE)
         ws_amount_add(&room, &job->spec->need, -1);
     }
-    for (; ws_amount_fits(need, &room) && places < WS_MAX_TASKS; places++) {
+    for (; ws_amount_fits(need, &room) && places < WS_MAX_TASKS; places++)
       ws_amount_add(&room, need, -1);
-      by_zone[machine->zone]++;
-    }
   }
   return places;
 }
@@ -281,8 +275,7 @@
   const WsJob *job = typical_critical(core->book);
   if (job == NULL || core->properties->spare_tasks == 0)
     return TRUE;
-  g_autofree guint *by_zone = g_new0(guint, core->settings->zones->len);
-  return count_places(core, &job->spec->need, machine, by_zone) >= core->properties->spare_tasks;
+  return count_places(core, &job->spec->need, machine) >= core->properties->spare_tasks;
 }
 
 /* Critical jobs can't wait for a machine to boot, so some places for them are always kept. */
@@ -293,8 +286,7 @@
   const WsJob *job = typical_critical(core->book);
   if (job == NULL)
     return;
-  g_autofree guint *by_zone = g_new0(guint, core->settings->zones->len);
-  guint places = count_places(core, &job->spec->need, NULL, by_zone);
+  guint places = count_places(core, &job->spec->need, NULL);
   for (guint i = 0; i < demand->machines->len && places < core->properties->spare_tasks; i++) {
     Virtual *machine = &g_array_index(demand->machines, Virtual, i);
     if (!machine->on_order)
@@ -303,7 +295,7 @@
       ws_amount_add(&machine->room, &job->spec->need, -1);
   }
   for (; places < core->properties->spare_tasks; places++)
-    if (!put_in_new(demand, job) && !want_new(demand, job, WS_NONE, FALSE, &job->spec->need))
+    if (!put_in_new(demand, job) && !want_new(demand, job, FALSE, &job->spec->need))
       return;
 }
 
--- a/src/core/ws-order.c
+++ b/src/core/ws-order.c
@@ -41,9 +41,7 @@
 foresee(const WsCore *core, WsWaiting *waiting)
 {
   const WsJob *job = waiting->job;
-  double within_s = job->spec->deadline_s;
-  if (within_s < 0.0)
-    within_s = ws_settings_finish_within(core->settings, job->spec->class_name);
+  double within_s = ws_job_allowed_s(core->book, job);
   guint left = job->tasks - job->done_count;
   double waited_s = (double)(core->wall - job->at_ms) / 1000.0;
   double end_s = waited_s + HOPE * shortest_s(core, job, left);
--- a/src/core/ws-plan.c
+++ b/src/core/ws-plan.c
@@ -327,12 +327,6 @@
 
 typedef enum { PLACED, ROOM_COMES, NO_ROOM } Outcome;
 
-static double
-fetch_s(const WsCore *core, const WsJob *job)
-{
-  return job->spec->image_gb / MAX(ws_book_type(core->book, 0)->fetch_gb_per_s, 0.01);
-}
-
 static void
 reserve(Run *run, const WsJob *job, const WsMachine *machine, guint *counts)
 {
@@ -346,7 +340,7 @@
 wait_for_image(Run *run, const WsWaiting *waiting, guint *counts)
 {
   WsJob *job = waiting->job;
-  if (job->spec->priority != WS_CRITICAL || fetch_s(run->core, job) < LONG_FETCH_S)
+  if (job->spec->priority != WS_CRITICAL || ws_job_fetch_s(run->core->book, job) < LONG_FETCH_S)
     return FALSE;
   WsMachine *machine = best_machine(run, job, counts, WITH_COMING | WITH_IMAGE);
   if (machine == NULL)
@@ -419,7 +413,8 @@
   guint slots = MAX(core->book->machines->len, 1u);
   g_autoptr(GArray) tasks = g_array_new(FALSE, FALSE, sizeof(guint));
   g_autofree WsSlot *before = g_memdup2(run->slots, sizeof(WsSlot) * slots);
-  for (guint task = 0; task < job->tasks && !ws_job_is_broken_gang(job); task++)
+  gboolean is_broken = ws_job_is_broken_gang(job);
+  for (guint task = 0; task < job->tasks && !is_broken; task++)
     if (is_waiting(core, job, task))
       g_array_append_val(tasks, task);
   g_autoptr(GArray) machines = gang_machines(run, job, tasks, counts);
@@ -431,7 +426,7 @@
     return tasks->len;
   memcpy(run->slots, before, sizeof(WsSlot) * slots);
   for (guint i = 0; run->demand != NULL && i < tasks->len; i++)
-    ws_demand_add(run->demand, job, WS_NONE);
+    ws_demand_add(run->demand, job);
   return tasks->len;
 }
 
@@ -467,7 +462,7 @@
     has_room = has_room && outcome != NO_ROOM;
     unplaced++;
     if (run->demand != NULL && outcome == NO_ROOM)
-      ws_demand_add(run->demand, job, WS_NONE);
+      ws_demand_add(run->demand, job);
   }
   note_unplaced(core, job, unplaced > 0);
   return looked;
--- a/src/core/ws-store.c
+++ b/src/core/ws-store.c
@@ -42,7 +42,6 @@
   guint64 load_revision; /* of the first page */
   GHashTable *load_keys;
   char *load_last;
-  gint64 good_ms;  /* last useful answer */
   gint64 bad_ms;   /* since when there are only bad ones; 0: not so */
   GArray *asked;   /* of Read: not yet sent */
   GArray *sent;    /* of Read: the read is on its way */
@@ -117,7 +116,6 @@
 {
   WsStore *store = core->store;
   if (status == 200 || status == 404 || status == 409 || status == 410) {
-    store->good_ms = core->now;
     store->bad_ms = 0;
   } else if (status != 429 && status != 400 && store->bad_ms == 0) {
     store->bad_ms = core->now;
--- a/src/core/ws-workers.c
+++ b/src/core/ws-workers.c
@@ -80,7 +80,6 @@
     WsAssignment *a = ws_job_assignment(job, ref->task);
     if (a == NULL || job->state != WS_JOB_ACTIVE)
       continue;
-    a->launched = TRUE;
     json_array_append_new(commands,
                           ws_command_encode(WS_OP_LAUNCH, job->id, a->task, a->attempt, 0.0));
   }
@@ -184,7 +183,6 @@
   WsAssignment *a = matching(core, machine, task, &job);
   if (a == NULL)
     return;
-  a->launched = TRUE;
   if (task->state == WS_TASK_EXITED) {
     note_exit(core, machine, job, a, task->why);
     ws_assign_release(core, job, a, task->why == WS_EXIT_DONE);
@@ -209,7 +207,6 @@
     if (a == NULL)
       continue;
     a->state = WS_TASK_ASSIGNED;
-    a->launched = FALSE;
   }
 }
 
@@ -310,7 +307,6 @@
   gboolean unwanted = job->state == WS_JOB_CANCELLED || a->stopping || answer->machine->marked
                       || ws_job_is_broken_gang(job);
   if (!unwanted) {
-    a->launched = TRUE;
     command(answer, WS_OP_LAUNCH, job->id, a->task, a->attempt, 0.0);
     return;
   }
