--- a/src/bookkeeping/ws-book.c
+++ b/src/bookkeeping/ws-book.c
@@ -36,6 +36,29 @@
   g_free(rent);
 }
 
+void
+ws_lot_free(WsLot *lot)
+{
+  g_free(lot->name);
+  g_free(lot->type);
+  g_free(lot->zone);
+  g_array_unref(lot->machines);
+  g_free(lot);
+}
+
+static void
+mail_free(gpointer data)
+{
+  json_decref(data);
+}
+
+static void
+removed_free(gpointer data)
+{
+  g_free(((WsRemoved *)data)->key);
+  g_free(data);
+}
+
 WsBook *
 ws_book_new(const WsSettings *settings)
 {
@@ -51,6 +74,10 @@
   book->machines = g_ptr_array_new_with_free_func(machine_free);
   book->machine_index = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   book->rents = g_ptr_array_new_with_free_func(rent_free);
+  book->lots = g_ptr_array_new_with_free_func((GDestroyNotify)ws_lot_free);
+  g_queue_init(&book->mail);
+  book->fresh = g_array_new(FALSE, FALSE, sizeof(WsTaskRef));
+  g_queue_init(&book->removed);
   book->team_use = g_new0(WsAmount, MAX(settings->teams->len, 1u));
   ws_names_init(&book->images);
   return book;
@@ -60,6 +87,8 @@
 ws_book_free(WsBook *book)
 {
   g_hash_table_unref(book->versions);
+  g_queue_clear_full(&book->removed, removed_free);
+  g_array_unref(book->fresh);
   ws_epoch_clear(&book->epoch);
   g_array_unref(book->members);
   g_ptr_array_unref(book->active);
@@ -68,6 +97,8 @@
   g_ptr_array_unref(book->machines);
   g_hash_table_unref(book->machine_index);
   g_ptr_array_unref(book->rents);
+  g_ptr_array_unref(book->lots);
+  g_queue_clear_full(&book->mail, mail_free);
   g_free(book->team_use);
   ws_names_clear(&book->images);
   if (book->catalog != NULL)
@@ -116,6 +147,7 @@
   machine->images = g_array_new(FALSE, FALSE, sizeof(guint));
   g_ptr_array_add(book->machines, machine);
   g_hash_table_insert(book->machine_index, copy, machine);
+  machine->owner = ws_epoch_owner(&book->epoch, copy, book->settings);
   return machine;
 }
 
@@ -162,12 +194,6 @@
   }
 }
 
-guint
-ws_book_owner(const WsBook *book, const WsMachine *machine)
-{
-  return ws_epoch_owner(&book->epoch, machine->name, book->settings);
-}
-
 const WsType *
 ws_book_type(const WsBook *book, guint type)
 {
@@ -207,6 +233,36 @@
   return copy;
 }
 
+/* A task has one assignment at most: a second one takes the place of the first. */
+void
+ws_chunk_add(WsChunk *chunk, const WsAssignment *assignment)
+{
+  ws_chunk_remove(chunk, assignment->task);
+  g_array_append_vals(chunk->on, assignment, 1);
+  chunk->at[assignment->task % WS_CHUNK_TASKS] = (guint8)chunk->on->len;
+}
+
+void
+ws_chunk_remove(WsChunk *chunk, guint task)
+{
+  guint8 *at = &chunk->at[task % WS_CHUNK_TASKS];
+  if (*at == 0)
+    return;
+  guint index = *at - 1u;
+  *at = 0;
+  g_array_remove_index_fast(chunk->on, index);
+  if (index < chunk->on->len)
+    chunk->at[g_array_index(chunk->on, WsAssignment, index).task % WS_CHUNK_TASKS]
+        = (guint8)(index + 1);
+}
+
+WsAssignment *
+ws_chunk_find(const WsChunk *chunk, guint task)
+{
+  guint8 at = chunk != NULL ? chunk->at[task % WS_CHUNK_TASKS] : 0;
+  return at != 0 ? &g_array_index(chunk->on, WsAssignment, at - 1u) : NULL;
+}
+
 void
 ws_chunk_free(WsChunk *chunk)
 {
@@ -232,11 +288,7 @@
 WsAssignment *
 ws_job_assignment(const WsJob *job, guint task)
 {
-  WsChunk *chunk = ws_job_chunk(job, task);
-  for (guint i = 0; chunk != NULL && i < chunk->on->len; i++)
-    if (g_array_index(chunk->on, WsAssignment, i).task == task)
-      return &g_array_index(chunk->on, WsAssignment, i);
-  return NULL;
+  return ws_chunk_find(ws_job_chunk(job, task), task);
 }
 
 void
@@ -322,18 +374,20 @@
   job->done_count -= old->done_count;
 }
 
-/* What a node knows beyond the record survives a new version of the record. */
+/* What a node knows beyond the record survives a new version of the record; what wasn't there is
+   kept for whoever launches. */
 static void
-keep_soft(WsChunk *chunk, const WsChunk *old)
+keep_soft(WsBook *book, const WsJob *job, WsChunk *chunk, const WsChunk *old)
 {
   for (guint i = 0; i < chunk->on->len; i++) {
     WsAssignment *fresh = &g_array_index(chunk->on, WsAssignment, i);
-    for (guint k = 0; old != NULL && k < old->on->len; k++) {
-      const WsAssignment *known = &g_array_index(old->on, WsAssignment, k);
-      if (known->task == fresh->task && known->attempt == fresh->attempt
-          && known->machine == fresh->machine)
-        *fresh = *known;
+    const WsAssignment *known = ws_chunk_find(old, fresh->task);
+    if (known != NULL && known->attempt == fresh->attempt && known->machine == fresh->machine) {
+      *fresh = *known;
+      continue;
     }
+    WsTaskRef ref = { job->index, fresh->task };
+    g_array_append_val(book->fresh, ref);
   }
 }
 
@@ -345,7 +399,7 @@
   unlink_chunk(book, job, index);
   WsChunk *old = g_ptr_array_index(job->chunks, index);
   if (chunk != NULL) {
-    keep_soft(chunk, old);
+    keep_soft(book, job, chunk, old);
     for (guint i = 0; i < chunk->on->len; i++)
       link_assignment(book, job, &g_array_index(chunk->on, WsAssignment, i));
     job->on_count += chunk->on->len;
--- a/src/bookkeeping/ws-book.h
+++ b/src/bookkeeping/ws-book.h
@@ -21,12 +21,15 @@
   gint64 at_ms; /* wall clock of the assignment */
   /* soft: */
   WsTaskState state;
-  gboolean stopping; /* a stop is wanted, so that something else gets the room or the machine */
+  gint64 stop_asked_ms; /* when another owner was last asked to stop it */
+  gboolean told;        /* its launch was in an answer to a report */
+  gboolean stopping;    /* a stop is wanted, so that something else gets the room or the machine */
 } WsAssignment;
 
 typedef struct {
-  guint64 attempts; /* the last attempt number given out */
-  GArray *on;       /* of WsAssignment */
+  guint64 attempts;          /* the last attempt number given out */
+  GArray *on;                /* of WsAssignment; see ws_chunk_add */
+  guint8 at[WS_CHUNK_TASKS]; /* of each task: 0, or one more than its place among the assignments */
   guint8 done[WS_CHUNK_TASKS / 8];
   guint done_count;
 } WsChunk;
@@ -60,8 +63,10 @@
 typedef struct {
   guint index;
   const char *name;
-  gboolean stored; /* there is a record: the machine is ours, and is charged for */
-  gboolean gone;   /* its record was removed: the cloud has confirmed its return */
+  guint owner;     /* a node of the present epoch, WS_NONE: there is none */
+  gboolean stored; /* a lot names it: the machine is ours, and is charged for */
+  gboolean gone;   /* no lot names it any more: the cloud has confirmed its return */
+  guint lots;      /* how many lots name it: two, if two nodes met it at the same time */
   guint type;      /* in catalog order, WS_NONE: unknown */
   char *type_name;
   guint zone;
@@ -89,11 +94,20 @@
   gint64 doubt_ms;
   guint64 doubt_token;
   guint64 doubt_session;
-  gint64 status_ms; /* when it was last asked for its status */
+  gint64 unmet_ms; /* since when what it is told has come to nothing; 0: it hasn't */
+  guint halts_in_a_row;
+  gint64 turned_ms;  /* when it was last sent away by this node, while cut off */
+  gboolean peer_up;  /* its owner says that it is up */
+  guint said;        /* what the peers are told: up, notice */
+  guint64 said_rev;  /* when that changed last */
+  gboolean has_news; /* images or endpoint have changed since */
+  gint64 status_ms;  /* when it was last asked for its status */
   guint status_failed;
   gint64 redirected_ms;
+  gboolean adopt;       /* it waits for a lot */
   gint64 listed_ms;     /* since when lists show it although it has no record; 0: they don't */
-  gboolean marking;     /* its mark is being written */
+  gboolean marking;     /* its mark or its lot is being written */
+  gint64 marking_ms;    /* since when */
   gint64 stop_after_ms; /* the next stop of a drain */
   guint stop_backoff_ms;
 } WsMachine;
@@ -106,15 +120,32 @@
   guint count;
 } WsRent;
 
+/* Machines that came together: one record for all of them, since the state service's changes are
+   few and machines come by the hundred. */
+typedef struct {
+  char *name;
+  char *type;
+  char *zone;
+  gboolean spot;
+  gint64 at_ms;
+  GArray *machines; /* of guint */
+} WsLot;
+
 typedef struct {
   guint64 version;
   gboolean present;
 } WsKeyVersion;
 
+typedef struct {
+  char *key;
+  guint64 version;
+} WsRemoved;
+
 typedef struct {
   const WsSettings *settings;
   GHashTable *versions; /* key -> WsKeyVersion */
-  guint removed;        /* removed keys still among the versions */
+  GQueue removed;       /* of WsRemoved: removed keys still among the versions */
+  GArray *fresh;        /* of WsTaskRef: assigned since somebody last emptied it */
   guint64 revision;     /* everything up to here has been applied */
   WsEpoch epoch;
   guint64 leader_incarnation;
@@ -126,6 +157,8 @@
   GPtrArray *machines;
   GHashTable *machine_index;
   GPtrArray *rents; /* of WsRent */
+  GPtrArray *lots;  /* of WsLot */
+  GQueue mail;      /* of json_t: what nodes left in the store for each other */
   WsAmount *team_use;
   WsNames images;
   GPtrArray *catalog; /* of WsType, NULL: not known yet */
@@ -155,7 +188,6 @@
 void ws_book_shrink_job(WsBook *book, WsJob *job);
 void ws_book_replace_chunk(WsBook *book, WsJob *job, guint index, WsChunk *chunk /* taken */);
 
-guint ws_book_owner(const WsBook *book, const WsMachine *machine);
 gboolean ws_machine_has_image(const WsMachine *machine, guint image);
 const WsType *ws_book_type(const WsBook *book, guint type);
 guint ws_book_find_type(const WsBook *book, const char *name);
@@ -179,9 +211,13 @@
 json_t *ws_job_encode_final(const WsJob *job, WsJobState state);
 
 WsChunk *ws_chunk_copy(const WsChunk *chunk); /* NULL: an empty one */
+void ws_chunk_add(WsChunk *chunk, const WsAssignment *assignment);
+void ws_chunk_remove(WsChunk *chunk, guint task);
+WsAssignment *ws_chunk_find(const WsChunk *chunk, guint task);
 void ws_chunk_free(WsChunk *chunk);
 json_t *ws_chunk_encode(const WsChunk *chunk, const WsBook *book);
 json_t *ws_amount_encode(const WsAmount *amount);
-json_t *ws_machine_encode(const char *type, const char *zone, gboolean spot, gint64 at_ms);
+json_t *ws_lot_encode(const WsLot *lot, const WsBook *book);
+void ws_lot_free(WsLot *lot);
 json_t *ws_rent_encode(const WsRent *rent);
 json_t *ws_mark_encode(const char *why, gboolean now);
--- a/src/bookkeeping/ws-keys.h
+++ b/src/bookkeeping/ws-keys.h
@@ -11,9 +11,10 @@
 #define WS_KEYS_JOB WS_PREFIX "job/"
 #define WS_KEYS_TASKS WS_PREFIX "task/"
 #define WS_KEYS_TEAM WS_PREFIX "team/"
-#define WS_KEYS_MACHINE WS_PREFIX "machine/"
+#define WS_KEYS_LOT WS_PREFIX "lot/"
 #define WS_KEYS_MARK WS_PREFIX "mark/"
 #define WS_KEYS_RENT WS_PREFIX "rent/"
+#define WS_KEYS_MAIL WS_PREFIX "mail/"
 
 char *ws_key_job(const char *id);
 char *ws_key_chunk(const char *id, guint chunk);
--- a/src/bookkeeping/ws-records.c
+++ b/src/bookkeeping/ws-records.c
@@ -55,7 +55,7 @@
     assignment.attempt = (guint64)json_integer_value(json_array_get(item, 2));
     assignment.at_ms = json_integer_value(json_array_get(item, 3));
     assignment.machine = ws_book_get_machine(book, machine)->index;
-    g_array_append_val(chunk->on, assignment);
+    ws_chunk_add(chunk, &assignment);
   }
   if (good)
     return chunk;
@@ -168,35 +168,83 @@
 }
 
 json_t *
-ws_machine_encode(const char *type, const char *zone, gboolean spot, gint64 at_ms)
+ws_lot_encode(const WsLot *lot, const WsBook *book)
 {
-  return json_pack("{s:s, s:s, s:b, s:I}", "type", type, "zone", zone, "spot", spot, "at",
-                   (json_int_t)at_ms);
+  json_t *names = json_array();
+  for (guint i = 0; i < lot->machines->len; i++)
+    json_array_append_new(
+        names, json_string(ws_book_machine(book, g_array_index(lot->machines, guint, i))->name));
+  return json_pack("{s:s, s:s, s:b, s:I, s:o}", "type", lot->type, "zone", lot->zone, "spot",
+                   lot->spot, "at", (json_int_t)lot->at_ms, "names", names);
 }
 
-static void
-apply_machine(WsBook *book, const char *name, const json_t *value)
+static WsLot *
+decode_lot(WsBook *book, const char *name, const json_t *value)
 {
   const char *type, *zone;
   gboolean spot;
   guint64 at;
-  if (value == NULL) {
-    WsMachine *machine = ws_book_find_machine(book, name);
-    if (machine != NULL) {
-      machine->stored = FALSE;
-      machine->gone = TRUE;
-    }
-    return;
-  }
+  size_t i;
+  const json_t *item;
   if (!ws_json_string(value, "type", &type) || !ws_json_string(value, "zone", &zone)
       || !ws_json_bool(value, "spot", &spot) || !ws_json_count(value, "at", &at)) {
-    g_warning("record of machine %s is damaged", name);
+    g_warning("record of lot %s is damaged", name);
+    return NULL;
+  }
+  WsLot *lot = g_new0(WsLot, 1);
+  *lot = (WsLot){ g_strdup(name), g_strdup(type), g_strdup(zone), spot, (gint64)at, NULL };
+  lot->machines = g_array_new(FALSE, FALSE, sizeof(guint));
+  json_array_foreach(json_object_get(value, "names"), i, item) if (json_is_string(item))
+  {
+    WsMachine *machine = ws_book_get_machine(book, json_string_value(item));
+    g_array_append_val(lot->machines, machine->index);
+    ws_book_describe_machine(book, machine, type, zone, spot);
+    machine->stored = TRUE;
+    machine->lots++;
+    machine->at_ms = (gint64)at;
+  }
+  return lot;
+}
+
+static void
+end_lot(WsBook *book, const WsLot *lot)
+{
+  for (guint i = 0; i < lot->machines->len; i++) {
+    WsMachine *machine = ws_book_machine(book, g_array_index(lot->machines, guint, i));
+    machine->lots--;
+    if (machine->lots > 0)
+      continue;
+    machine->stored = FALSE;
+    machine->gone = TRUE;
+  }
+}
+
+/* The new lot counts before the old one ends, so that who is in both is not gone meanwhile. */
+static void
+apply_lot(WsBook *book, const char *name, const json_t *value)
+{
+  WsLot *lot = value != NULL ? decode_lot(book, name, value) : NULL;
+  if (value != NULL && lot == NULL)
     return;
+  for (guint i = 0; i < book->lots->len; i++) {
+    const WsLot *old = g_ptr_array_index(book->lots, i);
+    if (strcmp(old->name, name) != 0)
+      continue;
+    end_lot(book, old);
+    g_ptr_array_remove_index_fast(book->lots, i);
+    break;
   }
-  WsMachine *machine = ws_book_get_machine(book, name);
-  ws_book_describe_machine(book, machine, type, zone, spot);
-  machine->stored = TRUE;
-  machine->at_ms = (gint64)at;
+  if (lot != NULL)
+    g_ptr_array_add(book->lots, lot);
+}
+
+/* Whoever it is for reads it; see ws-ask.c. */
+static void
+apply_mail(WsBook *book, const char *name, const json_t *value)
+{
+  (void)name;
+  if (value != NULL)
+    g_queue_push_tail(&book->mail, json_incref((json_t *)value));
 }
 
 json_t *
@@ -283,13 +331,17 @@
   static const struct {
     const char *prefix;
     void (*apply)(WsBook *, const char *, const json_t *);
-  } KINDS[] = { { WS_KEYS_JOB, apply_job },      { WS_KEYS_TASKS, apply_chunk },
-                { WS_KEYS_TEAM, apply_team },    { WS_KEYS_MACHINE, apply_machine },
-                { WS_KEYS_MARK, apply_mark },    { WS_KEYS_RENT, apply_rent },
-                { WS_KEYS_MEMBER, apply_member } };
+  } KINDS[] = { { WS_KEYS_JOB, apply_job },       { WS_KEYS_TASKS, apply_chunk },
+                { WS_KEYS_TEAM, apply_team },     { WS_KEYS_LOT, apply_lot },
+                { WS_KEYS_MARK, apply_mark },     { WS_KEYS_RENT, apply_rent },
+                { WS_KEYS_MEMBER, apply_member }, { WS_KEYS_MAIL, apply_mail } };
   if (strcmp(key, WS_KEY_EPOCH) == 0) {
     if (value == NULL || !ws_epoch_parse(&book->epoch, value, book->settings))
       g_warning("the epoch's record is missing or damaged");
+    for (guint i = 0; i < book->machines->len; i++) {
+      WsMachine *machine = ws_book_machine(book, i);
+      machine->owner = ws_epoch_owner(&book->epoch, machine->name, book->settings);
+    }
     return;
   }
   if (strcmp(key, WS_KEY_LEADER) == 0) {
@@ -307,6 +359,14 @@
       KINDS[i].apply(book, key + strlen(KINDS[i].prefix), value);
 }
 
+static void
+note_removed(WsBook *book, const char *key, guint64 version)
+{
+  WsRemoved *removed = g_new0(WsRemoved, 1);
+  *removed = (WsRemoved){ g_strdup(key), version };
+  g_queue_push_tail(&book->removed, removed);
+}
+
 gboolean
 ws_book_apply(WsBook *book, const char *key, const json_t *value, guint64 version)
 {
@@ -317,8 +377,8 @@
     known = g_new0(WsKeyVersion, 1);
     g_hash_table_insert(book->versions, g_strdup(key), known);
   }
-  if (value == NULL && known->present)
-    book->removed++;
+  if (value == NULL)
+    note_removed(book, key, version);
   known->version = version;
   known->present = value != NULL;
   apply_value(book, key, value);
@@ -341,7 +401,7 @@
     const char *name = g_ptr_array_index(gone, i);
     WsKeyVersion *known = g_hash_table_lookup(book->versions, name);
     known->present = FALSE;
-    book->removed++;
+    note_removed(book, name, known->version);
     apply_value(book, name, NULL);
   }
 }
@@ -354,20 +414,12 @@
   if (revision <= book->revision)
     return;
   book->revision = revision;
-  if (book->removed == 0)
-    return;
-  guint left = 0;
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init(&iter, book->versions);
-  while (g_hash_table_iter_next(&iter, NULL, &value)) {
-    const WsKeyVersion *known = value;
-    if (known->present)
-      continue;
-    if (known->version <= revision)
-      g_hash_table_iter_remove(&iter);
-    else
-      left++;
+  WsRemoved *removed;
+  while ((removed = g_queue_peek_head(&book->removed)) != NULL && removed->version <= revision) {
+    const WsKeyVersion *known = g_hash_table_lookup(book->versions, removed->key);
+    if (known != NULL && !known->present && known->version <= revision)
+      g_hash_table_remove(book->versions, removed->key);
+    g_free(removed->key);
+    g_free(g_queue_pop_head(&book->removed));
   }
-  book->removed = left;
 }
--- /dev/null
+++ b/src/core/ws-ask.c
@@ -0,0 +1,265 @@
+/* What nodes ask of each other.
+
+   The leader writes assignments, releases and marks for everybody: owners of machines and homes of
+   jobs hand theirs in. Each of these shares keys with many others (a job's tasks, a team's use), so
+   that nodes which wrote them side by side would mostly refuse one another, and refusals count
+   against the state service's budget too. Owners are asked to stop tasks.
+
+   An ask goes over the mesh or, where the other node can't be reached, through a key of this node
+   in the state service. It may be lost: whoever asks notices that nothing came of it and asks
+   again. It counts only in the epoch in which it was made. */
+#include "core/ws-core-private.h"
+
+#include <string.h>
+
+#define GATHER_MS 60
+#define MAIL_MS 1000
+#define ASK_TIMEOUT_MS 1500
+#define MOST_ITEMS 48
+
+struct _WsAsks {
+  json_t **out; /* by node: what it will be asked */
+  gint64 next_ms;
+  gint64 mail_ms;
+};
+
+WsAsks *
+ws_asks_new(const WsSettings *settings)
+{
+  WsAsks *asks = g_new0(WsAsks, 1);
+  asks->out = g_new0(json_t *, settings->nodes->len);
+  return asks;
+}
+
+void
+ws_asks_free(WsAsks *asks, const WsSettings *settings)
+{
+  for (guint n = 0; n < settings->nodes->len; n++)
+    json_decref(asks->out[n]);
+  g_free(asks->out);
+  g_free(asks);
+}
+
+static void
+add(WsCore *core, guint node, const char *list, json_t *item)
+{
+  json_t **out = &core->asks->out[node];
+  if (*out == NULL)
+    *out = json_object();
+  if (json_object_get(*out, list) == NULL)
+    json_object_set_new(*out, list, json_array());
+  json_t *items = json_object_get(*out, list);
+  if (json_array_size(items) < MOST_ITEMS)
+    json_array_append_new(items, item);
+  else
+    json_decref(item);
+}
+
+void
+ws_ask_release(WsCore *core, const WsJob *job, guint task, guint64 attempt, gboolean done)
+{
+  add(core, core->book->epoch.leader, "releases",
+      json_pack("[s, i, I, b]", job->id, (int)task, (json_int_t)attempt, done));
+}
+
+void
+ws_ask_pick(WsCore *core, const WsJob *job, guint task, const WsMachine *machine)
+{
+  add(core, core->book->epoch.leader, "picks",
+      json_pack("[s, i, s]", job->id, (int)task, machine->name));
+}
+
+void
+ws_ask_mark(WsCore *core, const WsMachine *machine, const char *why, gboolean now)
+{
+  add(core, core->book->epoch.leader, "marks", json_pack("[s, s, b]", machine->name, why, now));
+}
+
+void
+ws_ask_stop(WsCore *core, guint node, const WsJob *job, const WsAssignment *a)
+{
+  add(core, node, "stops", json_pack("[s, i, I]", job->id, (int)a->task, (json_int_t)a->attempt));
+}
+
+/* Being asked. */
+
+static WsJob *
+job_of(const WsCore *core, const json_t *item, guint *task)
+{
+  const char *id = json_string_value(json_array_get(item, 0));
+  json_int_t number = json_integer_value(json_array_get(item, 1));
+  WsJob *job = id != NULL ? ws_book_find_job(core->book, id) : NULL;
+  if (job == NULL || job->spec == NULL || number < 0 || number >= (json_int_t)job->tasks)
+    return NULL;
+  *task = (guint)number;
+  return job;
+}
+
+static void
+take_release(WsCore *core, const json_t *item)
+{
+  guint task = 0;
+  const WsJob *job = job_of(core, item, &task);
+  if (job != NULL)
+    ws_assign_known_gone(core, job, task, (guint64)json_integer_value(json_array_get(item, 2)),
+                         json_is_true(json_array_get(item, 3)));
+}
+
+static void
+take_pick(WsCore *core, const json_t *item)
+{
+  guint task = 0;
+  const WsJob *job = job_of(core, item, &task);
+  const char *name = json_string_value(json_array_get(item, 2));
+  const WsMachine *machine = name != NULL ? ws_book_find_machine(core->book, name) : NULL;
+  if (job != NULL && machine != NULL)
+    ws_assign_pick(core, job->index, task, machine->index);
+}
+
+static void
+take_mark(WsCore *core, const json_t *item)
+{
+  const char *name = json_string_value(json_array_get(item, 0));
+  const char *why = json_string_value(json_array_get(item, 1));
+  WsMachine *machine = name != NULL ? ws_book_find_machine(core->book, name) : NULL;
+  if (machine != NULL && why != NULL)
+    ws_giveback_mark(core, machine, why, json_is_true(json_array_get(item, 2)));
+}
+
+static void
+take_stop(WsCore *core, const json_t *item)
+{
+  guint task = 0;
+  WsJob *job = job_of(core, item, &task);
+  WsAssignment *a = job != NULL ? ws_job_assignment(job, task) : NULL;
+  if (a == NULL || a->stopping || a->attempt != (guint64)json_integer_value(json_array_get(item, 2))
+      || !ws_owns(core, ws_book_machine(core->book, a->machine)))
+    return;
+  a->stopping = TRUE;
+  ws_workers_halt_now(core, job, a);
+}
+
+static void
+take_list(WsCore *core, const json_t *message, const char *list,
+          void (*take)(WsCore *, const json_t *))
+{
+  size_t i;
+  const json_t *item;
+  json_array_foreach(json_object_get(message, list), i, item) take(core, item);
+}
+
+static gboolean
+take_all(WsCore *core, const json_t *message)
+{
+  guint64 epoch;
+  if (!ws_json_count(message, "epoch", &epoch) || !ws_entitled(core)
+      || epoch != core->book->epoch.number)
+    return FALSE;
+  take_list(core, message, "stops", take_stop);
+  if (ws_is_leader(core)) {
+    take_list(core, message, "releases", take_release);
+    take_list(core, message, "picks", take_pick);
+    take_list(core, message, "marks", take_mark);
+  }
+  return TRUE;
+}
+
+void
+ws_ask_taken(WsCore *core, const json_t *message, gpointer request)
+{
+  if (take_all(core, message))
+    ws_answer(core, request, 200, json_object(), 0);
+  else
+    ws_answer_later(core, request, 1);
+}
+
+static void
+read_mail(WsCore *core)
+{
+  const char *self = ws_settings_node(core->settings, core->settings->self)->name;
+  json_t *letter;
+  while ((letter = g_queue_pop_head(&core->book->mail)) != NULL) {
+    const json_t *mine = json_object_get(letter, self);
+    if (mine != NULL)
+      (void)take_all(core, mine);
+    json_decref(letter);
+  }
+}
+
+/* Asking. */
+
+static void
+on_asked(WsCore *core, guint status, const json_t *body, gpointer data)
+{
+  (void)body;
+  if (status != 200)
+    g_debug("%s took no ask (status %u)",
+            ws_settings_node(core->settings, GPOINTER_TO_UINT(data))->name, status);
+}
+
+static void
+on_mailed(WsCore *core, WsTxnResult result, gpointer data)
+{
+  (void)core;
+  (void)result;
+  (void)data;
+}
+
+static void
+mail(WsCore *core, json_t *letter /* taken */)
+{
+  g_autofree char *key
+      = ws_key(WS_KEYS_MAIL, ws_settings_node(core->settings, core->settings->self)->name);
+  WsTxn *txn = ws_txn_new();
+  core->asks->mail_ms = core->now + MAIL_MS;
+  ws_txn_if(txn, core->book, WS_KEY_EPOCH);
+  ws_txn_set(txn, key, letter);
+  ws_txn_commit(core, txn, WS_FIRST_TASK, on_mailed, NULL);
+}
+
+/* A letter replaces the one before it, so what is for nodes out of reach waits for its turn. */
+static void
+send_all(WsCore *core)
+{
+  gboolean may_mail = core->now >= core->asks->mail_ms && ws_store_ok(core);
+  json_t *letter = NULL;
+  for (guint n = 0; n < core->settings->nodes->len; n++) {
+    json_t **out = &core->asks->out[n];
+    if (*out == NULL || (!ws_mesh_reaches(core, n) && !may_mail))
+      continue;
+    json_object_set_new(*out, "epoch", json_integer((json_int_t)core->book->epoch.number));
+    const WsNode *node = ws_settings_node(core->settings, n);
+    if (ws_mesh_reaches(core, n)) {
+      ws_call(core, "POST", node->endpoint, "/ask", g_steal_pointer(out), ASK_TIMEOUT_MS, on_asked,
+              GUINT_TO_POINTER(n));
+      continue;
+    }
+    if (letter == NULL)
+      letter = json_object();
+    json_object_set_new(letter, node->name, g_steal_pointer(out));
+  }
+  if (letter != NULL)
+    mail(core, letter);
+}
+
+/* What was to be asked in the last epoch is worked out afresh in the next. */
+void
+ws_ask_forget(WsCore *core)
+{
+  for (guint n = 0; n < core->settings->nodes->len; n++)
+    g_clear_pointer(&core->asks->out[n], json_decref);
+}
+
+void
+ws_ask_pump(WsCore *core)
+{
+  read_mail(core);
+  if (!ws_entitled(core)) {
+    ws_ask_forget(core);
+    return;
+  }
+  if (core->now < core->asks->next_ms)
+    return;
+  core->asks->next_ms = core->now + GATHER_MS;
+  send_all(core);
+}
--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -1,57 +1,55 @@
-/* Assignments and releases, written to the state service one transaction at a time.
+/* Assignments and releases on their way to the state service.
 
-   A task is assigned here before it is launched, and its team's use is counted in the same
-   transaction; a task is released only when ws-workers.c or ws-fleet.c knows that it is gone. */
-#include "core/ws-core-private.h"
+   A task is assigned there before it is launched, and its team's use is counted in the same
+   transaction; a task is released only when ws-workers.c or ws-fleet.c knows that it is gone. The
+   leader writes for everybody, one transaction at a time; the other nodes hand theirs in. */
+#include "core/ws-draft.h"
 
+#define GATHER_MS 50
 #define CONFLICT_PAUSE_MS 60
 #define FAILURE_PAUSE_MS 400
+/* What was handed in and came to nothing for so long is handed in again. */
+#define RELEASE_AGAIN_MS 2000
+#define PICK_AGAIN_MS 1500
+/* Changes that the budget must allow before a transaction is drafted: meanwhile others gather. */
+#define WORTH_A_TXN 4
 
 typedef struct {
-  guint job;
-  guint task;
-  guint64 attempt;
-  gboolean done;
-} Release;
+  WsRelease release;
+  gint64 asked_ms; /* when it was handed in; 0: it wasn't */
+} Known;
 
 typedef struct {
-  guint job;
-  guint task;
-  guint machine;
-} Pick;
+  WsPick pick;
+  gint64 until_ms;
+} HandedIn;
 
 struct _WsAssign {
-  GArray *releases;
-  GArray *picks;
-  GArray *launching; /* of Pick: in the transaction on its way */
-  GArray *ending;    /* of guint: jobs that it ends */
+  GHashTable *known;  /* task -> Known: releases */
+  GArray *picks;      /* of WsPick, the most urgent first */
+  GHashTable *picked; /* task: among the picks, in the transaction, or handed in */
+  GArray *writing;    /* of WsPick: in the transaction on its way */
+  GArray *handed_in;  /* of HandedIn */
+  GArray *ending;     /* of guint: jobs that the transaction ends */
   gboolean busy;
   gint64 next_ms;
 };
 
-/* A chunk as the transaction leaves it. */
-typedef struct {
-  guint job;
-  guint index;
-  WsChunk *chunk;
-} Work;
-
-typedef struct {
-  WsCore *core;
-  GPtrArray *works; /* of Work */
-  WsAmount *use;    /* of each team, as the transaction leaves it */
-  gboolean *touched;
-  GHashTable *room; /* machine index -> WsAmount taken by this draft */
-  guint teams;
-} Draft;
+static gpointer
+task_key(guint job, guint task)
+{
+  return GSIZE_TO_POINTER((gsize)job * WS_MAX_TASKS + task + 1);
+}
 
 WsAssign *
 ws_assign_new(void)
 {
   WsAssign *assign = g_new0(WsAssign, 1);
-  assign->releases = g_array_new(FALSE, FALSE, sizeof(Release));
-  assign->picks = g_array_new(FALSE, FALSE, sizeof(Pick));
-  assign->launching = g_array_new(FALSE, FALSE, sizeof(Pick));
+  assign->known = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+  assign->picks = g_array_new(FALSE, FALSE, sizeof(WsPick));
+  assign->picked = g_hash_table_new(NULL, NULL);
+  assign->writing = g_array_new(FALSE, FALSE, sizeof(WsPick));
+  assign->handed_in = g_array_new(FALSE, FALSE, sizeof(HandedIn));
   assign->ending = g_array_new(FALSE, FALSE, sizeof(guint));
   return assign;
 }
@@ -59,472 +57,290 @@
 void
 ws_assign_free(WsAssign *assign)
 {
-  g_array_unref(assign->releases);
+  g_hash_table_unref(assign->known);
   g_array_unref(assign->picks);
-  g_array_unref(assign->launching);
+  g_hash_table_unref(assign->picked);
+  g_array_unref(assign->writing);
+  g_array_unref(assign->handed_in);
   g_array_unref(assign->ending);
   g_free(assign);
 }
 
 void
-ws_assign_release(WsCore *core, WsJob *job, const WsAssignment *assignment, gboolean done)
+ws_assign_known_gone(WsCore *core, const WsJob *job, guint task, guint64 attempt, gboolean done)
 {
-  GArray *releases = core->assign->releases;
-  for (guint i = 0; i < releases->len; i++) {
-    const Release *known = &g_array_index(releases, Release, i);
-    if (known->job == job->index && known->task == assignment->task
-        && known->attempt == assignment->attempt)
-      return;
-  }
-  Release release = { job->index, assignment->task, assignment->attempt, done };
-  g_array_append_val(releases, release);
+  gpointer key = task_key(job->index, task);
+  const Known *old = g_hash_table_lookup(core->assign->known, key);
+  if (old != NULL && old->release.attempt >= attempt)
+    return;
+  Known *known = g_new0(Known, 1);
+  known->release = (WsRelease){ job->index, task, attempt, done };
+  g_hash_table_insert(core->assign->known, key, known);
 }
 
-static gboolean
-contains_pick(const GArray *picks, guint job, guint task)
+void
+ws_assign_release(WsCore *core, const WsJob *job, const WsAssignment *assignment, gboolean done)
 {
-  for (guint i = 0; i < picks->len; i++) {
-    const Pick *pick = &g_array_index(picks, Pick, i);
-    if (pick->job == job && pick->task == task)
-      return TRUE;
-  }
-  return FALSE;
+  ws_assign_known_gone(core, job, assignment->task, assignment->attempt, done);
 }
 
 gboolean
 ws_assign_pending(const WsCore *core, guint job, guint task)
 {
-  return contains_pick(core->assign->picks, job, task)
-         || contains_pick(core->assign->launching, job, task);
+  return g_hash_table_contains(core->assign->picked, task_key(job, task));
 }
 
 void
 ws_assign_pick(WsCore *core, guint job, guint task, guint machine)
 {
-  Pick pick = { job, task, machine };
-  if (!ws_assign_pending(core, job, task))
+  WsPick pick = { job, task, machine };
+  if (g_hash_table_add(core->assign->picked, task_key(job, task)))
     g_array_append_val(core->assign->picks, pick);
 }
 
+/* Nothing is planned while what was planned before is being written. */
 gboolean
 ws_assign_idle(const WsCore *core)
 {
   return !core->assign->busy && core->assign->picks->len == 0;
 }
 
-gboolean
-ws_zone_allowed(const WsJob *job, const guint *counts, guint zones, guint zone)
-{
-  if (job->spec->one_zone)
-    for (guint z = 0; z < zones; z++)
-      if (z != zone && counts[z] > 0)
-        return FALSE;
-  return !job->spec->spread || counts[zone] + 1 <= (job->tasks + 1) / 2;
-}
-
-/* Drafting a transaction. */
-
-static void
-work_free(gpointer data)
-{
-  Work *work = data;
-  ws_chunk_free(work->chunk);
-  g_free(work);
-}
-
-static Draft *
-draft_new(WsCore *core)
-{
-  guint teams = core->settings->teams->len;
-  Draft *draft = g_new0(Draft, 1);
-  draft->core = core;
-  draft->works = g_ptr_array_new_with_free_func(work_free);
-  draft->use = g_memdup2(core->book->team_use, sizeof(WsAmount) * MAX(teams, 1u));
-  draft->touched = g_new0(gboolean, MAX(teams, 1u));
-  draft->room = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-  return draft;
-}
-
-static void
-draft_free(Draft *draft)
+void
+ws_assign_each_handed_in(const WsCore *core, WsPickFunc take, gpointer data)
 {
-  g_ptr_array_unref(draft->works);
-  g_free(draft->use);
-  g_free(draft->touched);
-  g_hash_table_unref(draft->room);
-  g_free(draft);
+  for (guint i = 0; i < core->assign->handed_in->len; i++) {
+    const WsPick *pick = &g_array_index(core->assign->handed_in, HandedIn, i).pick;
+    take(ws_book_job(core->book, pick->job), pick->machine, data);
+  }
 }
 
-static Work *
-find_work(const Draft *draft, guint job, guint index)
+void
+ws_assign_forget_picks(WsCore *core)
 {
-  for (guint i = 0; i < draft->works->len; i++) {
-    Work *work = g_ptr_array_index(draft->works, i);
-    if (work->job == job && work->index == index)
-      return work;
+  WsAssign *assign = core->assign;
+  g_array_set_size(assign->picks, 0);
+  g_array_set_size(assign->handed_in, 0);
+  g_hash_table_remove_all(assign->picked);
+  for (guint i = 0; i < assign->writing->len; i++) {
+    const WsPick *pick = &g_array_index(assign->writing, WsPick, i);
+    g_hash_table_add(assign->picked, task_key(pick->job, pick->task));
   }
-  return NULL;
+  GHashTableIter iter;
+  gpointer known;
+  g_hash_table_iter_init(&iter, assign->known);
+  while (g_hash_table_iter_next(&iter, NULL, &known))
+    ((Known *)known)->asked_ms = 0;
 }
 
-/* Room in the transaction: each chunk and each team is a change, and so is the job's own record,
-   which a release may end. */
-static gboolean
-has_space(const Draft *draft, const WsJob *job, guint task)
-{
-  guint ops = 2 * draft->works->len + draft->teams;
-  guint more = (find_work(draft, job->index, task / WS_CHUNK_TASKS) == NULL ? 2 : 0)
-               + (draft->touched[job->team] ? 0 : 1);
-  return ops + more <= draft->core->settings->state_txn_ops;
-}
+/* Handing in. */
 
-static WsChunk *
-open_chunk(Draft *draft, const WsJob *job, guint task)
+static gboolean
+is_over(const WsCore *core, const WsRelease *release)
 {
-  guint index = task / WS_CHUNK_TASKS;
-  Work *work = find_work(draft, job->index, index);
-  if (work == NULL) {
-    work = g_new0(Work, 1);
-    *work = (Work){ job->index, index, ws_chunk_copy(ws_job_chunk(job, task)) };
-    g_ptr_array_add(draft->works, work);
-  }
-  return work->chunk;
+  const WsJob *job = ws_book_job(core->book, release->job);
+  const WsAssignment *a = job->spec != NULL ? ws_job_assignment(job, release->task) : NULL;
+  return a == NULL || a->attempt != release->attempt;
 }
 
 static void
-use_team(Draft *draft, const WsJob *job, gint64 times)
-{
-  if (!draft->touched[job->team])
-    draft->teams++;
-  draft->touched[job->team] = TRUE;
-  ws_amount_add(&draft->use[job->team], &job->spec->need, times);
-}
-
-static WsAmount *
-taken(Draft *draft, guint machine)
-{
-  WsAmount *amount = g_hash_table_lookup(draft->room, GUINT_TO_POINTER(machine));
-  if (amount == NULL) {
-    amount = g_new0(WsAmount, 1);
-    g_hash_table_insert(draft->room, GUINT_TO_POINTER(machine), amount);
+hand_in_releases(WsCore *core)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init(&iter, core->assign->known);
+  while (g_hash_table_iter_next(&iter, NULL, &value)) {
+    Known *known = value;
+    if (is_over(core, &known->release)) {
+      g_hash_table_iter_remove(&iter);
+    } else if (known->asked_ms == 0 || core->now - known->asked_ms >= RELEASE_AGAIN_MS) {
+      known->asked_ms = core->now;
+      ws_ask_release(core, ws_book_job(core->book, known->release.job), known->release.task,
+                     known->release.attempt, known->release.done);
+    }
   }
-  return amount;
 }
 
 static void
-draft_release(Draft *draft, WsJob *job, const Release *release)
+hand_in_picks(WsCore *core)
 {
-  WsChunk *chunk = open_chunk(draft, job, release->task);
-  for (guint i = 0; i < chunk->on->len; i++) {
-    const WsAssignment *a = &g_array_index(chunk->on, WsAssignment, i);
-    if (a->task != release->task || a->attempt != release->attempt)
-      continue;
-    ws_amount_add(taken(draft, a->machine), &job->spec->need, -1);
-    g_array_remove_index(chunk->on, i);
-    use_team(draft, job, -1);
-    if (job->spec->kind == WS_KIND_GANG && !release->done)
-      chunk->attempts++;
-    break;
-  }
-  guint bit = release->task % WS_CHUNK_TASKS;
-  if (release->done) {
-    chunk->done[bit / 8] |= (guint8)(1u << (bit % 8));
-    chunk->done_count++;
+  WsAssign *assign = core->assign;
+  for (guint i = 0; i < assign->picks->len; i++) {
+    const WsPick *pick = &g_array_index(assign->picks, WsPick, i);
+    HandedIn handed_in = { *pick, core->now + PICK_AGAIN_MS };
+    g_array_append_val(assign->handed_in, handed_in);
+    ws_ask_pick(core, ws_book_job(core->book, pick->job), pick->task,
+                ws_book_machine(core->book, pick->machine));
   }
+  g_array_set_size(assign->picks, 0);
 }
 
-/* The tasks of the job by zone, as the draft leaves them. */
 static void
-count_zones(const Draft *draft, const WsJob *job, guint *counts)
-{
-  const WsBook *book = draft->core->book;
-  for (guint c = 0; c < ws_job_chunk_count(job); c++) {
-    const Work *work = find_work(draft, job->index, c);
-    const WsChunk *chunk = work != NULL ? work->chunk : ws_job_chunk(job, c * WS_CHUNK_TASKS);
-    for (guint i = 0; chunk != NULL && i < chunk->on->len; i++) {
-      const WsAssignment *a = &g_array_index(chunk->on, WsAssignment, i);
-      guint zone = ws_book_machine(book, a->machine)->zone;
-      if (zone != WS_NONE)
-        counts[zone]++;
-    }
+forget_handed_in(WsCore *core)
+{
+  GArray *handed_in = core->assign->handed_in;
+  for (guint i = handed_in->len; i-- > 0;) {
+    const HandedIn *at = &g_array_index(handed_in, HandedIn, i);
+    const WsJob *job = ws_book_job(core->book, at->pick.job);
+    if (core->now <= at->until_ms && job->spec != NULL
+        && ws_job_assignment(job, at->pick.task) == NULL)
+      continue;
+    g_hash_table_remove(core->assign->picked, task_key(at->pick.job, at->pick.task));
+    g_array_remove_index_fast(handed_in, i);
   }
 }
 
-static gboolean
-within_team(const Draft *draft, const WsJob *job)
-{
-  const WsTeamSettings *team = g_ptr_array_index(draft->core->settings->teams, job->team);
-  WsAmount use = draft->use[job->team];
-  ws_amount_add(&use, &job->spec->need, 1);
-  return ws_team_allows(team, &use);
-}
-
-static gboolean
-machine_has_room(Draft *draft, const WsMachine *machine, const WsJob *job)
-{
-  WsAmount room = ws_book_type(draft->core->book, machine->type)->room;
-  ws_amount_add(&room, &machine->used, -1);
-  ws_amount_add(&room, taken(draft, machine->index), -1);
-  return ws_amount_fits(&job->spec->need, &room);
-}
-
-static gboolean
-zone_has_room(const Draft *draft, const WsJob *job, guint zone)
-{
-  guint zones = draft->core->settings->zones->len;
-  if (!job->spec->one_zone && !job->spec->spread)
-    return TRUE;
-  g_autofree guint *counts = g_new0(guint, zones);
-  count_zones(draft, job, counts);
-  return ws_zone_allowed(job, counts, zones, zone);
-}
-
-/* The leader may ask for a task that is already in this very transaction, on another machine. */
-static gboolean
-is_drafted(const Draft *draft, const WsJob *job, guint task)
-{
-  const Work *work = find_work(draft, job->index, task / WS_CHUNK_TASKS);
-  for (guint i = 0; work != NULL && i < work->chunk->on->len; i++)
-    if (g_array_index(work->chunk->on, WsAssignment, i).task == task)
-      return TRUE;
-  return FALSE;
-}
-
-static gboolean
-still_wanted(Draft *draft, const WsJob *job, const Pick *pick)
-{
-  const WsMachine *machine = ws_book_machine(draft->core->book, pick->machine);
-  return job->state == WS_JOB_ACTIVE && job->spec != NULL && pick->task < job->tasks
-         && !ws_job_task_done(job, pick->task) && ws_job_assignment(job, pick->task) == NULL
-         && !is_drafted(draft, job, pick->task) && !ws_job_is_broken_gang(job) && machine->stored
-         && !machine->marked && !machine->marking && ws_owns(draft->core, machine)
-         && ws_plan_allowed(draft->core->book, job->spec, job->zone, machine)
-         && machine_has_room(draft, machine, job) && within_team(draft, job)
-         && zone_has_room(draft, job, machine->zone);
-}
-
-static void
-draft_pick(Draft *draft, WsJob *job, const Pick *pick)
-{
-  WsChunk *chunk = open_chunk(draft, job, pick->task);
-  WsAssignment assignment = { .task = pick->task, .machine = pick->machine };
-  if (job->spec->kind != WS_KIND_GANG || chunk->on->len == 0)
-    chunk->attempts++;
-  assignment.attempt = chunk->attempts;
-  assignment.at_ms = draft->core->wall;
-  g_array_append_val(chunk->on, assignment);
-  ws_amount_add(taken(draft, pick->machine), &job->spec->need, 1);
-  use_team(draft, job, 1);
-}
+/* Writing. */
 
 static void
-draft_releases(Draft *draft, GArray *releases)
+tell_ended(WsCore *core)
 {
-  guint i = 0;
-  while (i < releases->len) {
-    Release release = g_array_index(releases, Release, i);
-    WsJob *job = ws_book_job(draft->core->book, release.job);
-    const WsAssignment *a = job->spec != NULL ? ws_job_assignment(job, release.task) : NULL;
-    if (a == NULL || a->attempt != release.attempt) {
-      g_array_remove_index(releases, i); /* done, or somebody else's by now */
-      continue;
-    }
-    if (has_space(draft, job, release.task))
-      draft_release(draft, job, &release);
-    i++;
+  for (guint i = 0; i < core->assign->ending->len; i++) {
+    const WsJob *job = ws_book_job(core->book, g_array_index(core->assign->ending, guint, i));
+    g_info("job %s is %s, %.0f s after it was accepted", job->id,
+           job->state == WS_JOB_DONE ? "done" : "cancelled and gone",
+           (double)(core->wall - job->at_ms) / 1000.0);
   }
 }
 
 static void
-draft_picks(Draft *draft, GArray *picks, GArray *launching)
+on_written(WsCore *core, WsTxnResult result, gpointer data)
 {
-  guint i = 0;
-  while (i < picks->len) {
-    Pick pick = g_array_index(picks, Pick, i);
-    WsJob *job = ws_book_job(draft->core->book, pick.job);
-    gboolean wanted = still_wanted(draft, job, &pick);
-    if (wanted && !has_space(draft, job, pick.task)) {
-      i++;
-      continue;
-    }
-    if (wanted) {
-      draft_pick(draft, job, &pick);
-      g_array_append_val(launching, pick);
-    }
-    g_array_remove_index(picks, i);
+  (void)data;
+  WsAssign *assign = core->assign;
+  assign->busy = FALSE;
+  assign->next_ms = core->now + GATHER_MS;
+  core->plan_due = TRUE;
+  for (guint i = 0; i < assign->writing->len; i++) {
+    const WsPick *pick = &g_array_index(assign->writing, WsPick, i);
+    g_hash_table_remove(assign->picked, task_key(pick->job, pick->task));
   }
-}
-
-/* Writing the draft down. */
-
-static guint
-count_after(const Draft *draft, const WsJob *job, guint *on)
-{
-  guint done = 0;
-  *on = 0;
-  for (guint c = 0; c < ws_job_chunk_count(job); c++) {
-    const Work *work = find_work(draft, job->index, c);
-    const WsChunk *chunk = work != NULL ? work->chunk : ws_job_chunk(job, c * WS_CHUNK_TASKS);
-    if (chunk == NULL)
-      continue;
-    done += chunk->done_count;
-    *on += chunk->on->len;
+  if (result == WS_TXN_OK) {
+    tell_ended(core);
+  } else {
+    /* Whoever was first is seen through the watch, and what is still wanted then is tried again.
+       After no answer the transaction may yet be carried out: its conditions make that harmless. */
+    assign->next_ms
+        = core->now + (result == WS_TXN_CONFLICT ? CONFLICT_PAUSE_MS : FAILURE_PAUSE_MS);
+    for (guint i = 0; i < assign->writing->len; i++) {
+      const WsPick *pick = &g_array_index(assign->writing, WsPick, i);
+      ws_assign_pick(core, pick->job, pick->task, pick->machine);
+    }
   }
-  return done;
+  g_array_set_size(assign->writing, 0);
 }
 
-/* Ends a job with its last task, in the same transaction; its chunks of tasks go as far as the
-   transaction holds them. */
-static gboolean
-write_final(const Draft *draft, WsTxn *txn, const WsJob *job)
-{
-  guint on;
-  guint done = count_after(draft, job, &on);
-  gboolean is_done = job->state == WS_JOB_ACTIVE && done == job->tasks;
-  if (!is_done && !(job->state == WS_JOB_CANCELLED && on == 0))
-    return FALSE;
-  g_autofree char *key = ws_key_job(job->id);
-  ws_txn_set(txn, key, ws_job_encode_final(job, is_done ? WS_JOB_DONE : WS_JOB_CANCELLED));
-  g_array_append_val(draft->core->assign->ending, job->index);
-  return TRUE;
-}
-
-/* The rules on zones and the end of a job hang on all of its chunks, so all are conditions. */
 static void
-condition_on_job(const Draft *draft, WsTxn *txn, const WsJob *job)
+draft_releases(WsCore *core, WsDraft *draft)
 {
-  g_autofree char *key = ws_key_job(job->id);
-  ws_txn_if(txn, draft->core->book, key);
-  gboolean all = job->spec->one_zone || job->spec->spread;
-  for (guint c = 0; c < ws_job_chunk_count(job); c++) {
-    if (!all && find_work(draft, job->index, c) == NULL)
-      continue;
-    g_autofree char *chunk = ws_key_chunk(job->id, c);
-    ws_txn_if(txn, draft->core->book, chunk);
-  }
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init(&iter, core->assign->known);
+  while (g_hash_table_iter_next(&iter, NULL, &value))
+    if (ws_draft_release(draft, &((Known *)value)->release) == WS_DRAFT_UNWANTED)
+      g_hash_table_iter_remove(&iter);
 }
 
 static void
-write_job(const Draft *draft, WsTxn *txn, const WsJob *job)
+draft_picks(WsCore *core, WsDraft *draft)
 {
-  condition_on_job(draft, txn, job);
-  gboolean is_final = write_final(draft, txn, job);
-  for (guint i = 0; i < draft->works->len; i++) {
-    const Work *work = g_ptr_array_index(draft->works, i);
-    if (work->job != job->index)
-      continue;
-    g_autofree char *key = ws_key_chunk(job->id, work->index);
-    if (is_final)
-      ws_txn_remove(txn, key);
+  WsAssign *assign = core->assign;
+  g_autoptr(GArray) picks = assign->picks;
+  assign->picks = g_array_new(FALSE, FALSE, sizeof(WsPick));
+  for (guint i = 0; i < picks->len; i++) {
+    const WsPick *pick = &g_array_index(picks, WsPick, i);
+    WsDraftResult result = ws_draft_pick(draft, pick);
+    if (result == WS_DRAFT_TAKEN)
+      g_array_append_vals(assign->writing, pick, 1);
+    else if (result == WS_DRAFT_FULL)
+      g_array_append_vals(assign->picks, pick, 1);
     else
-      ws_txn_set(txn, key, ws_chunk_encode(work->chunk, draft->core->book));
+      g_hash_table_remove(assign->picked, task_key(pick->job, pick->task));
   }
 }
 
-static WsTxn *
-write_draft(const Draft *draft)
+static void
+write_all(WsCore *core)
 {
-  WsCore *core = draft->core;
-  WsTxn *txn = ws_txn_new();
-  ws_txn_if(txn, core->book, WS_KEY_EPOCH);
-  for (guint i = 0; i < draft->works->len; i++) {
-    const Work *work = g_ptr_array_index(draft->works, i);
-    gboolean first = TRUE;
-    for (guint k = 0; k < i; k++)
-      first = first && ((Work *)g_ptr_array_index(draft->works, k))->job != work->job;
-    if (first)
-      write_job(draft, txn, ws_book_job(core->book, work->job));
-  }
-  for (guint t = 0; t < core->settings->teams->len; t++) {
-    if (!draft->touched[t])
-      continue;
-    const WsTeamSettings *team = g_ptr_array_index(core->settings->teams, t);
-    g_autofree char *key = ws_key(WS_KEYS_TEAM, team->name);
-    ws_txn_if(txn, core->book, key);
-    ws_txn_set(txn, key, ws_amount_encode(&draft->use[t]));
+  WsAssign *assign = core->assign;
+  if (assign->busy || core->now < assign->next_ms || core->book->catalog == NULL
+      || (g_hash_table_size(assign->known) == 0 && assign->picks->len == 0)
+      || !ws_store_may_write(core, WORTH_A_TXN))
+    return;
+  WsDraft *draft = ws_draft_new(core);
+  g_array_set_size(assign->ending, 0);
+  draft_releases(core, draft);
+  draft_picks(core, draft);
+  if (!ws_draft_is_empty(draft)) {
+    assign->busy = TRUE;
+    ws_txn_commit(core, ws_draft_write(draft, assign->ending), WS_FIRST_TASK, on_written, NULL);
   }
-  return txn;
+  ws_draft_free(draft);
 }
 
+/* What was assigned on this node's machines, by whoever wrote it, is launched at once. */
+
 static gint
 by_machine(gconstpointer a, gconstpointer b)
 {
-  const Pick *first = a, *second = b;
+  const WsPick *first = a, *second = b;
   return first->machine < second->machine ? -1 : first->machine > second->machine;
 }
 
+static GArray *
+take_fresh(WsCore *core)
+{
+  GArray *fresh = core->book->fresh;
+  GArray *picks = g_array_new(FALSE, FALSE, sizeof(WsPick));
+  for (guint i = 0; i < fresh->len; i++) {
+    const WsTaskRef *ref = &g_array_index(fresh, WsTaskRef, i);
+    const WsJob *job = ws_book_job(core->book, ref->job);
+    const WsAssignment *a = job->spec != NULL ? ws_job_assignment(job, ref->task) : NULL;
+    if (a == NULL || a->state != WS_TASK_ASSIGNED
+        || !ws_owns(core, ws_book_machine(core->book, a->machine)))
+      continue;
+    WsPick pick = { ref->job, ref->task, a->machine };
+    g_array_append_val(picks, pick);
+  }
+  g_array_set_size(fresh, 0);
+  return picks;
+}
+
 static void
-launch_all(WsCore *core, GArray *picks)
+launch_fresh(WsCore *core)
 {
+  if (core->book->fresh->len == 0)
+    return;
+  g_autoptr(GArray) picks = take_fresh(core);
   g_array_sort(picks, by_machine);
   guint i = 0;
   while (i < picks->len) {
     g_autoptr(GArray) tasks = g_array_new(FALSE, FALSE, sizeof(WsTaskRef));
-    guint machine = g_array_index(picks, Pick, i).machine;
-    for (; i < picks->len && g_array_index(picks, Pick, i).machine == machine; i++) {
-      const Pick *pick = &g_array_index(picks, Pick, i);
+    WsMachine *machine = ws_book_machine(core->book, g_array_index(picks, WsPick, i).machine);
+    for (; i < picks->len && g_array_index(picks, WsPick, i).machine == machine->index; i++) {
+      const WsPick *pick = &g_array_index(picks, WsPick, i);
       WsTaskRef ref = { pick->job, pick->task };
       g_array_append_val(tasks, ref);
       g_info("task %s/%u goes to %s", ws_book_job(core->book, pick->job)->id, pick->task,
-             ws_book_machine(core->book, machine)->name);
+             machine->name);
     }
-    ws_workers_launch_now(core, ws_book_machine(core->book, machine), tasks);
-  }
-}
-
-static void
-tell_ended(WsCore *core)
-{
-  for (guint i = 0; i < core->assign->ending->len; i++) {
-    const WsJob *job = ws_book_job(core->book, g_array_index(core->assign->ending, guint, i));
-    g_info("job %s is %s, %.0f s after it was accepted", job->id,
-           job->state == WS_JOB_DONE ? "done" : "cancelled and gone",
-           (double)(core->wall - job->at_ms) / 1000.0);
+    ws_workers_launch_now(core, machine, tasks);
   }
 }
 
-static void
-on_written(WsCore *core, WsTxnResult result, gpointer data)
-{
-  (void)data;
-  WsAssign *assign = core->assign;
-  assign->busy = FALSE;
-  core->plan_due = TRUE;
-  GArray *launching = assign->launching;
-  assign->launching = g_array_new(FALSE, FALSE, sizeof(Pick));
-  if (result == WS_TXN_OK) {
-    tell_ended(core);
-    launch_all(core, launching);
-  } else {
-    /* Whoever was first is seen through the watch, and what is still wanted then is tried again.
-       After no answer the transaction may yet be carried out: its conditions make that harmless. */
-    assign->next_ms
-        = core->now + (result == WS_TXN_CONFLICT ? CONFLICT_PAUSE_MS : FAILURE_PAUSE_MS);
-    for (guint i = 0; i < launching->len; i++) {
-      const Pick *pick = &g_array_index(launching, Pick, i);
-      ws_assign_pick(core, pick->job, pick->task, pick->machine);
-    }
-  }
-  g_array_unref(launching);
-}
-
 void
 ws_assign_pump(WsCore *core)
 {
-  WsAssign *assign = core->assign;
+  launch_fresh(core);
   if (!ws_entitled(core)) {
-    g_array_set_size(assign->picks, 0);
+    ws_assign_forget_picks(core);
     return;
   }
-  if (assign->busy || core->now < assign->next_ms || core->book->catalog == NULL
-      || (assign->releases->len == 0 && assign->picks->len == 0))
-    return;
-  Draft *draft = draft_new(core);
-  g_array_set_size(assign->ending, 0);
-  draft_releases(draft, assign->releases);
-  draft_picks(draft, assign->picks, assign->launching);
-  if (draft->works->len > 0) {
-    assign->busy = TRUE;
-    ws_txn_commit(core, write_draft(draft), WS_FIRST_TASK, on_written, NULL);
+  if (core->now >= core->assign->next_ms && !ws_is_leader(core)) {
+    core->assign->next_ms = core->now + GATHER_MS;
+    forget_handed_in(core);
+    hand_in_picks(core);
+    hand_in_releases(core);
   }
-  draft_free(draft);
+  if (ws_is_leader(core))
+    write_all(core);
 }
--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -26,6 +26,8 @@
 typedef struct _WsAssign WsAssign;
 typedef struct _WsFleet WsFleet;
 typedef struct _WsPlan WsPlan;
+typedef struct _WsAsks WsAsks;
+typedef struct _WsGiveback WsGiveback;
 
 typedef struct {
   gint64 heard_ms;
@@ -34,6 +36,8 @@
   gboolean in_flight;
   gint64 sent_ms;
   guint reaches; /* bit for each node it hears */
+  guint64 acked; /* how much it has of what this node says of its machines, in this epoch */
+  guint64 has;   /* how much this node has of what it says */
 } WsPeer;
 
 struct _WsCore {
@@ -51,7 +55,14 @@
   WsAssign *assign;
   WsFleet *fleet;
   WsPlan *plan;
+  WsAsks *asks;
+  WsGiveback *giveback;
   WsPeer *peers;
+  guint64 gossip_rev;         /* counts what changed about this node's machines */
+  gboolean seen_from_outside; /* cut off, yet heard by machines of other zones */
+  guint direct_calls;         /* launches on their way */
+  guint status_calls;
+  guint status_next; /* where the next round of status calls begins */
   gboolean plan_due;
   gint64 epoch_ms; /* since when the present epoch is known */
   guint64 epoch_seen;
@@ -80,6 +91,8 @@
 gboolean ws_store_stop(WsCore *core);
 gboolean ws_store_loaded(const WsCore *core);
 gboolean ws_store_ok(const WsCore *core);
+/* Whether the budget has room for so many changes now. */
+gboolean ws_store_may_write(WsCore *core, guint changes);
 void ws_store_call(WsCore *core, WsFirst first, const char *method, const char *path,
                    json_t *body /* taken */, guint writes, guint timeout_ms, WsReply reply,
                    gpointer data);
@@ -108,6 +121,8 @@
                       gsize length, gpointer request);
 
 /* ws-workers.c */
+/* Tells the worker our token, so that it drops the answers of whoever has an older one. */
+void ws_workers_raise(WsCore *core, WsMachine *machine, guint64 session);
 void ws_workers_report(WsCore *core, const char *body, gsize length, gpointer request);
 /* The answer to a report of a machine that this node owns. */
 json_t *ws_workers_process(WsCore *core, const WsReport *report);
@@ -115,11 +130,14 @@
 void ws_workers_halt_now(WsCore *core, WsJob *job, WsAssignment *assignment);
 void ws_workers_cancelled(WsCore *core, WsJob *job);
 /* Believes what a message says of tasks that are there; concludes nothing from absence. */
-void ws_workers_presence(WsCore *core, WsMachine *machine, const WsReport *report);
+/* Returns FALSE for a message older than one that was seen before. */
+gboolean ws_workers_presence(WsCore *core, WsMachine *machine, const WsReport *report);
 
 /* ws-silence.c */
 void ws_silence_tick(WsCore *core);
 gboolean ws_machine_up(const WsCore *core, const WsMachine *machine);
+/* Its reports come, but what it's told doesn't reach it. */
+gboolean ws_machine_deaf(const WsCore *core, const WsMachine *machine);
 gboolean ws_machine_silent(const WsCore *core, const WsMachine *machine);
 
 /* ws-mesh.c */
@@ -129,25 +147,47 @@
 gboolean ws_mesh_reaches(const WsCore *core, guint node);
 gboolean ws_mesh_sees(const WsCore *core, guint from, guint to);
 gboolean ws_mesh_alone_refused(const WsCore *core);
+/* Neither the state service nor any other node is reached. */
+gboolean ws_mesh_cut_off(const WsCore *core);
+void ws_mesh_new_epoch(WsCore *core);
 void ws_mesh_relay(WsCore *core, guint owner, const char *report, gpointer request);
-void ws_mesh_ask(WsCore *core, guint owner, json_t *ask /* taken */);
+
+/* ws-ask.c */
+WsAsks *ws_asks_new(const WsSettings *settings);
+void ws_asks_free(WsAsks *asks, const WsSettings *settings);
+void ws_ask_release(WsCore *core, const WsJob *job, guint task, guint64 attempt, gboolean done);
+void ws_ask_pick(WsCore *core, const WsJob *job, guint task, const WsMachine *machine);
+void ws_ask_mark(WsCore *core, const WsMachine *machine, const char *why, gboolean now);
+void ws_ask_stop(WsCore *core, guint node, const WsJob *job, const WsAssignment *a);
+void ws_ask_taken(WsCore *core, const json_t *message, gpointer request);
+void ws_ask_forget(WsCore *core);
+void ws_ask_pump(WsCore *core);
 
 /* ws-assign.c */
 WsAssign *ws_assign_new(void);
 void ws_assign_free(WsAssign *assign);
-void ws_assign_release(WsCore *core, WsJob *job, const WsAssignment *assignment, gboolean done);
+/* The task's attempt is known to be gone, whoever found out. */
+void ws_assign_known_gone(WsCore *core, const WsJob *job, guint task, guint64 attempt,
+                          gboolean done);
+void ws_assign_release(WsCore *core, const WsJob *job, const WsAssignment *assignment,
+                       gboolean done);
 void ws_assign_pick(WsCore *core, guint job, guint task, guint machine);
 gboolean ws_assign_pending(const WsCore *core, guint job, guint task);
 gboolean ws_assign_idle(const WsCore *core);
 void ws_assign_pump(WsCore *core);
+void ws_assign_forget_picks(WsCore *core);
+typedef void (*WsPickFunc)(const WsJob *job, guint machine, gpointer data);
+/* What was handed in to the leader and has not come back through the store yet. */
+void ws_assign_each_handed_in(const WsCore *core, WsPickFunc take, gpointer data);
 /* Whether the rules on zones let one more task of the job be in the zone. counts: by zone. */
 gboolean ws_zone_allowed(const WsJob *job, const guint *counts, guint zones, guint zone);
 
 /* ws-order.c */
 typedef struct {
   WsJob *job;
-  guint lateness; /* 0: can be in time; 1: within half as long again; 2: late anyway */
-  double weight;  /* what is left to start, less for what has waited */
+  guint lateness;      /* 0: can be in time; 1: within half as long again; 2: late anyway */
+  gboolean is_overdue; /* it has waited too long for its first task */
+  double weight;       /* what is left to start, less for what has waited */
 } WsWaiting;
 /* The open jobs, the most urgent first; also says which are within a guarantee. */
 GArray *ws_order_jobs(const WsCore *core); /* of WsWaiting */
@@ -161,7 +201,7 @@
 /* ws-demand.c: what the leader would have to rent. */
 typedef struct _WsDemand WsDemand;
 WsDemand *ws_demand_new(WsCore *core);
-void ws_demand_add(WsDemand *demand, const WsJob *job);
+void ws_demand_add(WsDemand *demand, const WsJob *job, guint tasks);
 void ws_demand_end(WsDemand *demand); /* takes it */
 /* Whether the places kept for critical jobs are there without the machine too. */
 gboolean ws_spare_without(const WsCore *core, const WsMachine *machine);
@@ -171,6 +211,7 @@
   WsAmount free;   /* room now, less what this plan gave away */
   WsAmount coming; /* what tasks that are being stopped will leave */
   gboolean usable;
+  gboolean has_service;
 } WsSlot;
 /* Whether the job may have the other one's task stopped. */
 gboolean ws_preempt_allowed(const WsCore *core, const WsJob *job, const WsJob *victim);
@@ -190,6 +231,7 @@
 WsFleet *ws_fleet_new(const WsSettings *settings);
 void ws_fleet_free(WsFleet *fleet);
 void ws_fleet_tick(WsCore *core);
+void ws_fleet_adopt_tick(WsCore *core);
 void ws_fleet_adopt(WsCore *core, WsMachine *machine, gint64 at_ms);
 void ws_fleet_need(WsCore *core, guint type, guint zone, gboolean spot, guint machines);
 /* Writes down what was needed since the last call. */
@@ -205,7 +247,11 @@
 
 /* ws-giveback.c */
 gboolean ws_giveback_allowed(const WsCore *core, const WsMachine *machine);
+WsGiveback *ws_giveback_new(void);
+void ws_giveback_free(WsGiveback *giveback);
 void ws_giveback_tick(WsCore *core);
+/* The leader writes the marks that were asked for. */
+void ws_giveback_pump(WsCore *core);
 void ws_giveback_mark(WsCore *core, WsMachine *machine, const char *why, gboolean now);
 gboolean ws_giveback_may_stop(WsCore *core, WsMachine *machine, WsJob *job,
                               const WsAssignment *assignment);
--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -22,6 +22,8 @@
   core->assign = ws_assign_new();
   core->fleet = ws_fleet_new(settings);
   core->plan = ws_plan_new();
+  core->asks = ws_asks_new(settings);
+  core->giveback = ws_giveback_new();
   core->peers = g_new0(WsPeer, settings->nodes->len);
   return core;
 }
@@ -60,6 +62,8 @@
   ws_assign_free(core->assign);
   ws_fleet_free(core->fleet);
   ws_plan_free(core->plan);
+  ws_asks_free(core->asks, core->settings);
+  ws_giveback_free(core->giveback);
   ws_book_free(core->book);
   g_free(core->peers);
   g_free(core);
@@ -138,7 +142,7 @@
 gboolean
 ws_owns(const WsCore *core, const WsMachine *machine)
 {
-  return ws_entitled(core) && ws_book_owner(core->book, machine) == core->settings->self;
+  return ws_entitled(core) && machine->owner == core->settings->self;
 }
 
 static void
@@ -158,10 +162,14 @@
   core->epoch_ms = core->now;
   core->plan_due = TRUE;
   core->wants_epoch = FALSE;
+  ws_assign_forget_picks(core);
+  ws_ask_forget(core);
+  ws_mesh_new_epoch(core);
   for (guint i = 0; i < core->book->machines->len; i++) {
     WsMachine *machine = ws_book_machine(core->book, i);
     machine->redirected_ms = 0;
     machine->status_failed = 0;
+    machine->unmet_ms = 0;
   }
   g_info("epoch %" G_GUINT64_FORMAT ": %u members, leader %s", core->epoch_seen,
          core->book->epoch.members->len,
@@ -175,7 +183,9 @@
 {
   notice_epoch(core);
   ws_plan_tick(core);
+  ws_giveback_pump(core);
   ws_assign_pump(core);
+  ws_ask_pump(core);
   ws_store_pump(core);
 }
 
@@ -191,8 +201,8 @@
     ws_silence_tick(core);
     ws_giveback_tick(core);
     ws_fleet_tick(core);
+    ws_fleet_adopt_tick(core);
     ws_sweep_tick(core);
-    core->plan_due = TRUE;
   }
   settle(core);
 }
@@ -200,7 +210,7 @@
 static gboolean
 is_ready(const WsCore *core)
 {
-  return ws_entitled(core) && !ws_mesh_alone_refused(core);
+  return ws_entitled(core) && !ws_mesh_alone_refused(core) && !ws_mesh_cut_off(core);
 }
 
 static void
--- a/src/core/ws-demand.c
+++ b/src/core/ws-demand.c
@@ -148,21 +148,24 @@
   return job->spec->zone == NULL || job->zone == zone;
 }
 
-static gboolean
-put_in(WsDemand *demand, const WsJob *job, const WsAmount *need)
+/* Returns how many of the tasks found room. */
+static guint
+put_in(WsDemand *demand, const WsJob *job, const WsAmount *need, guint tasks)
 {
   gboolean waits = job->spec->kind == WS_KIND_ARRAY;
+  guint placed = 0;
   for (guint i = 0; i < demand->machines->len; i++) {
     Virtual *machine = &g_array_index(demand->machines, Virtual, i);
     if ((machine->spot && !job->spec->spot) || (machine->is_running && !waits)
         || !zone_fits(job, machine->zone)
-        || !ws_type_allowed(job->spec, ws_book_type(demand->core->book, machine->type))
-        || !ws_amount_fits(need, &machine->room))
+        || !ws_type_allowed(job->spec, ws_book_type(demand->core->book, machine->type)))
       continue;
-    ws_amount_add(&machine->room, need, -1);
-    return TRUE;
+    for (; placed < tasks && ws_amount_fits(need, &machine->room); placed++)
+      ws_amount_add(&machine->room, need, -1);
+    if (placed == tasks)
+      break;
   }
-  return FALSE;
+  return placed;
 }
 
 /* The zone with fewest machines that may have one more, or WS_NONE. */
@@ -206,14 +209,22 @@
   return TRUE;
 }
 
+/* A new machine takes as many of the tasks as it has room for, so the rest are put in first. */
 void
-ws_demand_add(WsDemand *demand, const WsJob *job)
+ws_demand_add(WsDemand *demand, const WsJob *job, guint tasks)
 {
   WsAmount need = share(demand, job);
-  if (put_in(demand, job, &need))
-    return;
-  if (!(job->spec->spot && want_new(demand, job, TRUE, &need)))
-    want_new(demand, job, FALSE, &need);
+  guint left = tasks - put_in(demand, job, &need, tasks);
+  while (left > 0) {
+    guint machines = demand->machines->len;
+    if (!(job->spec->spot && want_new(demand, job, TRUE, &need))
+        && !want_new(demand, job, FALSE, &need))
+      return;
+    left--;
+    Virtual *made = &g_array_index(demand->machines, Virtual, machines);
+    for (; left > 0 && ws_amount_fits(&need, &made->room); left--)
+      ws_amount_add(&made->room, &need, -1);
+  }
 }
 
 /* Room on a machine that is wanted anyway. */
@@ -230,14 +241,14 @@
   return FALSE;
 }
 
-/* Places for one more critical task on ordinary machines: free ones, and those of arrays, which
-   may be stopped for it. */
+/* Places for one more critical task on ordinary machines, up to what is enough: free ones, and
+   those of arrays, which may be stopped for it. */
 static guint
-count_places(const WsCore *core, const WsAmount *need, const WsMachine *without)
+count_places(const WsCore *core, const WsAmount *need, const WsMachine *without, guint enough)
 {
   const WsBook *book = core->book;
   guint places = 0;
-  for (guint i = 0; i < book->machines->len; i++) {
+  for (guint i = 0; i < book->machines->len && places < enough; i++) {
     const WsMachine *machine = ws_book_machine(book, i);
     if (machine == without || !machine->stored || machine->marked || machine->spot
         || machine->type == WS_NONE || machine->zone == WS_NONE
@@ -249,7 +260,7 @@
       if (job->spec->kind == WS_KIND_SERVICE)
         ws_amount_add(&room, &job->spec->need, -1);
     }
-    for (; ws_amount_fits(need, &room) && places < WS_MAX_TASKS; places++)
+    for (; ws_amount_fits(need, &room) && places < enough; places++)
       ws_amount_add(&room, need, -1);
   }
   return places;
@@ -275,7 +286,8 @@
   const WsJob *job = typical_critical(core->book);
   if (job == NULL || core->properties->spare_tasks == 0)
     return TRUE;
-  return count_places(core, &job->spec->need, machine) >= core->properties->spare_tasks;
+  return count_places(core, &job->spec->need, machine, core->properties->spare_tasks)
+         >= core->properties->spare_tasks;
 }
 
 /* Critical jobs can't wait for a machine to boot, so some places for them are always kept. */
@@ -286,7 +298,7 @@
   const WsJob *job = typical_critical(core->book);
   if (job == NULL)
     return;
-  guint places = count_places(core, &job->spec->need, NULL);
+  guint places = count_places(core, &job->spec->need, NULL, core->properties->spare_tasks);
   for (guint i = 0; i < demand->machines->len && places < core->properties->spare_tasks; i++) {
     Virtual *machine = &g_array_index(demand->machines, Virtual, i);
     if (!machine->on_order)
--- /dev/null
+++ b/src/core/ws-draft.c
@@ -0,0 +1,373 @@
+/* Which releases and assignments a transaction takes, and what it writes.
+
+   A team's use and its tasks' records change in one transaction, whose conditions are the epoch,
+   the jobs, and the marks of the machines: one that is being given back gets nothing new. */
+#include "core/ws-draft.h"
+
+/* The state service takes 64 KiB; the rest is for the job's own records and for conditions. */
+#define MOST_BYTES 40000
+#define BYTES_A_TASK 60
+#define BYTES_A_CHUNK 400
+#define CONDITIONS_AN_OP 4
+
+/* A chunk as the transaction leaves it. */
+typedef struct {
+  guint job;
+  guint index;
+  WsChunk *chunk;
+} Work;
+
+struct _WsDraft {
+  WsCore *core;
+  GPtrArray *works; /* of Work */
+  WsAmount *use;    /* of each team, as the transaction leaves it */
+  gboolean *touched;
+  GHashTable *room;   /* machine index -> WsAmount taken by this draft */
+  GHashTable *joined; /* index of each machine that gets a task */
+  guint ops;
+  guint conditions;
+  guint bytes;
+};
+
+static void
+work_free(gpointer data)
+{
+  Work *work = data;
+  ws_chunk_free(work->chunk);
+  g_free(work);
+}
+
+WsDraft *
+ws_draft_new(WsCore *core)
+{
+  guint teams = core->settings->teams->len;
+  WsDraft *draft = g_new0(WsDraft, 1);
+  draft->core = core;
+  draft->works = g_ptr_array_new_with_free_func(work_free);
+  draft->use = g_memdup2(core->book->team_use, sizeof(WsAmount) * MAX(teams, 1u));
+  draft->touched = g_new0(gboolean, MAX(teams, 1u));
+  draft->room = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+  draft->joined = g_hash_table_new(NULL, NULL);
+  draft->conditions = 1; /* the epoch */
+  return draft;
+}
+
+void
+ws_draft_free(WsDraft *draft)
+{
+  g_ptr_array_unref(draft->works);
+  g_free(draft->use);
+  g_free(draft->touched);
+  g_hash_table_unref(draft->room);
+  g_hash_table_unref(draft->joined);
+  g_free(draft);
+}
+
+gboolean
+ws_draft_is_empty(const WsDraft *draft)
+{
+  return draft->works->len == 0;
+}
+
+static Work *
+find_work(const WsDraft *draft, guint job, guint index)
+{
+  for (guint i = 0; i < draft->works->len; i++) {
+    Work *work = g_ptr_array_index(draft->works, i);
+    if (work->job == job && work->index == index)
+      return work;
+  }
+  return NULL;
+}
+
+static const WsChunk *
+chunk_after(const WsDraft *draft, const WsJob *job, guint index)
+{
+  const Work *work = find_work(draft, job->index, index);
+  return work != NULL ? work->chunk : ws_job_chunk(job, index * WS_CHUNK_TASKS);
+}
+
+/* What is done and what is on machines, as the draft leaves it. */
+static guint
+count_after(const WsDraft *draft, const WsJob *job, guint *on)
+{
+  guint done = 0;
+  *on = 0;
+  for (guint c = 0; c < ws_job_chunk_count(job); c++) {
+    const WsChunk *chunk = chunk_after(draft, job, c);
+    if (chunk == NULL)
+      continue;
+    done += chunk->done_count;
+    *on += chunk->on->len;
+  }
+  return done;
+}
+
+static gboolean
+all_chunks_matter(const WsJob *job)
+{
+  return job->spec->one_zone || job->spec->spread;
+}
+
+/* Takes room in the transaction for one more change of the task's chunk, or says that there is
+   none. spare_ops: for the job's own record, if this change ends it. */
+static gboolean
+reserve(WsDraft *draft, const WsJob *job, guint task, const WsMachine *joins, guint spare_ops)
+{
+  const WsSettings *settings = draft->core->settings;
+  guint index = task / WS_CHUNK_TASKS;
+  guint ops = spare_ops + (draft->touched[job->team] ? 0 : 1);
+  guint conditions = draft->touched[job->team] ? 0 : 1;
+  guint bytes = BYTES_A_TASK;
+  if (find_work(draft, job->index, index) == NULL) {
+    const WsChunk *chunk = ws_job_chunk(job, task);
+    ops++;
+    conditions += 1 + (all_chunks_matter(job) ? ws_job_chunk_count(job) : 1);
+    bytes += BYTES_A_CHUNK + BYTES_A_TASK * (chunk != NULL ? chunk->on->len : 0);
+  }
+  if (joins != NULL && !g_hash_table_contains(draft->joined, GUINT_TO_POINTER(joins->index)))
+    conditions++;
+  if (draft->ops + ops > settings->state_txn_ops
+      || draft->conditions + conditions > CONDITIONS_AN_OP * settings->state_txn_ops
+      || draft->bytes + bytes > MOST_BYTES)
+    return FALSE;
+  draft->ops += ops;
+  draft->conditions += conditions;
+  draft->bytes += bytes;
+  return TRUE;
+}
+
+static WsChunk *
+open_chunk(WsDraft *draft, const WsJob *job, guint task)
+{
+  guint index = task / WS_CHUNK_TASKS;
+  Work *work = find_work(draft, job->index, index);
+  if (work == NULL) {
+    work = g_new0(Work, 1);
+    *work = (Work){ job->index, index, ws_chunk_copy(ws_job_chunk(job, task)) };
+    g_ptr_array_add(draft->works, work);
+  }
+  return work->chunk;
+}
+
+static void
+use_team(WsDraft *draft, const WsJob *job, gint64 times)
+{
+  draft->touched[job->team] = TRUE;
+  ws_amount_add(&draft->use[job->team], &job->spec->need, times);
+}
+
+static WsAmount *
+taken(WsDraft *draft, guint machine)
+{
+  WsAmount *amount = g_hash_table_lookup(draft->room, GUINT_TO_POINTER(machine));
+  if (amount == NULL) {
+    amount = g_new0(WsAmount, 1);
+    g_hash_table_insert(draft->room, GUINT_TO_POINTER(machine), amount);
+  }
+  return amount;
+}
+
+/* Whether the release leaves the job with nothing to do. */
+static gboolean
+ends_job(const WsDraft *draft, const WsJob *job, gboolean done)
+{
+  guint on;
+  guint done_after = count_after(draft, job, &on) + (done ? 1 : 0);
+  return job->state == WS_JOB_ACTIVE ? done_after == job->tasks : on == 1;
+}
+
+WsDraftResult
+ws_draft_release(WsDraft *draft, const WsRelease *release)
+{
+  const WsJob *job = ws_book_job(draft->core->book, release->job);
+  const WsAssignment *a = job->spec != NULL ? ws_job_assignment(job, release->task) : NULL;
+  if (a == NULL || a->attempt != release->attempt)
+    return WS_DRAFT_UNWANTED; /* done, or somebody else's by now */
+  if (!reserve(draft, job, release->task, NULL, ends_job(draft, job, release->done) ? 1 : 0))
+    return WS_DRAFT_FULL;
+  WsChunk *chunk = open_chunk(draft, job, release->task);
+  ws_amount_add(taken(draft, a->machine), &job->spec->need, -1);
+  ws_chunk_remove(chunk, release->task);
+  use_team(draft, job, -1);
+  if (job->spec->kind == WS_KIND_GANG && !release->done)
+    chunk->attempts++;
+  guint bit = release->task % WS_CHUNK_TASKS;
+  if (release->done) {
+    chunk->done[bit / 8] |= (guint8)(1u << (bit % 8));
+    chunk->done_count++;
+  }
+  return WS_DRAFT_TAKEN;
+}
+
+/* Picks. */
+
+static void
+count_zones(const WsDraft *draft, const WsJob *job, guint *counts)
+{
+  const WsBook *book = draft->core->book;
+  for (guint c = 0; c < ws_job_chunk_count(job); c++) {
+    const WsChunk *chunk = chunk_after(draft, job, c);
+    for (guint i = 0; chunk != NULL && i < chunk->on->len; i++) {
+      const WsAssignment *a = &g_array_index(chunk->on, WsAssignment, i);
+      guint zone = ws_book_machine(book, a->machine)->zone;
+      if (zone != WS_NONE)
+        counts[zone]++;
+    }
+  }
+}
+
+static gboolean
+within_team(const WsDraft *draft, const WsJob *job)
+{
+  const WsTeamSettings *team = g_ptr_array_index(draft->core->settings->teams, job->team);
+  WsAmount use = draft->use[job->team];
+  ws_amount_add(&use, &job->spec->need, 1);
+  return ws_team_allows(team, &use);
+}
+
+static gboolean
+machine_has_room(WsDraft *draft, const WsMachine *machine, const WsJob *job)
+{
+  WsAmount room = ws_book_type(draft->core->book, machine->type)->room;
+  ws_amount_add(&room, &machine->used, -1);
+  ws_amount_add(&room, taken(draft, machine->index), -1);
+  return ws_amount_fits(&job->spec->need, &room);
+}
+
+static gboolean
+zone_has_room(const WsDraft *draft, const WsJob *job, guint zone)
+{
+  guint zones = draft->core->settings->zones->len;
+  if (!all_chunks_matter(job))
+    return TRUE;
+  g_autofree guint *counts = g_new0(guint, zones);
+  count_zones(draft, job, counts);
+  return ws_zone_allowed(job, counts, zones, zone);
+}
+
+static gboolean
+still_wanted(WsDraft *draft, const WsJob *job, const WsPick *pick)
+{
+  const WsMachine *machine = ws_book_machine(draft->core->book, pick->machine);
+  return job->state == WS_JOB_ACTIVE && job->spec != NULL && job->team != WS_NONE
+         && pick->task < job->tasks
+         && !ws_job_task_done(job, pick->task)
+         /* not even in this very transaction: two nodes may ask for the same task */
+         && ws_chunk_find(chunk_after(draft, job, pick->task / WS_CHUNK_TASKS), pick->task) == NULL
+         && ws_job_assignment(job, pick->task) == NULL && !ws_job_is_broken_gang(job)
+         && machine->stored && !machine->marked && !machine->marking
+         && ws_plan_allowed(draft->core->book, job->spec, job->zone, machine)
+         && machine_has_room(draft, machine, job) && within_team(draft, job)
+         && zone_has_room(draft, job, machine->zone);
+}
+
+WsDraftResult
+ws_draft_pick(WsDraft *draft, const WsPick *pick)
+{
+  const WsJob *job = ws_book_job(draft->core->book, pick->job);
+  if (!still_wanted(draft, job, pick))
+    return WS_DRAFT_UNWANTED;
+  if (!reserve(draft, job, pick->task, ws_book_machine(draft->core->book, pick->machine), 0))
+    return WS_DRAFT_FULL;
+  WsChunk *chunk = open_chunk(draft, job, pick->task);
+  WsAssignment assignment = { .task = pick->task, .machine = pick->machine };
+  if (job->spec->kind != WS_KIND_GANG || chunk->on->len == 0)
+    chunk->attempts++;
+  assignment.attempt = chunk->attempts;
+  assignment.at_ms = draft->core->wall;
+  ws_chunk_add(chunk, &assignment);
+  ws_amount_add(taken(draft, pick->machine), &job->spec->need, 1);
+  g_hash_table_add(draft->joined, GUINT_TO_POINTER(pick->machine));
+  use_team(draft, job, 1);
+  return WS_DRAFT_TAKEN;
+}
+
+/* Writing it down. */
+
+/* Ends a job with its last task, in the same transaction; its chunks of tasks go as far as the
+   transaction holds them. */
+static gboolean
+write_final(const WsDraft *draft, WsTxn *txn, const WsJob *job, GArray *ending)
+{
+  guint on;
+  guint done = count_after(draft, job, &on);
+  gboolean is_done = job->state == WS_JOB_ACTIVE && done == job->tasks;
+  if (!is_done && !(job->state == WS_JOB_CANCELLED && on == 0))
+    return FALSE;
+  g_autofree char *key = ws_key_job(job->id);
+  ws_txn_set(txn, key, ws_job_encode_final(job, is_done ? WS_JOB_DONE : WS_JOB_CANCELLED));
+  g_array_append_val(ending, job->index);
+  return TRUE;
+}
+
+/* The rules on zones hang on all of a job's chunks, so all are conditions then. */
+static void
+condition_on_job(const WsDraft *draft, WsTxn *txn, const WsJob *job)
+{
+  g_autofree char *key = ws_key_job(job->id);
+  ws_txn_if(txn, draft->core->book, key);
+  for (guint c = 0; c < ws_job_chunk_count(job); c++) {
+    if (!all_chunks_matter(job) && find_work(draft, job->index, c) == NULL)
+      continue;
+    g_autofree char *chunk = ws_key_chunk(job->id, c);
+    ws_txn_if(txn, draft->core->book, chunk);
+  }
+}
+
+static void
+write_job(const WsDraft *draft, WsTxn *txn, const WsJob *job, GArray *ending)
+{
+  condition_on_job(draft, txn, job);
+  gboolean is_final = write_final(draft, txn, job, ending);
+  for (guint i = 0; i < draft->works->len; i++) {
+    const Work *work = g_ptr_array_index(draft->works, i);
+    if (work->job != job->index)
+      continue;
+    g_autofree char *key = ws_key_chunk(job->id, work->index);
+    if (is_final)
+      ws_txn_remove(txn, key);
+    else
+      ws_txn_set(txn, key, ws_chunk_encode(work->chunk, draft->core->book));
+  }
+}
+
+static void
+write_teams(const WsDraft *draft, WsTxn *txn)
+{
+  const WsSettings *settings = draft->core->settings;
+  for (guint t = 0; t < settings->teams->len; t++) {
+    if (!draft->touched[t])
+      continue;
+    const WsTeamSettings *team = g_ptr_array_index(settings->teams, t);
+    g_autofree char *key = ws_key(WS_KEYS_TEAM, team->name);
+    ws_txn_if(txn, draft->core->book, key);
+    ws_txn_set(txn, key, ws_amount_encode(&draft->use[t]));
+  }
+}
+
+WsTxn *
+ws_draft_write(const WsDraft *draft, GArray *ending)
+{
+  WsCore *core = draft->core;
+  WsTxn *txn = ws_txn_new();
+  GHashTableIter iter;
+  gpointer machine;
+  ws_txn_if(txn, core->book, WS_KEY_EPOCH);
+  g_hash_table_iter_init(&iter, draft->joined);
+  while (g_hash_table_iter_next(&iter, &machine, NULL)) {
+    g_autofree char *mark
+        = ws_key(WS_KEYS_MARK, ws_book_machine(core->book, GPOINTER_TO_UINT(machine))->name);
+    ws_txn_if_version(txn, mark, 0);
+  }
+  for (guint i = 0; i < draft->works->len; i++) {
+    const Work *work = g_ptr_array_index(draft->works, i);
+    gboolean first = TRUE;
+    for (guint k = 0; k < i; k++)
+      first = first && ((Work *)g_ptr_array_index(draft->works, k))->job != work->job;
+    if (first)
+      write_job(draft, txn, ws_book_job(core->book, work->job), ending);
+  }
+  write_teams(draft, txn);
+  return txn;
+}
--- a/src/core/ws-fleet.c
+++ b/src/core/ws-fleet.c
@@ -11,8 +11,9 @@
 #define FIRST_NO_CAPACITY_MS 5000
 #define MOST_NO_CAPACITY_MS 40000
 #define RETRY_MS 1500
-/* What one transaction can give records to, along with the end of the intent. */
-#define MOST_A_RENTAL 10
+/* As many as the cloud gives at once. */
+#define MOST_A_RENTAL 50
+#define MOST_A_RETURN 100
 #define BOOT_PATIENCE 2.0
 
 typedef struct {
@@ -33,8 +34,10 @@
   gboolean returning;
   gint64 return_ms;
   guint return_backoff_ms;
+  gboolean clearing;
   WsTxn *intent; /* being drafted */
   gboolean intending;
+  guint64 adopted;        /* lots of machines that weren't expected */
   GHashTable *renting;    /* requests on their way */
   GHashTable *rent_retry; /* request -> time */
 };
@@ -102,15 +105,20 @@
   scarce->until_ms = core->now + scarce->backoff_ms;
 }
 
-/* Machines get their record. */
+/* Machines that weren't expected get a lot of their own: those of a kind share one. */
 
 static void
 on_adopted(WsCore *core, WsTxnResult result, gpointer data)
 {
-  WsMachine *machine = ws_book_machine(core->book, GPOINTER_TO_UINT(data));
-  machine->marking = FALSE;
-  if (result == WS_TXN_OK)
-    g_info("machine %s wasn't expected; it is used or given back", machine->name);
+  g_autoptr(GArray) machines = data;
+  for (guint i = 0; i < machines->len; i++) {
+    WsMachine *machine = ws_book_machine(core->book, g_array_index(machines, guint, i));
+    machine->marking = FALSE;
+    if (result == WS_TXN_OK)
+      g_info("machine %s wasn't expected; it is used or given back", machine->name);
+    else
+      machine->adopt = TRUE;
+  }
   core->plan_due = TRUE;
 }
 
@@ -120,16 +128,70 @@
   if (machine->marking || machine->type_name == NULL || machine->zone == WS_NONE
       || ws_fleet_gone(core, machine->name) || !ws_entitled(core))
     return;
-  machine->marking = TRUE;
-  g_autofree char *key = ws_key(WS_KEYS_MACHINE, machine->name);
+  machine->adopt = TRUE;
+  machine->at_ms = at_ms;
+}
+
+static gboolean
+belongs(const WsLot *lot, const WsMachine *machine)
+{
+  return strcmp(lot->type, machine->type_name) == 0 && lot->spot == machine->spot;
+}
+
+/* All machines of the kind that wait for a lot. */
+static WsLot *
+gather_lot(WsCore *core, const WsMachine *first, GArray *machines)
+{
+  const char *zone = g_ptr_array_index(core->settings->zones, first->zone);
+  WsLot *lot = g_new0(WsLot, 1);
+  lot->name
+      = g_strdup_printf("a-%" G_GUINT64_FORMAT "-%u-%" G_GUINT64_FORMAT, core->book->epoch.number,
+                        core->settings->self, ++core->fleet->adopted);
+  lot->type = g_strdup(first->type_name);
+  lot->zone = g_strdup(zone);
+  lot->spot = first->spot;
+  lot->at_ms = first->at_ms;
+  lot->machines = g_array_new(FALSE, FALSE, sizeof(guint));
+  for (guint i = first->index; i < core->book->machines->len; i++) {
+    WsMachine *machine = ws_book_machine(core->book, i);
+    if (!machine->adopt || machine->zone != first->zone || !belongs(lot, machine)
+        || lot->machines->len >= MOST_A_RENTAL)
+      continue;
+    machine->adopt = FALSE;
+    machine->marking = TRUE;
+    machine->marking_ms = core->now;
+    g_array_append_val(lot->machines, machine->index);
+    g_array_append_val(machines, machine->index);
+  }
+  return lot;
+}
+
+void
+ws_fleet_adopt_tick(WsCore *core)
+{
+  if (!ws_entitled(core) || !ws_store_ok(core))
+    return;
   WsTxn *txn = ws_txn_new();
+  GArray *machines = g_array_new(FALSE, FALSE, sizeof(guint));
   ws_txn_if(txn, core->book, WS_KEY_EPOCH);
-  ws_txn_if_version(txn, key, 0);
-  ws_txn_set(txn, key,
-             ws_machine_encode(machine->type_name,
-                               g_ptr_array_index(core->settings->zones, machine->zone),
-                               machine->spot, at_ms));
-  ws_txn_commit(core, txn, WS_FIRST_REST, on_adopted, GUINT_TO_POINTER(machine->index));
+  for (guint i = 0; i < core->book->machines->len; i++) {
+    WsMachine *machine = ws_book_machine(core->book, i);
+    if (machine->stored || ws_fleet_gone(core, machine->name))
+      machine->adopt = FALSE;
+    if (!machine->adopt || ws_txn_ops(txn) >= core->settings->state_txn_ops)
+      continue;
+    WsLot *lot = gather_lot(core, machine, machines);
+    g_autofree char *key = ws_key(WS_KEYS_LOT, lot->name);
+    ws_txn_if_version(txn, key, 0);
+    ws_txn_set(txn, key, ws_lot_encode(lot, core->book));
+    ws_lot_free(lot);
+  }
+  if (machines->len > 0) {
+    ws_txn_commit(core, txn, WS_FIRST_REST, on_adopted, machines);
+    return;
+  }
+  ws_txn_free(txn);
+  g_array_unref(machines);
 }
 
 /* Prices. */
@@ -196,31 +258,37 @@
   return FALSE;
 }
 
-void
-ws_fleet_need(WsCore *core, guint type, guint zone, gboolean spot, guint machines)
+static void
+intend_one(WsCore *core, guint type, guint zone, gboolean spot, guint machines)
 {
   WsFleet *fleet = core->fleet;
-  if (fleet->intending || has_unsent(core))
-    return;
-  if (fleet->intent == NULL) {
-    fleet->intent = ws_txn_new();
-    ws_txn_if(fleet->intent, core->book, WS_KEY_EPOCH);
-  }
-  if (ws_txn_ops(fleet->intent) >= core->settings->state_txn_ops)
-    return;
   g_autofree char *request = g_strdup_printf("r-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT,
                                              core->book->epoch.number, ++fleet->requests);
   g_autofree char *key = ws_key(WS_KEYS_RENT, request);
   WsRent rent = { .type = ws_book_type(core->book, type)->name,
                   .zone = g_ptr_array_index(core->settings->zones, zone),
                   .spot = spot,
-                  .count = MIN(machines, MOST_A_RENTAL) };
+                  .count = machines };
   g_info("renting %u %s machines of type %s in %s", rent.count, spot ? "spot" : "ordinary",
          rent.type, rent.zone);
   ws_txn_if_version(fleet->intent, key, 0);
   ws_txn_set(fleet->intent, key, ws_rent_encode(&rent));
 }
 
+void
+ws_fleet_need(WsCore *core, guint type, guint zone, gboolean spot, guint machines)
+{
+  WsFleet *fleet = core->fleet;
+  if (fleet->intending || has_unsent(core))
+    return;
+  if (fleet->intent == NULL) {
+    fleet->intent = ws_txn_new();
+    ws_txn_if(fleet->intent, core->book, WS_KEY_EPOCH);
+  }
+  for (guint left = machines; left > 0 && ws_txn_ops(fleet->intent) < core->settings->state_txn_ops;
+       left -= MIN(left, MOST_A_RENTAL))
+    intend_one(core, type, zone, spot, MIN(left, MOST_A_RENTAL));
+}
 void
 ws_fleet_intend(WsCore *core)
 {
@@ -261,22 +329,29 @@
   g_free(request);
 }
 
-/* The intent goes and the machines get their records in one transaction. */
+/* The intent goes and the machines get their lot in one transaction. */
 static void
 close_rent(WsCore *core, const WsRent *rent, GPtrArray *names)
 {
   g_autofree char *key = ws_key(WS_KEYS_RENT, rent->request);
-  WsTxn *txn = ws_txn_new();
-  ws_txn_if(txn, core->book, WS_KEY_EPOCH);
-  ws_txn_remove(txn, key);
+  g_autofree char *lot_key = ws_key(WS_KEYS_LOT, rent->request);
+  g_autoptr(GArray) machines = g_array_new(FALSE, FALSE, sizeof(guint));
   for (guint i = 0; names != NULL && i < names->len; i++) {
     const char *name = g_ptr_array_index(names, i);
-    g_autofree char *record = ws_key(WS_KEYS_MACHINE, name);
-    if (ws_book_version(core->book, record) == 0 && !ws_fleet_gone(core, name)) {
-      ws_txn_if_version(txn, record, 0);
-      ws_txn_set(txn, record, ws_machine_encode(rent->type, rent->zone, rent->spot, core->wall));
-    }
+    guint machine = ws_book_get_machine(core->book, name)->index;
+    if (!ws_fleet_gone(core, name))
+      g_array_append_val(machines, machine);
   }
+  WsLot lot = { .type = rent->type,
+                .zone = rent->zone,
+                .spot = rent->spot,
+                .at_ms = core->wall,
+                .machines = machines };
+  WsTxn *txn = ws_txn_new();
+  ws_txn_if(txn, core->book, WS_KEY_EPOCH);
+  ws_txn_remove(txn, key);
+  if (machines->len > 0)
+    ws_txn_set(txn, lot_key, ws_lot_encode(&lot, core->book));
   ws_txn_commit(core, txn, WS_FIRST_TASK, on_rent_closed, g_strdup(rent->request));
 }
 
@@ -381,6 +456,7 @@
 on_cleared(WsCore *core, WsTxnResult result, gpointer data)
 {
   g_autoptr(GArray) machines = data;
+  core->fleet->clearing = FALSE;
   for (guint i = 0; i < machines->len; i++) {
     WsMachine *machine = ws_book_machine(core->book, g_array_index(machines, guint, i));
     machine->marking = FALSE;
@@ -389,20 +465,71 @@
   }
 }
 
-/* Marks that are over go with the records of their machines, many in one transaction. */
+static gboolean
+is_in(const GArray *machines, guint machine)
+{
+  for (guint i = 0; i < machines->len; i++)
+    if (g_array_index(machines, guint, i) == machine)
+      return TRUE;
+  return FALSE;
+}
+
+/* The lot without the machines, or its end. */
+static void
+shrink_lot(WsCore *core, WsTxn *txn, const WsLot *lot, const GArray *without)
+{
+  g_autofree char *key = ws_key(WS_KEYS_LOT, lot->name);
+  g_autoptr(GArray) left = g_array_new(FALSE, FALSE, sizeof(guint));
+  for (guint i = 0; i < lot->machines->len; i++) {
+    guint machine = g_array_index(lot->machines, guint, i);
+    if (!is_in(without, machine))
+      g_array_append_val(left, machine);
+  }
+  if (left->len == lot->machines->len)
+    return;
+  WsLot smaller = *lot;
+  smaller.machines = left;
+  ws_txn_if(txn, core->book, key);
+  if (left->len > 0)
+    ws_txn_set(txn, key, ws_lot_encode(&smaller, core->book));
+  else
+    ws_txn_remove(txn, key);
+}
+
+/* How many lots would change. */
+static guint
+lots_of(const WsCore *core, const GArray *machines)
+{
+  guint count = 0;
+  for (guint i = 0; i < core->book->lots->len; i++) {
+    const WsLot *lot = g_ptr_array_index(core->book->lots, i);
+    gboolean any = FALSE;
+    for (guint k = 0; k < lot->machines->len && !any; k++)
+      any = is_in(machines, g_array_index(lot->machines, guint, k));
+    count += any ? 1 : 0;
+  }
+  return count;
+}
+
+/* Marks that are over go with their machines' place in their lots, many in one transaction. */
 static void
 clear_marks(WsCore *core, GArray *machines /* taken */)
 {
+  while (machines->len > 1
+         && machines->len + lots_of(core, machines) > core->settings->state_txn_ops)
+    g_array_set_size(machines, machines->len - 1);
   WsTxn *txn = ws_txn_new();
   ws_txn_if(txn, core->book, WS_KEY_EPOCH);
   for (guint i = 0; i < machines->len; i++) {
     WsMachine *machine = ws_book_machine(core->book, g_array_index(machines, guint, i));
     g_autofree char *mark = ws_key(WS_KEYS_MARK, machine->name);
-    g_autofree char *record = ws_key(WS_KEYS_MACHINE, machine->name);
     machine->marking = TRUE;
+    machine->marking_ms = core->now;
     ws_txn_remove(txn, mark);
-    ws_txn_remove(txn, record);
   }
+  for (guint i = 0; i < core->book->lots->len; i++)
+    shrink_lot(core, txn, g_ptr_array_index(core->book->lots, i), machines);
+  core->fleet->clearing = TRUE;
   ws_txn_commit(core, txn, WS_FIRST_REST, on_cleared, machines);
 }
 
@@ -428,10 +555,10 @@
     if (!machine->marked || machine->marking || !ws_fleet_gone(core, machine->name))
       continue;
     release_all(core, machine);
-    if (machine->tasks->len == 0 && 2 * (over->len + 1) <= core->settings->state_txn_ops)
+    if (machine->tasks->len == 0 && over->len < core->settings->state_txn_ops)
       g_array_append_val(over, machine->index);
   }
-  if (over->len > 0)
+  if (over->len > 0 && !core->fleet->clearing)
     clear_marks(core, over);
   else
     g_array_unref(over);
@@ -467,7 +594,7 @@
   for (guint i = 0; i < core->book->machines->len; i++) {
     const WsMachine *machine = ws_book_machine(core->book, i);
     if (machine->marked && !ws_fleet_gone(core, machine->name)
-        && (machine->mark_now || machine->tasks->len == 0) && names->len < 100)
+        && (machine->mark_now || machine->tasks->len == 0) && names->len < MOST_A_RETURN)
       g_ptr_array_add(names, g_strdup(machine->name));
   }
   if (names->len == 0 || fleet->returning || core->now < fleet->return_ms
--- a/src/core/ws-giveback.c
+++ b/src/core/ws-giveback.c
@@ -8,6 +8,8 @@
 
 #include <string.h>
 
+#define HANDED_IN_MS 5000
+
 static const WsBudget *
 budget_for(const WsCore *core, const WsMachine *machine)
 {
@@ -30,13 +32,13 @@
     return TRUE;
   for (guint i = 0; i < core->book->machines->len; i++) {
     const WsMachine *other = ws_book_machine(core->book, i);
-    if (!other->stored || other->zone != machine->zone
+    if (!other->stored || other == machine || other->zone != machine->zone
         || g_strcmp0(other->type_name, machine->type_name) != 0)
       continue;
     total++;
     unavailable += other->marked || other->marking || !ws_machine_up(core, other) ? 1 : 0;
   }
-  return unavailable + 1 <= ws_budget_allowed(budget, total);
+  return unavailable + 1 <= ws_budget_allowed(budget, total + 1);
 }
 
 /* A cut makes every machine of the zone unavailable; nothing is given back there until it heals.
@@ -61,42 +63,111 @@
 typedef struct {
   guint machine;
   char *why;
+  gboolean now;
 } Marking;
 
+struct _WsGiveback {
+  GArray *wanted;  /* of Marking: the leader writes them, many in one transaction */
+  GArray *writing; /* of Marking */
+};
+
+static void
+marking_clear(gpointer data)
+{
+  g_free(((Marking *)data)->why);
+}
+
+static GArray *
+markings_new(void)
+{
+  GArray *markings = g_array_new(FALSE, FALSE, sizeof(Marking));
+  g_array_set_clear_func(markings, marking_clear);
+  return markings;
+}
+
+WsGiveback *
+ws_giveback_new(void)
+{
+  WsGiveback *giveback = g_new0(WsGiveback, 1);
+  giveback->wanted = markings_new();
+  giveback->writing = markings_new();
+  return giveback;
+}
+
+void
+ws_giveback_free(WsGiveback *giveback)
+{
+  g_array_unref(giveback->wanted);
+  g_array_unref(giveback->writing);
+  g_free(giveback);
+}
+
 static void
 on_marked(WsCore *core, WsTxnResult result, gpointer data)
 {
-  Marking *marking = data;
-  WsMachine *machine = ws_book_machine(core->book, marking->machine);
-  machine->marking = FALSE;
+  (void)data;
+  GArray *writing = core->giveback->writing;
+  for (guint i = 0; i < writing->len; i++) {
+    const Marking *marking = &g_array_index(writing, Marking, i);
+    WsMachine *machine = ws_book_machine(core->book, marking->machine);
+    machine->marking = FALSE;
+    if (result == WS_TXN_OK)
+      g_info("machine %s (%s, %s, %u tasks) is marked: %s", machine->name,
+             machine->spot ? "spot" : "ordinary",
+             machine->zone != WS_NONE
+                 ? (char *)g_ptr_array_index(core->settings->zones, machine->zone)
+                 : "no zone",
+             machine->tasks->len, marking->why);
+  }
+  g_array_set_size(writing, 0);
   core->plan_due = TRUE;
-  if (result == WS_TXN_OK)
-    g_info("machine %s (%s, %s, %u tasks) is marked: %s", machine->name,
-           machine->spot ? "spot" : "ordinary",
-           machine->zone != WS_NONE
-               ? (char *)g_ptr_array_index(core->settings->zones, machine->zone)
-               : "no zone",
-           machine->tasks->len, marking->why);
-  g_free(marking->why);
-  g_free(marking);
 }
 
+/* An owner's election is handed in to the leader, who alone writes marks. */
 void
 ws_giveback_mark(WsCore *core, WsMachine *machine, const char *why, gboolean now)
 {
   if (machine->marking || (machine->marked && (!now || machine->mark_now)) || !ws_store_ok(core))
     return;
   machine->marking = TRUE;
-  Marking *marking = g_new0(Marking, 1);
-  *marking = (Marking){ machine->index, g_strdup(why) };
-  g_autofree char *key = ws_key(WS_KEYS_MARK, machine->name);
-  g_autofree char *record = ws_key(WS_KEYS_MACHINE, machine->name);
+  machine->marking_ms = core->now;
+  if (!ws_is_leader(core)) {
+    ws_ask_mark(core, machine, why, now);
+    return;
+  }
+  Marking marking = { machine->index, g_strdup(why), now };
+  g_array_append_val(core->giveback->wanted, marking);
+}
+
+void
+ws_giveback_pump(WsCore *core)
+{
+  WsGiveback *giveback = core->giveback;
+  if (giveback->wanted->len == 0 || giveback->writing->len > 0)
+    return;
   WsTxn *txn = ws_txn_new();
   ws_txn_if(txn, core->book, WS_KEY_EPOCH);
-  ws_txn_if(txn, core->book, key);
-  ws_txn_if(txn, core->book, record);
-  ws_txn_set(txn, key, ws_mark_encode(why, now));
-  ws_txn_commit(core, txn, WS_FIRST_REST, on_marked, marking);
+  while (giveback->wanted->len > 0 && ws_txn_ops(txn) < core->settings->state_txn_ops) {
+    Marking marking = g_array_index(giveback->wanted, Marking, 0);
+    WsMachine *machine = ws_book_machine(core->book, marking.machine);
+    /* Two owners may have elected at once what the budget allows only one of. */
+    if (!machine->stored || !ws_is_leader(core)
+        || (!marking.now && strcmp(marking.why, "notice") != 0 && !budget_allows(core, machine))) {
+      machine->marking = FALSE;
+      g_array_remove_index(giveback->wanted, 0);
+      continue;
+    }
+    g_autofree char *key = ws_key(WS_KEYS_MARK, machine->name);
+    ws_txn_if(txn, core->book, key);
+    ws_txn_set(txn, key, ws_mark_encode(marking.why, marking.now));
+    marking.why = g_strdup(marking.why);
+    g_array_append_val(giveback->writing, marking);
+    g_array_remove_index(giveback->wanted, 0);
+  }
+  if (giveback->writing->len > 0)
+    ws_txn_commit(core, txn, WS_FIRST_TASK, on_marked, NULL);
+  else
+    ws_txn_free(txn);
 }
 
 /* Stops go one at a time per service, and back off while one of its tasks is down already. */
@@ -147,6 +218,8 @@
 static void
 tend(WsCore *core, WsMachine *machine)
 {
+  if (machine->marking && core->now - machine->marking_ms > HANDED_IN_MS)
+    machine->marking = FALSE; /* nothing came of it */
   if (machine->notice_ms > 0 && !machine->marked)
     ws_giveback_mark(core, machine, "notice", FALSE);
   else if (machine->bad_jobs >= 2 && !machine->marked)
--- a/src/core/ws-merge.c
+++ b/src/core/ws-merge.c
@@ -3,6 +3,9 @@
    image is there already, when nothing waits for room, and for one machine at a time. */
 #include "core/ws-core-private.h"
 
+/* Machines looked at in one tick: each is held against all others. */
+#define MOST_LOOKS 4
+
 static gboolean
 is_quiet(const WsCore *core)
 {
@@ -84,6 +87,7 @@
 ws_merge_tick(WsCore *core)
 {
   gint64 hold_ms = (gint64)(core->properties->hold_s * 1000.0);
+  guint looked = 0;
   if (core->book->catalog == NULL || !is_quiet(core))
     return;
   for (guint i = 0; i < core->book->machines->len; i++) {
@@ -96,9 +100,13 @@
     }
     if (machine->sparse_ms == 0)
       machine->sparse_ms = core->now;
-    if (core->now - machine->sparse_ms < hold_ms || !fits_elsewhere(core, machine)
-        || !ws_giveback_allowed(core, machine))
+    if (core->now - machine->sparse_ms < hold_ms || looked >= MOST_LOOKS)
+      continue;
+    looked++;
+    if (!fits_elsewhere(core, machine) || !ws_giveback_allowed(core, machine)) {
+      machine->sparse_ms = core->now; /* the others have their turn first */
       continue;
+    }
     ws_giveback_mark(core, machine, "merge", FALSE);
     return;
   }
--- a/src/core/ws-mesh.c
+++ b/src/core/ws-mesh.c
@@ -37,7 +37,32 @@
   return FALSE;
 }
 
-/* Gossip. */
+gboolean
+ws_mesh_cut_off(const WsCore *core)
+{
+  if (ws_store_ok(core))
+    return FALSE;
+  for (guint n = 0; n < core->settings->nodes->len; n++)
+    if (n != core->settings->self && ws_mesh_reaches(core, n))
+      return FALSE;
+  return core->settings->nodes->len > 1;
+}
+
+/* Gossip. A node tells each peer what has changed about its machines since what the peer has
+   acknowledged; all of it at first, after a restart and in a new epoch, when machines have other
+   owners. A delta that was lost shows in the next acknowledgement. */
+
+#define SAID_UP 1u
+#define SAID_NOTICE 2u
+
+void
+ws_mesh_new_epoch(WsCore *core)
+{
+  for (guint n = 0; n < core->settings->nodes->len; n++) {
+    core->peers[n].acked = 0;
+    core->peers[n].has = 0;
+  }
+}
 
 static json_t *
 encode_machine(const WsCore *core, const WsMachine *machine)
@@ -47,14 +72,26 @@
     json_array_append_new(
         images,
         json_string(ws_names_get(&core->book->images, g_array_index(machine->images, guint, i))));
-  return json_pack("{s:s, s:I, s:s, s:b, s:o}", "name", machine->name, "age_ms",
-                   (json_int_t)(core->now - machine->heard_ms), "endpoint",
+  return json_pack("{s:s, s:b, s:s, s:b, s:o}", "name", machine->name, "up",
+                   machine->said & SAID_UP, "endpoint",
                    machine->endpoint != NULL ? machine->endpoint : "", "notice",
-                   machine->notice_ms > 0, "images", images);
+                   machine->said & SAID_NOTICE, "images", images);
+}
+
+static void
+note_news(WsCore *core, WsMachine *machine)
+{
+  guint said = (ws_machine_up(core, machine) && !ws_machine_deaf(core, machine) ? SAID_UP : 0u)
+               | (machine->notice_ms > 0 ? SAID_NOTICE : 0u);
+  if (said == machine->said && !machine->has_news)
+    return;
+  machine->said = said;
+  machine->has_news = FALSE;
+  machine->said_rev = ++core->gossip_rev;
 }
 
 static json_t *
-encode_gossip(const WsCore *core)
+encode_gossip(WsCore *core, const WsPeer *peer)
 {
   guint reaches = 0;
   json_t *machines = json_array();
@@ -62,15 +99,19 @@
     if (ws_mesh_reaches(core, n))
       reaches |= 1u << n;
   for (guint i = 0; i < core->book->machines->len; i++) {
-    const WsMachine *machine = ws_book_machine(core->book, i);
-    if (machine->stored && ws_machine_up(core, machine) && ws_owns(core, machine))
+    WsMachine *machine = ws_book_machine(core->book, i);
+    if (!machine->stored || !ws_owns(core, machine))
+      continue;
+    note_news(core, machine);
+    if (machine->said_rev > peer->acked)
       json_array_append_new(machines, encode_machine(core, machine));
   }
-  return json_pack("{s:s, s:I, s:b, s:i, s:b, s:o}", "node",
-                   ws_settings_node(core->settings, core->settings->self)->name, "epoch",
-                   (json_int_t)core->book->epoch.number, "store",
-                   ws_store_loaded(core) && ws_store_ok(core), "reaches", (int)reaches,
-                   "wants_epoch", core->wants_epoch, "machines", machines);
+  return json_pack(
+      "{s:s, s:I, s:b, s:i, s:b, s:I, s:I, s:I, s:o}", "node",
+      ws_settings_node(core->settings, core->settings->self)->name, "epoch",
+      (json_int_t)core->book->epoch.number, "store", ws_store_loaded(core) && ws_store_ok(core),
+      "reaches", (int)reaches, "wants_epoch", core->wants_epoch, "base", (json_int_t)peer->acked,
+      "rev", (json_int_t)core->gossip_rev, "ack", (json_int_t)peer->has, "machines", machines);
 }
 
 static void
@@ -93,22 +134,46 @@
 take_machine(WsCore *core, const json_t *item)
 {
   const char *name, *endpoint;
-  guint64 age;
-  gboolean notice;
-  if (!ws_json_string(item, "name", &name) || !ws_json_count(item, "age_ms", &age)
+  gboolean up, notice;
+  if (!ws_json_string(item, "name", &name) || !ws_json_bool(item, "up", &up)
       || !ws_json_string(item, "endpoint", &endpoint) || !ws_json_bool(item, "notice", &notice))
     return;
   WsMachine *machine = ws_book_find_machine(core->book, name);
   if (machine == NULL || ws_owns(core, machine))
     return;
-  gint64 heard_ms = core->now - (gint64)age;
-  machine->heard_ms = MAX(machine->heard_ms, MAX(heard_ms, 1));
-  if (machine->up_ms == 0)
+  machine->peer_up = up;
+  if (up && machine->up_ms == 0)
     machine->up_ms = core->now;
   if (machine->endpoint == NULL && *endpoint != '\0')
     machine->endpoint = g_strdup(endpoint);
   machine->notice_ms = notice ? MAX(machine->notice_ms, core->now) : 0;
   take_images(core, machine, json_object_get(item, "images"));
+  core->plan_due = TRUE;
+}
+
+/* Machines that their owner called up are up for as long as it says nothing else. */
+static void
+take_machines(WsCore *core, guint node, const json_t *message)
+{
+  WsPeer *peer = &core->peers[node];
+  guint64 base, rev;
+  size_t i;
+  const json_t *item;
+  if (!ws_json_count(message, "base", &base) || !ws_json_count(message, "rev", &rev)
+      || !ws_json_count(message, "ack", &peer->acked))
+    return;
+  for (guint m = 0; base == 0 && m < core->book->machines->len; m++)
+    if (ws_book_machine(core->book, m)->owner == node)
+      ws_book_machine(core->book, m)->peer_up = FALSE;
+  if (base == 0 || base == peer->has) {
+    json_array_foreach(json_object_get(message, "machines"), i, item) take_machine(core, item);
+    peer->has = rev;
+  }
+  for (guint m = 0; m < core->book->machines->len; m++) {
+    WsMachine *machine = ws_book_machine(core->book, m);
+    if (machine->owner == node && machine->peer_up)
+      machine->heard_ms = core->now;
+  }
 }
 
 static void
@@ -129,11 +194,11 @@
   peer->epoch = epoch;
   peer->store_ok = store;
   peer->reaches = (guint)reaches;
-  if (wants_epoch && epoch == core->book->epoch.number && ws_is_leader(core))
+  if (epoch != core->book->epoch.number || epoch != core->epoch_seen)
+    return;
+  if (wants_epoch && ws_is_leader(core))
     core->wants_epoch = TRUE;
-  size_t i;
-  const json_t *item;
-  json_array_foreach(json_object_get(message, "machines"), i, item) take_machine(core, item);
+  take_machines(core, node, message);
 }
 
 static void
@@ -149,6 +214,8 @@
 void
 ws_mesh_tick(WsCore *core)
 {
+  if (!ws_mesh_cut_off(core))
+    core->seen_from_outside = FALSE;
   for (guint n = 0; n < core->settings->nodes->len; n++) {
     WsPeer *peer = &core->peers[n];
     if (n == core->settings->self || peer->in_flight || core->now - peer->sent_ms < GOSSIP_MS
@@ -157,76 +224,10 @@
     peer->in_flight = TRUE;
     peer->sent_ms = core->now;
     ws_call(core, "POST", ws_settings_node(core->settings, n)->endpoint, "/gossip",
-            encode_gossip(core), GOSSIP_TIMEOUT_MS, on_gossip, GUINT_TO_POINTER(n));
+            encode_gossip(core, peer), GOSSIP_TIMEOUT_MS, on_gossip, GUINT_TO_POINTER(n));
   }
 }
 
-/* Asks. */
-
-static void
-on_asked(WsCore *core, guint status, const json_t *body, gpointer data)
-{
-  (void)body;
-  if (status != 200)
-    g_info("%s took no ask (status %u)",
-           ws_settings_node(core->settings, GPOINTER_TO_UINT(data))->name, status);
-}
-
-void
-ws_mesh_ask(WsCore *core, guint owner, json_t *ask)
-{
-  json_object_set_new(ask, "epoch", json_integer((json_int_t)core->book->epoch.number));
-  ws_call(core, "POST", ws_settings_node(core->settings, owner)->endpoint, "/ask", ask, 1000,
-          on_asked, GUINT_TO_POINTER(owner));
-}
-
-static void
-take_pick(WsCore *core, const json_t *item)
-{
-  const char *id = json_string_value(json_array_get(item, 0));
-  const char *name = json_string_value(json_array_get(item, 2));
-  json_int_t task = json_integer_value(json_array_get(item, 1));
-  WsJob *job = id != NULL ? ws_book_find_job(core->book, id) : NULL;
-  WsMachine *machine = name != NULL ? ws_book_find_machine(core->book, name) : NULL;
-  if (job != NULL && machine != NULL && job->spec != NULL && task >= 0
-      && task < (json_int_t)job->tasks)
-    ws_assign_pick(core, job->index, (guint)task, machine->index);
-}
-
-static void
-take_stop(WsCore *core, const json_t *item)
-{
-  const char *id = json_string_value(json_array_get(item, 0));
-  WsJob *job = id != NULL ? ws_book_find_job(core->book, id) : NULL;
-  if (job == NULL || job->spec == NULL)
-    return;
-  WsAssignment *a = ws_job_assignment(job, (guint)json_integer_value(json_array_get(item, 1)));
-  if (a == NULL || a->stopping || a->attempt != (guint64)json_integer_value(json_array_get(item, 2))
-      || !ws_owns(core, ws_book_machine(core->book, a->machine)))
-    return;
-  a->stopping = TRUE;
-  ws_workers_halt_now(core, job, a);
-}
-
-static void
-take_ask(WsCore *core, const json_t *message, gpointer request)
-{
-  guint64 epoch;
-  size_t i;
-  const json_t *item;
-  if (!ws_json_count(message, "epoch", &epoch)) {
-    ws_answer_reason(core, request, 400, "epoch is missing");
-    return;
-  }
-  if (!ws_entitled(core) || epoch != core->book->epoch.number) {
-    ws_answer_later(core, request, 1);
-    return;
-  }
-  json_array_foreach(json_object_get(message, "picks"), i, item) take_pick(core, item);
-  json_array_foreach(json_object_get(message, "stops"), i, item) take_stop(core, item);
-  ws_answer(core, request, 200, json_object(), 0);
-}
-
 /* Reports passed on. The answer of the owner goes back to the worker as it is; if the owner can't
    be reached directly, the third node is tried, and if nobody answers in time the worker still
    gets our token, which keeps its tasks alive. */
@@ -339,15 +340,28 @@
   }
 }
 
+static void
+answer_gossip(WsCore *core, const json_t *message, gpointer request)
+{
+  const char *name = NULL;
+  (void)ws_json_string(message, "node", &name);
+  guint node = ws_settings_find_node(core->settings, name);
+  if (node == WS_NONE || node == core->settings->self) {
+    ws_answer_reason(core, request, 400, "node is missing or unknown");
+    return;
+  }
+  take_gossip(core, message);
+  ws_answer(core, request, 200, encode_gossip(core, &core->peers[node]), 0);
+}
+
 void
 ws_mesh_request(WsCore *core, const char *path, const char *body, gsize length, gpointer request)
 {
   g_autoptr(json_t) message = ws_json_parse(body, length);
   if (strcmp(path, "/gossip") == 0) {
-    take_gossip(core, message);
-    ws_answer(core, request, 200, encode_gossip(core), 0);
+    answer_gossip(core, message, request);
   } else if (strcmp(path, "/ask") == 0) {
-    take_ask(core, message, request);
+    ws_ask_taken(core, message, request);
   } else if (strcmp(path, "/relay") == 0) {
     take_relay(core, message, request);
   } else {
--- a/src/core/ws-order.c
+++ b/src/core/ws-order.c
@@ -5,6 +5,11 @@
 #define HOPE 0.6
 /* Seconds of work that a second of waiting outweighs, so that large jobs don't starve. */
 #define PATIENCE 5.0
+/* A job that has waited so long for its first task comes before guarantees and priorities, critical
+   work excepted; one that is still not done after the second bound isn't given up as late any more.
+   Whatever favours small or late jobs, age wins in the end. */
+#define BEGIN_WITHIN_S 120.0
+#define NOT_GIVEN_UP_S 150.0
 
 /* A job is within its team's guarantee when it fits there with the team's earlier open jobs. */
 static gint
@@ -46,7 +51,8 @@
   double waited_s = (double)(core->wall - job->at_ms) / 1000.0;
   double end_s = waited_s + HOPE * shortest_s(core, job, left);
   waiting->weight = job->spec->estimate_s * (left - job->on_count) - PATIENCE * waited_s;
-  if (within_s >= 0.0)
+  waiting->is_overdue = waited_s > BEGIN_WITHIN_S && job->on_count == 0 && job->done_count == 0;
+  if (within_s >= 0.0 && waited_s < MAX(NOT_GIVEN_UP_S, 2.0 * within_s))
     waiting->lateness = end_s <= within_s ? 0 : end_s <= 1.5 * within_s ? 1 : 2;
 }
 
@@ -85,6 +91,10 @@
       = (second->job->spec->priority == WS_CRITICAL) - (first->job->spec->priority == WS_CRITICAL);
   if (critical != 0)
     return critical;
+  if (first->is_overdue != second->is_overdue)
+    return first->is_overdue ? -1 : 1;
+  if (first->is_overdue)
+    return by_age(a, b);
   if (first->job->guaranteed != second->job->guaranteed)
     return first->job->guaranteed ? -1 : 1;
   if (first->job->spec->priority != second->job->spec->priority)
--- /dev/null
+++ b/src/core/ws-place.c
@@ -0,0 +1,329 @@
+#include "core/ws-place.h"
+
+/* What a machine is worth to a task. */
+#define IMAGE_THERE 100.0
+#define SPOT 30.0
+#define STAYS_ANYWAY 45.0
+#define PACKED_GPUS 20.0
+#define PACKED_CPUS 5.0
+#define SAME_ZONE 25.0
+#define SAME_MACHINE 25.0
+#define IMAGE_COMING 50.0
+#define OTHER_FETCH 20.0
+#define IMAGE_FOR_VICTIM 20.0
+
+typedef struct {
+  guint machine;
+  double value;
+  gboolean spent; /* no longer has room, or has a task of this very service already */
+} Candidate;
+
+struct _WsPlaces {
+  WsRoomMap *map;
+  const WsJob *job;
+  guint *counts;
+  GArray *kinds[WS_ROOM_KINDS]; /* of Candidate, the best first; NULL: not looked for yet */
+};
+
+/* What is there. */
+
+static gboolean
+is_usable(const WsCore *core, const WsMachine *machine)
+{
+  return machine->stored && machine->type != WS_NONE && !machine->marked && !machine->marking
+         && machine->notice_ms == 0 && machine->bad_jobs < 2 && ws_machine_up(core, machine)
+         && !ws_machine_deaf(core, machine) && machine->owner != WS_NONE;
+}
+
+static void
+take_handed_in(const WsJob *job, guint machine, gpointer data)
+{
+  WsRoomMap *map = data;
+  if (job->spec != NULL)
+    ws_amount_add(&map->slots[machine].free, &job->spec->need, -1);
+}
+
+static void
+look_at(WsRoomMap *map, const WsMachine *machine)
+{
+  const WsBook *book = map->core->book;
+  WsSlot *slot = &map->slots[machine->index];
+  gboolean has_array = FALSE, is_freed = FALSE;
+  slot->usable = TRUE;
+  slot->free = ws_book_type(book, machine->type)->room;
+  ws_amount_add(&slot->free, &machine->used, -1);
+  for (guint k = 0; k < machine->tasks->len; k++) {
+    const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, k);
+    const WsJob *job = ws_book_job(book, ref->job);
+    const WsAssignment *a = ws_job_assignment(job, ref->task);
+    has_array = has_array || job->spec->kind == WS_KIND_ARRAY;
+    slot->has_service = slot->has_service || job->spec->kind == WS_KIND_SERVICE;
+    if (a == NULL || !(a->stopping || job->state == WS_JOB_CANCELLED))
+      continue;
+    ws_amount_add(&slot->coming, &job->spec->need, 1);
+    is_freed = TRUE;
+  }
+  if (has_array)
+    g_array_append_val(map->busy, machine->index);
+  if (is_freed)
+    g_array_append_val(map->coming, machine->index);
+}
+
+static void
+look_at_victims(WsRoomMap *map)
+{
+  const WsBook *book = map->core->book;
+  for (guint i = 0; i < book->active->len; i++) {
+    const WsJob *job = g_ptr_array_index(book->active, i);
+    if (job->on_count == 0 || job->spec->kind != WS_KIND_ARRAY)
+      continue;
+    map->lowest = MAX(map->lowest, (guint)job->spec->priority);
+    map->borrowing = map->borrowing || !job->guaranteed;
+  }
+}
+
+void
+ws_room_map_init(WsRoomMap *map, WsCore *core)
+{
+  const WsBook *book = core->book;
+  *map = (WsRoomMap){ .core = core };
+  map->slots = g_new0(WsSlot, MAX(book->machines->len, 1u));
+  map->open = g_array_new(FALSE, FALSE, sizeof(guint));
+  map->coming = g_array_new(FALSE, FALSE, sizeof(guint));
+  map->busy = g_array_new(FALSE, FALSE, sizeof(guint));
+  for (guint i = 0; i < book->machines->len; i++) {
+    const WsMachine *machine = ws_book_machine(book, i);
+    if (is_usable(core, machine))
+      look_at(map, machine);
+  }
+  ws_assign_each_handed_in(core, take_handed_in, map);
+  for (guint i = 0; i < book->machines->len; i++) {
+    const WsAmount *free = &map->slots[i].free;
+    if (map->slots[i].usable && free->cpus > 0 && free->memory > 0)
+      g_array_append_val(map->open, i);
+  }
+  map->steps = book->machines->len;
+  look_at_victims(map);
+}
+
+void
+ws_room_map_clear(WsRoomMap *map)
+{
+  g_array_unref(map->open);
+  g_array_unref(map->coming);
+  g_array_unref(map->busy);
+  g_free(map->slots);
+}
+
+/* What suits the job. */
+
+static double
+worth(const WsPlaces *places, const WsMachine *machine)
+{
+  const WsBook *book = places->map->core->book;
+  const WsJob *job = places->job;
+  const WsAmount *room = &ws_book_type(book, machine->type)->room;
+  const WsSlot *slot = &places->map->slots[machine->index];
+  gboolean is_service = job->spec->kind == WS_KIND_SERVICE;
+  double value = ws_machine_has_image(machine, job->image) ? IMAGE_THERE : 0.0;
+  if (job->spec->spot && machine->spot)
+    value += SPOT;
+  if (!is_service && slot->has_service)
+    value += STAYS_ANYWAY; /* it stays rented anyway */
+  if (room->gpus > 0)
+    value += PACKED_GPUS * (1.0 - (double)slot->free.gpus / (double)room->gpus);
+  if (room->cpus > 0)
+    value += PACKED_CPUS * (1.0 - (double)slot->free.cpus / (double)room->cpus);
+  for (guint i = 0; i < machine->tasks->len; i++) {
+    const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, i);
+    const WsJob *other = ws_book_job(book, ref->job);
+    const WsAssignment *a = ws_job_assignment(other, ref->task);
+    if (is_service && other == job)
+      value -= SAME_MACHINE;
+    if (a != NULL && a->state <= WS_TASK_FETCHING)
+      value += other->image == job->image ? IMAGE_COMING : -OTHER_FETCH;
+  }
+  return value;
+}
+
+/* The machine may be used by the home of the job. */
+static gboolean
+in_part(const WsBook *book, const WsJob *job, const WsMachine *machine)
+{
+  return job->home == WS_NONE || !ws_epoch_has_node(&book->epoch, job->home)
+         || machine->owner == job->home;
+}
+
+static gboolean
+is_eligible(const WsPlaces *places, const WsMachine *machine)
+{
+  const WsBook *book = places->map->core->book;
+  const WsJob *job = places->job;
+  return places->map->slots[machine->index].usable
+         && ws_plan_allowed(book, job->spec, job->zone, machine)
+         && machine->last_bad_job != job->index && in_part(book, job, machine);
+}
+
+static gboolean
+fits(const WsPlaces *places, WsRoom kind, guint machine)
+{
+  const WsSlot *slot = &places->map->slots[machine];
+  WsAmount room = slot->free;
+  if (kind >= WS_ROOM_TAKEN)
+    return TRUE; /* the cost has said so */
+  if (kind != WS_ROOM_NOW)
+    ws_amount_add(&room, &slot->coming, 1);
+  return ws_amount_fits(&places->job->spec->need, &room);
+}
+
+static void
+consider(WsPlaces *places, WsRoom kind, const WsMachine *machine)
+{
+  const WsJob *job = places->job;
+  WsCore *core = places->map->core;
+  Candidate candidate = { machine->index, 0.0, FALSE };
+  gboolean needs_image = kind == WS_ROOM_CACHED || kind == WS_ROOM_TAKEN_CACHED;
+  if (!is_eligible(places, machine) || !fits(places, kind, machine->index)
+      || (needs_image && !ws_machine_has_image(machine, job->image)))
+    return;
+  if (kind >= WS_ROOM_TAKEN) {
+    double cost = ws_preempt_cost(core, job, machine, &places->map->slots[machine->index]);
+    if (cost < 0.0)
+      return;
+    candidate.value = (ws_machine_has_image(machine, job->image) ? IMAGE_FOR_VICTIM : 0.0) - cost;
+  } else {
+    candidate.value = worth(places, machine);
+  }
+  g_array_append_val(places->kinds[kind], candidate);
+}
+
+static gint
+by_value(gconstpointer a, gconstpointer b)
+{
+  const Candidate *first = a, *second = b;
+  if (first->value != second->value)
+    return first->value > second->value ? -1 : 1;
+  return first->machine < second->machine ? -1 : 1;
+}
+
+static gboolean
+has_victims(const WsRoomMap *map, const WsJob *job)
+{
+  return (guint)job->spec->priority < map->lowest || (job->guaranteed && map->borrowing);
+}
+
+static const GArray *
+machines_of(const WsRoomMap *map, WsRoom kind)
+{
+  if (kind == WS_ROOM_NOW)
+    return map->open;
+  return kind >= WS_ROOM_TAKEN ? map->busy : map->coming;
+}
+
+static void
+look_for(WsPlaces *places, WsRoom kind)
+{
+  WsRoomMap *map = places->map;
+  places->kinds[kind] = g_array_new(FALSE, FALSE, sizeof(Candidate));
+  if (kind >= WS_ROOM_TAKEN && !has_victims(map, places->job))
+    return;
+  const GArray *machines = machines_of(map, kind);
+  for (guint i = 0; i < machines->len; i++)
+    consider(places, kind, ws_book_machine(map->core->book, g_array_index(machines, guint, i)));
+  map->steps += machines->len;
+  g_array_sort(places->kinds[kind], by_value);
+}
+
+WsPlaces *
+ws_places_new(WsRoomMap *map, const WsJob *job, guint *counts)
+{
+  WsPlaces *places = g_new0(WsPlaces, 1);
+  *places = (WsPlaces){ .map = map, .job = job, .counts = counts };
+  return places;
+}
+
+void
+ws_places_free(WsPlaces *places)
+{
+  for (guint kind = 0; kind < WS_ROOM_KINDS; kind++)
+    if (places->kinds[kind] != NULL)
+      g_array_unref(places->kinds[kind]);
+  g_free(places);
+}
+
+/* The best candidate that is left: the first one of each zone is compared, since what a zone is
+   worth depends on how many of the job's tasks are there already. */
+static Candidate *
+best_left(WsPlaces *places, WsRoom kind)
+{
+  const WsCore *core = places->map->core;
+  guint zones = core->settings->zones->len, seen = 0;
+  gboolean is_service = places->job->spec->kind == WS_KIND_SERVICE;
+  g_autofree gboolean *seen_zone = g_new0(gboolean, zones);
+  Candidate *best = NULL;
+  double most = 0.0;
+  for (guint i = 0; i < places->kinds[kind]->len && seen < zones; i++) {
+    Candidate *candidate = &g_array_index(places->kinds[kind], Candidate, i);
+    guint zone = ws_book_machine(core->book, candidate->machine)->zone;
+    if (candidate->spent || seen_zone[zone])
+      continue;
+    if (!fits(places, kind, candidate->machine)) {
+      candidate->spent = TRUE;
+      continue;
+    }
+    seen_zone[zone] = TRUE;
+    seen++;
+    double value = candidate->value - (is_service ? SAME_ZONE * places->counts[zone] : 0.0);
+    if (!ws_zone_allowed(places->job, places->counts, zones, zone)
+        || (best != NULL && value <= most))
+      continue;
+    best = candidate;
+    most = value;
+  }
+  return best;
+}
+
+/* A service comes back to the machines it has taken when there are no others. */
+static gboolean
+renew(WsPlaces *places, WsRoom kind)
+{
+  gboolean any = FALSE;
+  if (places->job->spec->kind != WS_KIND_SERVICE || kind >= WS_ROOM_TAKEN)
+    return FALSE;
+  for (guint i = 0; i < places->kinds[kind]->len; i++) {
+    Candidate *candidate = &g_array_index(places->kinds[kind], Candidate, i);
+    gboolean is_back = candidate->spent && fits(places, kind, candidate->machine);
+    candidate->spent = candidate->spent && !is_back;
+    any = any || is_back;
+  }
+  return any;
+}
+
+static Candidate *
+find_best(WsPlaces *places, WsRoom kind)
+{
+  if (places->kinds[kind] == NULL)
+    look_for(places, kind);
+  Candidate *best = best_left(places, kind);
+  return best == NULL && renew(places, kind) ? best_left(places, kind) : best;
+}
+
+WsMachine *
+ws_places_peek(WsPlaces *places, WsRoom kind)
+{
+  const Candidate *best = find_best(places, kind);
+  return best != NULL ? ws_book_machine(places->map->core->book, best->machine) : NULL;
+}
+
+WsMachine *
+ws_places_take(WsPlaces *places, WsRoom kind)
+{
+  Candidate *best = find_best(places, kind);
+  if (best == NULL)
+    return NULL;
+  WsMachine *machine = ws_book_machine(places->map->core->book, best->machine);
+  best->spent = kind >= WS_ROOM_TAKEN || places->job->spec->kind == WS_KIND_SERVICE;
+  ws_amount_add(&places->map->slots[best->machine].free, &places->job->spec->need, -1);
+  places->counts[machine->zone]++;
+  return machine;
+}
--- /dev/null
+++ b/src/core/ws-place.h
@@ -0,0 +1,38 @@
+/* Where the tasks of one job may go, found once for all of them: they need the same, so they see
+   the same machines. */
+#pragma once
+
+#include "core/ws-core-private.h"
+
+typedef enum {
+  WS_ROOM_NOW,    /* free */
+  WS_ROOM_COMING, /* free, or being freed by tasks that stop */
+  WS_ROOM_CACHED, /* the same, where the image is */
+  WS_ROOM_TAKEN,  /* after less urgent tasks stop */
+  WS_ROOM_TAKEN_CACHED,
+  WS_ROOM_KINDS
+} WsRoom;
+
+typedef struct {
+  WsCore *core;
+  WsSlot *slots;      /* of each machine */
+  GArray *open;       /* of guint: machines with something free */
+  GArray *coming;     /* of guint: machines where something is being stopped */
+  GArray *busy;       /* of guint: machines with tasks of arrays */
+  guint lowest;       /* the least urgent priority among them */
+  gboolean borrowing; /* some of them are beyond a guarantee */
+  guint steps;        /* machines looked at: what a plan costs */
+} WsRoomMap;
+
+typedef struct _WsPlaces WsPlaces;
+
+void ws_room_map_init(WsRoomMap *map, WsCore *core);
+void ws_room_map_clear(WsRoomMap *map);
+
+WsPlaces *ws_places_new(WsRoomMap *map, const WsJob *job, guint *counts /* of tasks by zone */);
+void ws_places_free(WsPlaces *places);
+/* The best machine of the kind, or NULL. */
+WsMachine *ws_places_peek(WsPlaces *places, WsRoom kind);
+/* The same; the room for one task is taken, and counted in its zone. */
+WsMachine *ws_places_take(WsPlaces *places, WsRoom kind);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC(WsPlaces, ws_places_free)
--- a/src/core/ws-silence.c
+++ b/src/core/ws-silence.c
@@ -6,6 +6,11 @@
 #define STATUS_PAUSE_MS 600
 #define STATUS_TIMEOUT_MS 500
 #define DOUBT_MS 8000
+#define MOST_STATUS_CALLS 32
+/* A machine that doesn't do what it's told is not used after a while, and returned after a larger
+   part of its lease. */
+#define DEAF_UNUSED_MS 4000
+#define DEAF_PART 0.7
 
 /* The longest pause between two reports, and what a slow moment here or there may add. */
 static gint64
@@ -26,16 +31,35 @@
   return machine->heard_ms > 0 && !ws_machine_up(core, machine);
 }
 
+static gint64
+unmet_for(const WsCore *core, const WsMachine *machine)
+{
+  return machine->unmet_ms > 0 ? core->now - machine->unmet_ms : 0;
+}
+
+gboolean
+ws_machine_deaf(const WsCore *core, const WsMachine *machine)
+{
+  return unmet_for(core, machine) > DEAF_UNUSED_MS;
+}
+
 static void
 on_status(WsCore *core, guint status, const json_t *body, gpointer data)
 {
   WsMachine *machine = ws_book_machine(core->book, GPOINTER_TO_UINT(data));
   g_autofree char *reason = NULL;
   g_autoptr(WsReport) report = status == 200 ? ws_report_parse(body, &reason) : NULL;
-  if (report != NULL && strcmp(report->machine, machine->name) == 0 && ws_owns(core, machine))
-    ws_workers_presence(core, machine, report);
-  else
+  core->status_calls--;
+  /* An answer older than what is known is not from the machine that was known: it has begun anew.
+   */
+  if (report == NULL || strcmp(report->machine, machine->name) != 0 || !ws_owns(core, machine)
+      || !ws_workers_presence(core, machine, report)) {
     machine->status_failed++;
+    return;
+  }
+  /* It is there and reports to somebody else, maybe to a node whose epoch is over. */
+  if (report->token < core->book->epoch.number)
+    ws_workers_raise(core, machine, report->session);
 }
 
 /* Whether it is the way to the machines of the zone that is silent, not they: a node of the zone is
@@ -76,6 +100,25 @@
   return silent >= 3 && 5 * silent >= all;
 }
 
+/* What is the same for all machines, found once. */
+typedef struct {
+  gboolean known;
+  gboolean is_interruption;
+  gboolean *zones;
+} Cuts;
+
+static void
+find_cuts(const WsCore *core, Cuts *cuts)
+{
+  if (cuts->known)
+    return;
+  cuts->known = TRUE;
+  cuts->is_interruption = is_interruption(core);
+  cuts->zones = g_new0(gboolean, core->settings->zones->len);
+  for (guint z = 0; z < core->settings->zones->len; z++)
+    cuts->zones[z] = zone_is_cut(core, z);
+}
+
 static gint64
 silent_since(const WsCore *core, const WsMachine *machine)
 {
@@ -96,20 +139,23 @@
 }
 
 static void
-watch_machine(WsCore *core, WsMachine *machine)
+watch_machine(WsCore *core, WsMachine *machine, Cuts *cuts)
 {
   gint64 since = silent_since(core, machine);
   gint64 silent_ms = since > 0 ? core->now - since : 0;
   if (silent_ms <= patience_ms(core))
     return;
-  if (machine->endpoint != NULL && core->now - machine->status_ms >= STATUS_PAUSE_MS) {
+  find_cuts(core, cuts);
+  if (machine->endpoint != NULL && core->now - machine->status_ms >= STATUS_PAUSE_MS
+      && core->status_calls < MOST_STATUS_CALLS) {
     machine->status_ms = core->now;
+    core->status_calls++;
     ws_call(core, "GET", machine->endpoint, "/status", NULL, STATUS_TIMEOUT_MS, on_status,
             GUINT_TO_POINTER(machine->index));
   }
   gboolean failed = machine->endpoint == NULL || machine->status_failed >= 2;
   gboolean is_cut
-      = is_interruption(core) || (machine->zone != WS_NONE && zone_is_cut(core, machine->zone));
+      = cuts->is_interruption || (machine->zone != WS_NONE && cuts->zones[machine->zone]);
   gint64 patience
       = is_cut ? (gint64)(core->settings->lease_s * 1000.0) + 500 : patience_ms(core) + 1500;
   /* A cancelled task must be gone in time, cut or not. */
@@ -119,16 +165,52 @@
     ws_giveback_mark(core, machine, "silent", TRUE);
 }
 
-void
-ws_silence_tick(WsCore *core)
+static void
+watch_deaf(WsCore *core, WsMachine *machine, guint deaf, guint all)
+{
+  gboolean many = deaf >= 3 && 5 * deaf >= all; /* then it's rather this node that isn't heard */
+  double part = many ? 1.0 : DEAF_PART;
+  if ((double)unmet_for(core, machine) > part * core->settings->lease_s * 1000.0)
+    ws_giveback_mark(core, machine, "deaf", TRUE);
+}
+
+static void
+watch_all_deaf(WsCore *core)
 {
+  guint deaf = 0, all = 0;
   for (guint i = 0; i < core->book->machines->len; i++) {
+    const WsMachine *machine = ws_book_machine(core->book, i);
+    if (!machine->stored || machine->marked || !ws_owns(core, machine))
+      continue;
+    all++;
+    deaf += ws_machine_deaf(core, machine) ? 1 : 0;
+  }
+  for (guint i = 0; deaf > 0 && i < core->book->machines->len; i++) {
     WsMachine *machine = ws_book_machine(core->book, i);
+    if (machine->stored && ws_owns(core, machine) && !machine->mark_now)
+      watch_deaf(core, machine, deaf, all);
+  }
+}
+
+/* Each round of status calls begins after the last one of the round before, so that a bound on them
+   leaves nobody out. */
+void
+ws_silence_tick(WsCore *core)
+{
+  guint count = core->book->machines->len;
+  Cuts cuts = { 0 };
+  for (guint i = 0; i < count; i++) {
+    WsMachine *machine = ws_book_machine(core->book, (core->status_next + i) % count);
     if (!machine->stored || !ws_owns(core, machine))
       continue;
     if (machine->doubts > 0 && core->now - machine->doubt_ms > DOUBT_MS)
       core->wants_epoch = TRUE;
+    gboolean had_room = core->status_calls < MOST_STATUS_CALLS;
     if (!machine->marked || !machine->mark_now)
-      watch_machine(core, machine);
+      watch_machine(core, machine, &cuts);
+    if (had_room && core->status_calls == MOST_STATUS_CALLS)
+      core->status_next = machine->index + 1;
   }
+  g_free(cuts.zones);
+  watch_all_deaf(core);
 }
--- a/src/core/ws-store.c
+++ b/src/core/ws-store.c
@@ -5,9 +5,11 @@
 
 #define LONG_WAIT_MS 8000
 #define GIVE_UP_MS 1500
-/* The budget of the state service is split unevenly, for the leader writes most: machines, rentals,
-   marks, and the placements of jobs that fit no part. Bursts of two nodes at once are rare. */
-#define LEADER_SHARE 0.5
+/* The budget of the state service is split unevenly, for the leader writes nearly everything:
+   assignments and releases, machines, rentals, marks. What is left is for submissions, withdrawals,
+   leases and letters. Every node reads alike. Bursts of two nodes at once are rare. */
+#define LEADER_WRITES 0.72
+#define LEADER_READS 0.34
 #define ALL_SHARE 0.95
 #define BURST_SHARE 0.5
 
@@ -97,6 +99,12 @@
   return core->store->bad_ms == 0 || core->now - core->store->bad_ms < 700;
 }
 
+gboolean
+ws_store_may_write(WsCore *core, guint changes)
+{
+  return ws_rate_ready(&core->store->writes, changes, core->now);
+}
+
 void
 ws_store_call(WsCore *core, WsFirst first, const char *method, const char *path, json_t *body,
               guint writes, guint timeout_ms, WsReply reply, gpointer data)
@@ -347,10 +355,12 @@
 set_shares(WsCore *core)
 {
   WsStore *store = core->store;
-  double others = (ALL_SHARE - LEADER_SHARE) / MAX(core->settings->nodes->len - 1, 1u);
-  double share = ws_is_leader(core) ? LEADER_SHARE : others;
-  store->requests.per_second = core->settings->state_rps * share;
-  store->writes.per_second = core->settings->state_write_rps * share;
+  guint others = MAX(core->settings->nodes->len - 1, 1u);
+  gboolean leads = ws_is_leader(core);
+  store->requests.per_second
+      = core->settings->state_rps * (leads ? LEADER_READS : (ALL_SHARE - LEADER_READS) / others);
+  store->writes.per_second = core->settings->state_write_rps
+                             * (leads ? LEADER_WRITES : (ALL_SHARE - LEADER_WRITES) / others);
   /* Changes gather while the watch is closed: it takes at most a third of the requests. */
   store->watch_pause_ms = (gint64)(3000.0 / store->requests.per_second);
 }
--- a/src/core/ws-sweep.c
+++ b/src/core/ws-sweep.c
@@ -4,7 +4,7 @@
 
 #include <string.h>
 
-#define PAUSE_MS 2000
+#define PAUSE_MS 8000
 
 /* Whether the key is a record of tasks of a job that has ended. */
 static gboolean
@@ -22,7 +22,7 @@
 on_swept(WsCore *core, WsTxnResult result, gpointer data)
 {
   (void)data;
-  core->sweep_ms = core->now + (result == WS_TXN_OK ? PAUSE_MS / 4 : PAUSE_MS);
+  core->sweep_ms = core->now + (result == WS_TXN_OK ? PAUSE_MS / 16 : PAUSE_MS);
 }
 
 void
--- a/src/core/ws-workers.c
+++ b/src/core/ws-workers.c
@@ -8,7 +8,12 @@
 #include <string.h>
 
 #define REDIRECT_HOLD_MS 20000
+/* The part of its lease for which a worker that came back isn't sent away again. */
+#define KEPT_PART 0.6
 #define KNOWN_IMAGES 10
+/* Launches on their way at once; the others go with the answers to reports. Critical ones always
+ * go. */
+#define MOST_DIRECT_CALLS 48
 
 static guint64
 token(const WsCore *core)
@@ -30,6 +35,7 @@
 {
   Direct *direct = data;
   WsMachine *machine = ws_book_machine(core->book, direct->machine);
+  core->direct_calls--;
   /* Without an answer the launch may still be carried out minutes later, so the doubt stays until
      the worker has seen a higher token or begun a new session. */
   if (status != 0 && direct->launches && machine->doubts > 0
@@ -48,6 +54,7 @@
 {
   Direct *direct = g_new0(Direct, 1);
   *direct = (Direct){ machine->index, token(core), machine->session, launches };
+  core->direct_calls++;
   if (launches) {
     if (machine->doubts == 0)
       machine->doubt_ms = core->now;
@@ -68,10 +75,32 @@
          && ws_entitled(core);
 }
 
+void
+ws_workers_raise(WsCore *core, WsMachine *machine, guint64 session)
+{
+  Direct *direct = g_new0(Direct, 1);
+  *direct = (Direct){ machine->index, token(core), session, FALSE };
+  core->direct_calls++;
+  ws_call(core, "POST", machine->endpoint, "/commands",
+          ws_commands_direct(direct->token, session, json_array()), 2000, on_direct, direct);
+}
+
+static gboolean
+any_critical(const WsCore *core, const GArray *tasks)
+{
+  for (guint i = 0; i < tasks->len; i++) {
+    const WsJob *job = ws_book_job(core->book, g_array_index(tasks, WsTaskRef, i).job);
+    if (job->spec != NULL && job->spec->priority == WS_CRITICAL)
+      return TRUE;
+  }
+  return FALSE;
+}
+
 void
 ws_workers_launch_now(WsCore *core, WsMachine *machine, GArray *tasks)
 {
-  if (!can_send_direct(core, machine))
+  if (!can_send_direct(core, machine)
+      || (core->direct_calls >= MOST_DIRECT_CALLS && !any_critical(core, tasks)))
     return;
   json_t *commands = json_array();
   for (guint i = 0; i < tasks->len; i++) {
@@ -126,6 +155,10 @@
 static void
 remember_image(WsMachine *machine, guint image)
 {
+  guint count = machine->images->len;
+  if (count > 0 && g_array_index(machine->images, guint, count - 1) == image)
+    return;
+  machine->has_news = machine->has_news || !ws_machine_has_image(machine, image);
   for (guint i = 0; i < machine->images->len; i++)
     if (g_array_index(machine->images, guint, i) == image) {
       g_array_remove_index(machine->images, i);
@@ -207,6 +240,7 @@
     if (a == NULL)
       continue;
     a->state = WS_TASK_ASSIGNED;
+    a->told = FALSE;
   }
 }
 
@@ -237,19 +271,21 @@
   if (g_strcmp0(machine->endpoint, report->endpoint) != 0) {
     g_free(machine->endpoint);
     machine->endpoint = g_strdup(report->endpoint);
+    machine->has_news = TRUE;
   }
   return TRUE;
 }
 
 /* Presence is believed of any message that is newer; nothing is concluded from absence. Only a
    message that carries the present token is acted on: an older one may be a late copy. */
-void
+gboolean
 ws_workers_presence(WsCore *core, WsMachine *machine, const WsReport *report)
 {
-  if (!take_header(core, machine, report) || report->token != token(core))
-    return;
-  for (guint i = 0; i < report->tasks->len; i++)
+  if (!take_header(core, machine, report))
+    return FALSE;
+  for (guint i = 0; report->token == token(core) && i < report->tasks->len; i++)
     take_task(core, machine, &g_array_index(report->tasks, WsReportTask, i));
+  return TRUE;
 }
 
 /* The answer to a report. */
@@ -260,11 +296,14 @@
   const WsReport *report;
   json_t *commands;
   gboolean confirmed; /* the worker has seen our token */
+  gboolean halts;
+  gboolean unmet; /* it was told already, and the report doesn't show it */
 } Answer;
 
 static void
 command(Answer *answer, WsOp op, const char *job, guint task, guint64 attempt, double grace_s)
 {
+  answer->halts = answer->halts || op == WS_OP_HALT;
   json_array_append_new(answer->commands, ws_command_encode(op, job, task, attempt, grace_s));
 }
 
@@ -308,6 +347,8 @@
                       || ws_job_is_broken_gang(job);
   if (!unwanted) {
     command(answer, WS_OP_LAUNCH, job->id, a->task, a->attempt, 0.0);
+    answer->unmet = answer->unmet || a->told;
+    a->told = TRUE;
     return;
   }
   if (answer->confirmed && answer->machine->doubts == 0)
@@ -329,21 +370,43 @@
   }
 }
 
+/* A machine whose reports arrive while answers and commands don't reach it shows no token of ours,
+   no task that it was told to launch, and goes on with what it was told to stop. */
+static void
+note_unmet(Answer *answer)
+{
+  WsMachine *machine = answer->machine;
+  machine->halts_in_a_row = answer->halts ? machine->halts_in_a_row + 1 : 0;
+  gboolean unmet = answer->unmet || !answer->confirmed || machine->halts_in_a_row > 1;
+  if (!unmet)
+    machine->unmet_ms = 0;
+  else if (machine->unmet_ms == 0)
+    machine->unmet_ms = answer->core->now;
+}
+
 json_t *
 ws_workers_process(WsCore *core, const WsReport *report)
 {
   WsMachine *machine = ws_book_get_machine(core->book, report->machine);
   ws_book_describe_machine(core->book, machine, report->type, report->zone, report->spot);
-  Answer answer = { core, machine, report, json_array(), report->token == token(core) };
+  Answer answer = { .core = core,
+                    .machine = machine,
+                    .report = report,
+                    .commands = json_array(),
+                    .confirmed = report->token == token(core) };
+  gboolean was_usable = ws_machine_up(core, machine) && machine->notice_ms == 0;
   if (!take_header(core, machine, report))
     return ws_commands_answer(token(core), answer.commands);
-  if (!machine->stored)
+  /* A copy of an old report may come from a machine that was returned before this node began; only
+     one that has had an answer of this epoch is there. */
+  if (!machine->stored && answer.confirmed)
     ws_fleet_adopt(core, machine, core->wall);
   if (answer.confirmed)
     for (guint i = 0; i < report->tasks->len; i++)
       take_task(core, machine, &g_array_index(report->tasks, WsReportTask, i));
   command_all(&answer);
-  core->plan_due = TRUE;
+  note_unmet(&answer);
+  core->plan_due = core->plan_due || !was_usable || machine->notice_ms > 0;
   return ws_commands_answer(token(core), answer.commands);
 }
 
@@ -385,6 +448,27 @@
   return TRUE;
 }
 
+/* Cut off from the state service and all other nodes, this one can't know whether a later epoch
+   exists. If machines of other zones still reach it, the others are there for them and for those of
+   its own zone: each is sent away. One that comes back has found nobody, and is kept: its tasks
+   live on our answers. If none does, it is the zone that is cut off. */
+static gboolean
+sends_away(WsCore *core, WsMachine *machine)
+{
+  const WsNode *self = ws_settings_node(core->settings, core->settings->self);
+  if (!ws_mesh_cut_off(core))
+    return FALSE;
+  if (machine->zone != ws_book_find_zone(core->book, self->zone))
+    core->seen_from_outside = TRUE;
+  gint64 since_ms = core->now - machine->turned_ms;
+  if (!core->seen_from_outside
+      || (machine->turned_ms > 0
+          && (double)since_ms < KEPT_PART * core->settings->lease_s * 1000.0))
+    return FALSE;
+  machine->turned_ms = core->now;
+  return TRUE;
+}
+
 void
 ws_workers_report(WsCore *core, const char *body, gsize length, gpointer request)
 {
@@ -403,7 +487,11 @@
   }
   WsMachine *machine = ws_book_get_machine(core->book, report->machine);
   ws_book_describe_machine(core->book, machine, report->type, report->zone, report->spot);
-  guint owner = ws_book_owner(core->book, machine);
+  if (sends_away(core, machine)) {
+    ws_answer_later(core, request, 1);
+    return;
+  }
+  guint owner = machine->owner;
   if (owner != core->settings->self) {
     g_autofree char *text = g_strndup(body, length);
     other_owner(core, machine, owner, text, request);
--- a/tests/sim/state.c
+++ b/tests/sim/state.c
@@ -315,6 +315,35 @@
   return listing.count;
 }
 
+typedef struct {
+  const char *prefix;
+  const char *name;
+  gboolean found;
+} Search;
+
+static gboolean
+search_entry(gpointer key, gpointer value, gpointer data)
+{
+  Search *search = data;
+  size_t i;
+  const json_t *name;
+  if (!g_str_has_prefix(key, search->prefix))
+    return FALSE;
+  json_array_foreach(json_object_get(((Entry *)value)->value, "names"), i, name)
+  {
+    search->found = search->found || strcmp(json_string_value(name), search->name) == 0;
+  }
+  return search->found;
+}
+
+gboolean
+sim_state_names(const SimState *state, const char *prefix, const char *name)
+{
+  Search search = { prefix, name, FALSE };
+  g_tree_foreach(state->entries, search_entry, &search);
+  return search.found;
+}
+
 gboolean
 sim_state_has(const SimState *state, const char *key)
 {
--- a/tests/sim/state.h
+++ b/tests/sim/state.h
@@ -14,5 +14,7 @@
 void sim_state_request(SimState *state, gint64 now_ms, const char *method, const char *path,
                        const json_t *body, SimReply reply, gpointer data);
 guint sim_state_count(const SimState *state, const char *prefix);
+/* Whether a record below the prefix lists the name. */
+gboolean sim_state_names(const SimState *state, const char *prefix, const char *name);
 gboolean sim_state_has(const SimState *state, const char *key);
 const json_t *sim_state_get(const SimState *state, const char *key); /* NULL: no such key */
