Begin within; run times learned by class; new troubles in the simulated world

Generated schedules now have deaf machines, late copies of reports, a node with workers only, machines back at once; the checks gained forgotten and begun.

--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -73,6 +73,9 @@
   const Known *old = g_hash_table_lookup(core->assign->known, key);
   if (old != NULL && old->release.attempt >= attempt)
     return;
+  const WsAssignment *a = job->spec != NULL ? ws_job_assignment(job, task) : NULL;
+  if (done && a != NULL && a->attempt == attempt && ws_is_leader(core))
+    ws_learn_done(core, job, a);
   Known *known = g_new0(Known, 1);
   known->release = (WsRelease){ job->index, task, attempt, done };
   g_hash_table_insert(core->assign->known, key, known);
--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -57,6 +57,7 @@
   WsPlan *plan;
   WsAsks *asks;
   WsGiveback *giveback;
+  GHashTable *learned; /* by class */
   WsPeer *peers;
   guint64 gossip_rev;         /* counts what changed about this node's machines */
   gboolean seen_from_outside; /* cut off, yet heard by machines of other zones */
@@ -182,7 +183,16 @@
 /* Whether the rules on zones let one more task of the job be in the zone. counts: by zone. */
 gboolean ws_zone_allowed(const WsJob *job, const guint *counts, guint zones, guint zone);
 
+/* ws-learn.c */
+GHashTable *ws_learned_new(void);
+void ws_learn_done(WsCore *core, const WsJob *job, const WsAssignment *a);
+/* The owner's estimate, corrected by what tasks of the class have taken. */
+double ws_learn_estimate_s(const WsCore *core, const WsJob *job);
+
 /* ws-order.c */
+/* A job that has waited so long for its first task comes before guarantees and priorities, critical
+   work excepted. Whatever favours small or late jobs, age wins in the end. */
+#define WS_BEGIN_WITHIN_S 120.0
 typedef struct {
   WsJob *job;
   guint lateness;      /* 0: can be in time; 1: within half as long again; 2: late anyway */
--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -24,6 +24,7 @@
   core->plan = ws_plan_new();
   core->asks = ws_asks_new(settings);
   core->giveback = ws_giveback_new();
+  core->learned = ws_learned_new();
   core->peers = g_new0(WsPeer, settings->nodes->len);
   return core;
 }
@@ -64,6 +65,7 @@
   ws_plan_free(core->plan);
   ws_asks_free(core->asks, core->settings);
   ws_giveback_free(core->giveback);
+  g_hash_table_unref(core->learned);
   ws_book_free(core->book);
   g_free(core->peers);
   g_free(core);
--- a/src/core/ws-demand.c
+++ b/src/core/ws-demand.c
@@ -106,14 +106,15 @@
 static double
 slack_s(const WsDemand *demand, const WsJob *job)
 {
-  double allowed_s = ws_job_allowed_s(demand->core->book, job);
-  if (allowed_s < 0.0)
-    return DEFAULT_SLACK_S;
-  const WsType *type = ws_book_type(demand->core->book, 0);
-  double waited_s = (double)(demand->core->wall - job->at_ms) / 1000.0;
-  double fetch_s = ws_job_fetch_s(demand->core->book, job);
-  double spare_s = allowed_s - waited_s - 1.2 * job->spec->estimate_s - fetch_s - type->boot_s;
-  return MAX(0.0, USED_SLACK * spare_s);
+  const WsCore *core = demand->core;
+  double allowed_s = ws_job_allowed_s(core->book, job);
+  double begin_s = ws_settings_begin_within(core->settings, job->spec->class_name);
+  double used_s = (double)(core->wall - job->at_ms) / 1000.0 + ws_book_type(core->book, 0)->boot_s;
+  double end_s = 1.2 * ws_learn_estimate_s(core, job) + ws_job_fetch_s(core->book, job);
+  double spare_s = allowed_s >= 0.0 ? USED_SLACK * (allowed_s - used_s - end_s) : DEFAULT_SLACK_S;
+  if (begin_s >= 0.0)
+    spare_s = MIN(spare_s, USED_SLACK * (begin_s - used_s));
+  return MAX(0.0, spare_s);
 }
 
 static double
@@ -132,7 +133,7 @@
 share(const WsDemand *demand, const WsJob *job)
 {
   WsAmount need = job->spec->need;
-  double run_s = job->spec->estimate_s + 5.0;
+  double run_s = ws_learn_estimate_s(demand->core, job) + 5.0;
   double part = job->spec->kind == WS_KIND_ARRAY
                     ? MAX(LEAST_SHARE, run_s / (run_s + slack_s(demand, job)))
                     : whole_share(demand, job);
--- a/src/core/ws-order.c
+++ b/src/core/ws-order.c
@@ -5,10 +5,7 @@
 #define HOPE 0.6
 /* Seconds of work that a second of waiting outweighs, so that large jobs don't starve. */
 #define PATIENCE 5.0
-/* A job that has waited so long for its first task comes before guarantees and priorities, critical
-   work excepted; one that is still not done after the second bound isn't given up as late any more.
-   Whatever favours small or late jobs, age wins in the end. */
-#define BEGIN_WITHIN_S 120.0
+/* A job that is still not done after so long isn't given up as late any more. */
 #define NOT_GIVEN_UP_S 150.0
 
 /* A job is within its team's guarantee when it fits there with the team's earlier open jobs. */
@@ -39,7 +36,7 @@
   if (team->limit.cpus > 0 && need->cpus > 0)
     at_once = MIN(at_once, team->limit.cpus / need->cpus);
   guint rounds = (left + (guint)at_once - 1) / MAX((guint)at_once, 1u);
-  return job->spec->estimate_s * rounds;
+  return ws_learn_estimate_s(core, job) * rounds;
 }
 
 static void
@@ -50,8 +47,8 @@
   guint left = job->tasks - job->done_count;
   double waited_s = (double)(core->wall - job->at_ms) / 1000.0;
   double end_s = waited_s + HOPE * shortest_s(core, job, left);
-  waiting->weight = job->spec->estimate_s * (left - job->on_count) - PATIENCE * waited_s;
-  waiting->is_overdue = waited_s > BEGIN_WITHIN_S && job->on_count == 0 && job->done_count == 0;
+  waiting->weight = ws_learn_estimate_s(core, job) * (left - job->on_count) - PATIENCE * waited_s;
+  waiting->is_overdue = waited_s > WS_BEGIN_WITHIN_S && job->on_count == 0 && job->done_count == 0;
   if (within_s >= 0.0 && waited_s < MAX(NOT_GIVEN_UP_S, 2.0 * within_s))
     waiting->lateness = end_s <= within_s ? 0 : end_s <= 1.5 * within_s ? 1 : 2;
 }
--- a/src/core/ws-preempt.c
+++ b/src/core/ws-preempt.c
@@ -12,12 +12,23 @@
          || (team->guarantee.gpus == 0 && team->guarantee.cpus == 0);
 }
 
+/* A job that begins at last, after others went before it for long, isn't stopped again at once:
+   otherwise work that is more urgent and never ends would keep it from ever beginning. */
+static gboolean
+begins_at_last(const WsCore *core, const WsJob *victim)
+{
+  return core->wall - victim->at_ms > (gint64)(WS_BEGIN_WITHIN_S * 1000.0)
+         && victim->done_count == 0 && victim->on_count <= 1 + victim->tasks / 8;
+}
+
 gboolean
 ws_preempt_allowed(const WsCore *core, const WsJob *job, const WsJob *victim)
 {
   /* Stopping a service's task is noticed at once, and a gang's would stop its whole gang. */
   if (victim->state != WS_JOB_ACTIVE || victim->spec->kind != WS_KIND_ARRAY)
     return FALSE;
+  if (job->spec->priority != WS_CRITICAL && begins_at_last(core, victim))
+    return FALSE;
   if (job->spec->priority < victim->spec->priority)
     return TRUE;
   /* Never between two that are both guaranteed: they would take the place from each other in turn.
--- a/src/protocol/ws-settings.c
+++ b/src/protocol/ws-settings.c
@@ -103,13 +103,17 @@
          && amount(item, "gpus_max", &team->limit.gpus);
 }
 
-/* Only what is said about the end of jobs matters here; the other kinds are for the operators. */
+/* Only what is said about the beginning of tasks and the end of jobs matters here; the other kinds
+   are for the operators. */
 static void
 read_objective(WsSettings *settings, const json_t *item)
 {
   const char *kind;
   WsObjective read = { 0 };
-  if (!ws_json_string(item, "kind", &kind) || strcmp(kind, "finished") != 0
+  if (!ws_json_string(item, "kind", &kind))
+    return;
+  read.is_begin = strcmp(kind, "wait") == 0;
+  if ((!read.is_begin && strcmp(kind, "finished") != 0)
       || !positive(item, "within_s", &read.within_s) || !copy(item, "class", &read.class_name))
     return;
   g_ptr_array_add(settings->objectives, g_memdup2(&read, sizeof read));
@@ -237,15 +241,27 @@
   return WS_NONE;
 }
 
-double
-ws_settings_finish_within(const WsSettings *settings, const char *class_name)
+static double
+tightest(const WsSettings *settings, const char *class_name, gboolean is_begin)
 {
   double within_s = -1.0;
   for (guint i = 0; i < settings->objectives->len; i++) {
     const WsObjective *objective = g_ptr_array_index(settings->objectives, i);
-    if (strcmp(objective->class_name, class_name) == 0
+    if (objective->is_begin == is_begin && strcmp(objective->class_name, class_name) == 0
         && (within_s < 0.0 || objective->within_s < within_s))
       within_s = objective->within_s;
   }
   return within_s;
 }
+
+double
+ws_settings_finish_within(const WsSettings *settings, const char *class_name)
+{
+  return tightest(settings, class_name, FALSE);
+}
+
+double
+ws_settings_begin_within(const WsSettings *settings, const char *class_name)
+{
+  return tightest(settings, class_name, TRUE);
+}
--- a/src/protocol/ws-settings.h
+++ b/src/protocol/ws-settings.h
@@ -16,9 +16,10 @@
   WsAmount limit;     /* 0: no limit in that dimension */
 } WsTeamSettings;
 
-/* How soon the jobs of a class are expected to be complete. */
+/* How soon the tasks of a class are expected to begin, or its jobs to be complete. */
 typedef struct {
   char *class_name;
+  gboolean is_begin;
   double within_s;
 } WsObjective;
 
@@ -50,6 +51,7 @@
 void ws_settings_free(WsSettings *settings);
 const WsNode *ws_settings_node(const WsSettings *settings, guint node);
 /* Negative: nothing is said about the class. */
+double ws_settings_begin_within(const WsSettings *settings, const char *class_name);
 double ws_settings_finish_within(const WsSettings *settings, const char *class_name);
 guint ws_settings_find_node(const WsSettings *settings, const char *name);
 
--- a/tests/sim/sim.c
+++ b/tests/sim/sim.c
@@ -13,6 +13,7 @@
 #define LEASE_MS 12000
 #define CANCEL_MS 30000
 #define BOOT_MS 8000
+#define KNOWN_MS 75000
 #define PLACES 4 /* tasks on a machine; each takes one GPU */
 
 typedef enum { TOLD_NOTHING, TOLD_ACCEPTED, TOLD_DONE, TOLD_CANCELLED } Told;
@@ -25,6 +26,8 @@
   gboolean cancelling;
   gint64 cancelled_ms;
   gint64 next_ms; /* when its user asks again */
+  gint64 answered_ms;
+  gboolean begun;
   guint8 *completed;
 } Job;
 
@@ -34,6 +37,7 @@
   gboolean returned;
   gboolean dead;
   gint64 hangs_until_ms;
+  gint64 deaf_until_ms;
   gint64 report_ms;
   guint node; /* where it reports */
 } Machine;
@@ -61,6 +65,8 @@
   guint64 lives;
   GSequence *events;
   SimState *state;
+  gint64 calm_ms; /* since when all troubles are over; 0: they aren't */
+  guint lost_tasks;
   SimFaults faults;
   Node nodes[SIM_NODES];
   WsSettings *settings[SIM_NODES];
@@ -241,7 +247,9 @@
   json_t *names = g_hash_table_lookup(sim->rentals, request);
   if (names == NULL) {
     names = json_array();
-    for (json_int_t i = json_integer_value(json_object_get(body, "how_many")); i > 0; i--) {
+    for (json_int_t i = json_integer_value(json_object_get(body, "how_many"));
+         i > 0 && (sim->faults.most_machines == 0 || sim_machines(sim) < sim->faults.most_machines);
+         i--) {
       g_autofree char *name = g_strdup_printf("m-%06u", sim->machines->len);
       Machine *machine = g_new0(Machine, 1);
       machine->up_ms = sim->now_ms + BOOT_MS / 2 + g_rand_int_range(sim->rand, 0, BOOT_MS);
@@ -399,6 +407,7 @@
     return;
   if (strcmp(task->state, "fetching") == 0) {
     check_start(sim, machine, task);
+    find_job(sim, task->job)->begun = TRUE;
     task->state = "running";
     task->next_ms = run_s < 0.0 ? G_MAXINT64 : sim->now_ms + (gint64)(run_s * 1000.0);
     machine->report_ms = MIN(machine->report_ms, sim->now_ms + 500);
@@ -461,7 +470,7 @@
 {
   g_autofree char *name = g_strndup(call->address + 2, strcspn(call->address + 2, ":"));
   Machine *machine = find_machine(sim, name);
-  if (machine == NULL || !is_up(sim, machine)) {
+  if (machine == NULL || !is_up(sim, machine) || sim->now_ms < machine->deaf_until_ms) {
     call_unref(call);
   } else if (hangs(sim, machine)) {
     later(sim, machine->hangs_until_ms - sim->now_ms, arrive, call);
@@ -476,7 +485,10 @@
 arrive_at_node(Sim *sim, Call *call)
 {
   guint node = (guint)(strchr(call->address, '-')[1] - '0');
-  if (is_cut(sim, zone_of_caller(call), ZONES[node]))
+  gboolean is_node = call->machine == NULL && call->job == NULL;
+  if (is_node && ((sim->faults.alone >> node | sim->faults.alone >> call->node) & 1) != 0)
+    call_unref(call);
+  else if (is_cut(sim, zone_of_caller(call), ZONES[node]))
     later(sim, 1000, arrive, call);
   else
     ask_node(sim, call, node, call->address[0] == 'm' ? WS_DOOR_MESH : WS_DOOR_API);
@@ -487,7 +499,9 @@
 {
   Call *call = data;
   if (strcmp(call->address, "state:1") == 0) {
-    if (sim->faults.state_out || (sim->faults.state_refuses >> call->node & 1) != 0)
+    if ((sim->faults.alone >> call->node & 1) != 0)
+      call_unref(call);
+    else if (sim->faults.state_out || (sim->faults.state_refuses >> call->node & 1) != 0)
       reply(call, 503, json_object());
     else
       sim_state_request(sim->state, sim->now_ms, call->method, call->path, call->body, reply, call);
@@ -519,6 +533,10 @@
     call->refs++;
     later(sim, after_ms + g_rand_int_range(sim->rand, 1, 3000), arrive, call);
   }
+  if (call->machine != NULL && chance(sim, sim->faults.copies)) {
+    call->refs++;
+    later(sim, after_ms + g_rand_int_range(sim->rand, 1000, 4 * LEASE_MS), arrive, call);
+  }
 }
 
 static json_t *
@@ -559,13 +577,17 @@
       = sim->now_ms + REPORT_MS * 3 / 4 + g_rand_int_range(sim->rand, 0, REPORT_MS / 2);
   if (!is_up(sim, machine))
     return;
+  if (sim->now_ms < machine->deaf_until_ms)
+    call->status = 0;
   if (call->status == 200) {
     if (!hangs(sim, machine))
       sim_worker_answer(machine->worker, sim->now_ms, call->sent_ms, call->session, call->answer,
                         describe, sim);
     return;
   }
-  const char *to = json_string_value(json_object_get(call->answer, "hlasit_komu"));
+  const char *to = call->status == 421
+                       ? json_string_value(json_object_get(call->answer, "hlasit_komu"))
+                       : NULL;
   guint next = (machine->node + 1) % SIM_NODES;
   if (call->status == 421 && to != NULL)
     next = (guint)(to[1] - '0');
@@ -594,7 +616,9 @@
     return;
   if (machine->worker->seq == 0)
     machine->worker->renewed_ms = MAX(machine->worker->renewed_ms, machine->up_ms);
+  guint tasks = machine->worker->tasks->len;
   sim_worker_lease(machine->worker, sim->now_ms, LEASE_MS);
+  sim->lost_tasks += tasks - machine->worker->tasks->len;
   if (hangs(sim, machine))
     return;
   if (machine->worker->notice_ms > 0 && sim->now_ms >= machine->worker->notice_ms) {
@@ -666,6 +690,8 @@
       || (call->status == 404 && job->told > TOLD_NOTHING))
     g_error("seed %u, %.1f s: forgotten: %s got %u", sim->seed, sim->now_ms / 1000.0, job->id,
             call->status);
+  if (call->status == 200 || call->status == 201)
+    job->answered_ms = sim->now_ms;
   if (call->status == 200 || call->status == 201)
     told_state(sim, job, json_string_value(json_object_get(call->answer, "stav")));
 }
@@ -790,6 +816,42 @@
     machine->worker->notice_ms = sim->now_ms + (gint64)(seconds * 1000.0);
 }
 
+void
+sim_deafen_machine(Sim *sim, double seconds)
+{
+  Machine *machine = any_up(sim);
+  if (machine != NULL)
+    machine->deaf_until_ms = sim->now_ms + (gint64)(seconds * 1000.0);
+}
+
+void
+sim_restart_machine(Sim *sim)
+{
+  Machine *machine = any_up(sim);
+  if (machine == NULL)
+    return;
+  g_array_set_size(machine->worker->tasks, 0);
+  machine->worker->session++;
+  machine->worker->renewed_ms = sim->now_ms;
+  machine->report_ms = sim->now_ms + 300;
+}
+
+void
+sim_calm(Sim *sim)
+{
+  sim->faults = (SimFaults){ 0 };
+  sim->calm_ms = sim->now_ms;
+}
+
+static void
+check_known(const Sim *sim, const Job *job)
+{
+  gint64 since_ms = MAX(job->answered_ms, sim->calm_ms);
+  if (sim->calm_ms > 0 && job->told == TOLD_ACCEPTED && sim->now_ms - since_ms > KNOWN_MS)
+    g_error("seed %u, %.1f s: forgotten: nothing is heard of %s", sim->seed, sim->now_ms / 1000.0,
+            job->id);
+}
+
 /* The world. */
 
 static void
@@ -801,8 +863,10 @@
     step_node(sim, n);
   for (guint i = 0; i < sim->machines->len; i++)
     step_machine(sim, g_ptr_array_index(sim->machines, i));
-  for (guint i = 0; i < sim->jobs->len; i++)
+  for (guint i = 0; i < sim->jobs->len; i++) {
     step_user(sim, g_ptr_array_index(sim->jobs, i));
+    check_known(sim, g_ptr_array_index(sim->jobs, i));
+  }
   later(sim, TICK_MS, tick, NULL);
 }
 
@@ -936,6 +1000,18 @@
   return count_told(sim, TOLD_DONE);
 }
 
+guint
+sim_lost_tasks(const Sim *sim)
+{
+  return sim->lost_tasks;
+}
+
+gboolean
+sim_begun(const Sim *sim, guint index)
+{
+  return ((const Job *)g_ptr_array_index(sim->jobs, index))->begun;
+}
+
 guint
 sim_machines_in(const Sim *sim, const char *zone)
 {
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -23,6 +23,9 @@
   gboolean state_out;  /* the state service answers 503 */
   guint state_refuses; /* bit for each node that alone is refused */
   guint cut;           /* bit for each zone that is cut off from the other zones */
+  guint alone;         /* bit for each node that reaches neither state service nor other nodes */
+  double copies;       /* chance that a copy of a report comes late, up to several leases */
+  guint most_machines; /* that the cloud has in all; 0: any number */
   gboolean cloud_out;
   gboolean rent_nothing;
 } SimFaults;
@@ -52,10 +55,18 @@
 void sim_kill_machine(Sim *sim);
 void sim_hang_machine(Sim *sim, double seconds);
 void sim_notice_machine(Sim *sim, double seconds);
+/* Its reports arrive, but neither answers nor commands reach it. */
+void sim_deafen_machine(Sim *sim, double seconds);
+/* It's back within a fraction of a second, in a new session. */
+void sim_restart_machine(Sim *sim);
+/* All troubles are over: from now on no accepted job may go unanswered for long. */
+void sim_calm(Sim *sim);
 
 guint sim_open_jobs(const Sim *sim); /* told accepted, and neither done nor cancelled */
 guint sim_done_jobs(const Sim *sim);
-guint sim_machines(const Sim *sim); /* rented and not returned: charged for */
+guint sim_lost_tasks(const Sim *sim);            /* killed with the worker's lease */
+gboolean sim_begun(const Sim *sim, guint index); /* a task of the job has run */
+guint sim_machines(const Sim *sim);              /* rented and not returned: charged for */
 guint sim_machines_in(const Sim *sim, const char *zone);
 guint sim_task_records(const Sim *sim);
 guint sim_marks(const Sim *sim);      /* in the state service */
--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -147,7 +147,7 @@
 {
   GRand *rand = sim_rand(sim);
   SimFaults *faults = sim_faults(sim);
-  switch (g_rand_int_range(rand, 0, 12)) {
+  switch (g_rand_int_range(rand, 0, 16)) {
   case 0:
     sim_crash(sim, (guint)g_rand_int_range(rand, 0, SIM_NODES),
               g_rand_double_range(rand, 0.1, 8.0));
@@ -183,6 +183,18 @@
   case 10:
     faults->net = faults->net.lose > 0.0 ? (SimNet){ 0 } : (SimNet){ 0.05, 0.05, 0.03 };
     break;
+  case 11:
+    faults->alone = faults->alone ? 0 : 1u << g_rand_int_range(rand, 0, SIM_NODES);
+    break;
+  case 12:
+    faults->copies = faults->copies > 0.0 ? 0.0 : 0.3;
+    break;
+  case 13:
+    sim_deafen_machine(sim, g_rand_double_range(rand, 2.0, 40.0));
+    break;
+  case 14:
+    sim_restart_machine(sim);
+    break;
   default:
     sim_cancel_any(sim);
   }
@@ -200,7 +212,7 @@
     sim_run(sim, g_rand_double_range(rand, 0.05, 6.0));
   }
   /* All faults end: what was accepted is done or can be cancelled, and no machine leaks. */
-  *sim_faults(sim) = (SimFaults){ 0 };
+  sim_calm(sim);
   for (guint i = 0; i < 400 && sim_open_jobs(sim) > 0; i++) {
     sim_cancel_any(sim);
     sim_run(sim, 1.0);
@@ -249,6 +261,90 @@
   }
 }
 
+/* A node that reaches neither the state service nor the others, while all workers reach it, sends
+   them away: the others act without it, and no task is lost with a lease. */
+static void
+test_alone(void)
+{
+  static const SimJob SERVICE
+      = { .tasks = 6, .service = TRUE, .team = "red", .priority = "critical", .scatter = TRUE };
+  static const SimJob ARRAY = { .tasks = 4, .team = "blue", .priority = "standard", .run_s = 3.0 };
+  for (guint32 seed = 40; seed < 46; seed++) {
+    Sim *sim = sim_new(seed);
+    sim_run(sim, 3.0);
+    sim_submit(sim, &SERVICE);
+    sim_run(sim, 40.0);
+    sim_faults(sim)->alone = 1u << (seed % SIM_NODES);
+    sim_run(sim, 10.0);
+    sim_submit(sim, &ARRAY);
+    sim_run(sim, 60.0);
+    g_assert_cmpuint(sim_done_jobs(sim), ==, 1);
+    g_assert_cmpuint(sim_lost_tasks(sim), ==, 0);
+    sim_free(sim);
+  }
+}
+
+/* Its neighbour case: a whole zone is cut off, from the state service too. Its node is all that its
+   workers have, and its answers keep their tasks alive. */
+static void
+test_zone_alone(void)
+{
+  static const SimJob SERVICE
+      = { .tasks = 6, .service = TRUE, .team = "red", .priority = "critical", .scatter = TRUE };
+  for (guint32 seed = 50; seed < 56; seed++) {
+    Sim *sim = sim_new(seed);
+    sim_run(sim, 3.0);
+    sim_submit(sim, &SERVICE);
+    sim_run(sim, 40.0);
+    sim_faults(sim)->alone = 1u << (seed % SIM_NODES);
+    sim_faults(sim)->cut = 1u << (seed % SIM_NODES);
+    sim_run(sim, 9.0);
+    g_assert_cmpuint(sim_lost_tasks(sim), ==, 0);
+    sim_calm(sim);
+    sim_run(sim, 30.0);
+    g_assert_cmpuint(sim_lost_tasks(sim), ==, 0);
+    sim_free(sim);
+  }
+}
+
+/* A deaf machine is returned, and its tasks start elsewhere. */
+static void
+test_deaf(void)
+{
+  static const SimJob ARRAY = { .tasks = 4, .team = "blue", .priority = "standard", .run_s = 15.0 };
+  for (guint32 seed = 60; seed < 64; seed++) {
+    Sim *sim = sim_new(seed);
+    sim_run(sim, 3.0);
+    sim_submit(sim, &ARRAY);
+    sim_run(sim, 16.0);
+    sim_deafen_machine(sim, 1e6);
+    for (guint i = 0; i < 90 && sim_done_jobs(sim) == 0; i++)
+      sim_run(sim, 1.0);
+    g_assert_cmpuint(sim_done_jobs(sim), ==, 1);
+    sim_free(sim);
+  }
+}
+
+/* Small jobs never stop coming, and there are too few machines: a large one begins all the same. */
+static void
+test_begun(void)
+{
+  static const SimJob SMALL = { .tasks = 2, .team = "blue", .priority = "standard", .run_s = 12.0 };
+  static const SimJob LARGE
+      = { .tasks = 40, .team = "blue", .priority = "best_effort", .run_s = 60.0 };
+  Sim *sim = sim_new(70);
+  sim_faults(sim)->most_machines = 1;
+  sim_run(sim, 3.0);
+  sim_submit(sim, &LARGE);
+  for (guint i = 0; i < 60; i++) {
+    sim_submit(sim, &SMALL);
+    sim_submit(sim, &SMALL);
+    sim_run(sim, 4.0);
+  }
+  g_assert_true(sim_begun(sim, 0));
+  sim_free(sim);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -260,5 +356,9 @@
   g_test_add_func("/core/large", test_large);
   g_test_add_func("/core/rough", test_rough);
   g_test_add_func("/core/crash-twice", test_crash_twice);
+  g_test_add_func("/core/alone", test_alone);
+  g_test_add_func("/core/zone-alone", test_zone_alone);
+  g_test_add_func("/core/deaf", test_deaf);
+  g_test_add_func("/core/begun", test_begun);
   return g_test_run();
 }
