Relays to one owner are bounded; users don't wait behind large transactions

Cause: after a crash the workers of the dead owner come to the others by the hundred, and each report was relayed to it until a timeout (peak cpu 1.2 of the share); submissions at the leader waited for its debt from transactions of twenty changes. Ruled out: the takeover itself (0.2 s from lease end to epoch).

--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -35,6 +35,7 @@
   gboolean store_ok;
   gboolean in_flight;
   gint64 sent_ms;
+  guint relays;  /* reports on their way to it */
   guint reaches; /* bit for each node it hears */
   guint64 acked; /* how much it has of what this node says of its machines, in this epoch */
   guint64 has;   /* how much this node has of what it says */
--- a/src/core/ws-demand.c
+++ b/src/core/ws-demand.c
@@ -8,9 +8,11 @@
    the first of several, where boots are long enough to be worth it; arrays use the rest. */
 #define SHORT_BOOT_S 30.0
 #define LONG_BOOT_S 60.0
-#define LONG_BOOT_EXTRA 0.5
+#define LONG_BOOT_EXTRA 1.0
 /* Estimates are often wrong by half, so only a part of the slack is counted on. */
 #define USED_SLACK 0.7
+/* How soon tasks should begin isn't an estimate, but many jobs may come at once. */
+#define USED_BEGIN_SLACK 0.5
 
 typedef struct {
   guint type;
@@ -113,7 +115,7 @@
   double end_s = 1.2 * ws_learn_estimate_s(core, job) + ws_job_fetch_s(core->book, job);
   double spare_s = allowed_s >= 0.0 ? USED_SLACK * (allowed_s - used_s - end_s) : DEFAULT_SLACK_S;
   if (begin_s >= 0.0)
-    spare_s = MIN(spare_s, USED_SLACK * (begin_s - used_s));
+    spare_s = MIN(spare_s, USED_BEGIN_SLACK * (begin_s - used_s));
   return MAX(0.0, spare_s);
 }
 
--- a/src/core/ws-mesh.c
+++ b/src/core/ws-mesh.c
@@ -7,6 +7,9 @@
 #define GOSSIP_TIMEOUT_MS 1000
 #define REACH_MS 2600
 #define RELAY_TIMEOUT_MS 1200
+/* Reports on their way to one owner. When it has just ended, and nobody knows yet, its workers come
+   to us by the hundred; they live on our token as well. */
+#define MOST_RELAYS 12
 
 gboolean
 ws_mesh_reaches(const WsCore *core, guint node)
@@ -252,26 +255,34 @@
 third_node(const WsCore *core, const Relay *relay)
 {
   for (guint n = 0; n < core->settings->nodes->len; n++)
-    if (n != core->settings->self && n != relay->owner && ws_mesh_reaches(core, n))
+    if (n != core->settings->self && n != relay->owner && ws_mesh_reaches(core, n)
+        && ws_mesh_sees(core, n, relay->owner))
       return n;
   return WS_NONE;
 }
 
+static void
+keep_alive(WsCore *core, gpointer request)
+{
+  if (ws_entitled(core))
+    ws_answer(core, request, 200, ws_commands_answer(core->book->epoch.number, json_array()), 0);
+  else
+    ws_answer_later(core, request, 1);
+}
+
 static void
 on_relayed(WsCore *core, guint status, const json_t *body, gpointer data)
 {
   Relay *relay = data;
+  core->peers[relay->owner].relays--;
   if (status == 200) {
     ws_answer(core, relay->request, 200, json_incref((json_t *)body), 0);
   } else if (relay->via == relay->owner && third_node(core, relay) != WS_NONE) {
     relay->via = third_node(core, relay);
     send_relay(core, relay);
     return;
-  } else if (ws_entitled(core)) {
-    ws_answer(core, relay->request, 200, ws_commands_answer(core->book->epoch.number, json_array()),
-              0);
   } else {
-    ws_answer_later(core, relay->request, 1);
+    keep_alive(core, relay->request);
   }
   relay_free(relay);
 }
@@ -282,6 +293,7 @@
   json_t *message
       = json_pack("{s:I, s:s, s:s}", "epoch", (json_int_t)core->book->epoch.number, "owner",
                   ws_settings_node(core->settings, relay->owner)->name, "report", relay->report);
+  core->peers[relay->owner].relays++;
   ws_call(core, "POST", ws_settings_node(core->settings, relay->via)->endpoint, "/relay", message,
           RELAY_TIMEOUT_MS, on_relayed, relay);
 }
@@ -291,9 +303,14 @@
 {
   Relay *relay = g_new0(Relay, 1);
   *relay = (Relay){ request, owner, owner, g_strdup(report) };
-  if (!ws_mesh_reaches(core, owner) && third_node(core, relay) != WS_NONE)
+  if (!ws_mesh_reaches(core, owner))
     relay->via = third_node(core, relay);
-  send_relay(core, relay);
+  if (relay->via != WS_NONE && core->peers[owner].relays < MOST_RELAYS) {
+    send_relay(core, relay);
+    return;
+  }
+  keep_alive(core, request);
+  relay_free(relay);
 }
 
 static void
--- a/src/core/ws-store.c
+++ b/src/core/ws-store.c
@@ -386,6 +386,20 @@
   ws_store_call(core, WS_FIRST_READ, "GET", path, NULL, 0, LONG_WAIT_MS + 2000, on_watch, NULL);
 }
 
+/* Users, leases and reads don't wait behind the debt of a large transaction of tasks. */
+static gboolean
+may_send(WsCore *core, WsFirst first, guint writes)
+{
+  WsStore *store = core->store;
+  if (first <= WS_FIRST_USER)
+    return ws_rate_ready(&store->requests, 1.0, core->now)
+           && (writes == 0 || ws_rate_borrow(&store->writes, writes, core->now))
+           && ws_rate_take(&store->requests, 1.0, core->now);
+  return ws_rate_ready(&store->requests, 1.0, core->now)
+         && ws_rate_take(&store->writes, writes, core->now)
+         && ws_rate_take(&store->requests, 1.0, core->now);
+}
+
 /* Strictly by urgency: a write that waits for its budget also holds back what is less urgent. */
 static void
 send_queued(WsCore *core)
@@ -396,11 +410,8 @@
   for (guint i = 0; i < WS_FIRST_LEVELS; i++) {
     Queued *queued;
     while ((queued = g_queue_peek_head(&store->queues[i])) != NULL) {
-      if (!ws_rate_ready(&store->requests, 1.0, core->now)
-          || !ws_rate_ready(&store->writes, queued->writes, core->now))
+      if (!may_send(core, (WsFirst)i, queued->writes))
         return;
-      ws_rate_take(&store->requests, 1.0, core->now);
-      ws_rate_take(&store->writes, queued->writes, core->now);
       send(core, g_queue_pop_head(&store->queues[i]));
     }
   }
--- a/src/core/ws-users.c
+++ b/src/core/ws-users.c
@@ -104,8 +104,9 @@
   if (result == WS_TXN_CONFLICT) {
     try_again(core, visit);
   } else if (result == WS_TXN_OK) {
-    g_info("job %s accepted: %u tasks of %s for team %s", visit->id, visit->spec->tasks,
-           visit->spec->class_name, visit->spec->team);
+    g_info("job %s accepted: %u tasks of %s for team %s, estimated %.0f s, due in %.0f s",
+           visit->id, visit->spec->tasks, visit->spec->class_name, visit->spec->team,
+           visit->spec->estimate_s, visit->spec->deadline_s);
     core->plan_due = TRUE;
     end(core, visit, 201, json_pack("{s:s, s:s}", "id", visit->id, W_STATE, "queued"));
   } else {
--- a/src/transport/ws-rate.c
+++ b/src/transport/ws-rate.c
@@ -26,3 +26,13 @@
   rate->tokens -= count;
   return TRUE;
 }
+
+gboolean
+ws_rate_borrow(WsRate *rate, double count, gint64 now_ms)
+{
+  (void)ws_rate_ready(rate, count, now_ms);
+  if (rate->tokens <= -rate->burst)
+    return FALSE;
+  rate->tokens -= count;
+  return TRUE;
+}
