--- a/src/core/ws-demand.c
+++ b/src/core/ws-demand.c
@@ -119,14 +119,15 @@
   return MAX(0.0, spare_s);
 }
 
-static double
-whole_share(const WsDemand *demand, const WsJob *job)
+/* For how many tasks places are wanted, if so many wait. */
+static guint
+with_extra(const WsDemand *demand, const WsJob *job, guint tasks)
 {
   if (job->spec->priority != WS_CRITICAL)
-    return 1.0;
+    return tasks;
   double boot_s = ws_book_type(demand->core->book, 0)->boot_s;
   double length = (boot_s - SHORT_BOOT_S) / (LONG_BOOT_S - SHORT_BOOT_S);
-  return 1.0 + LONG_BOOT_EXTRA * CLAMP(length, 0.0, 1.0);
+  return tasks + (guint)(tasks * LONG_BOOT_EXTRA * CLAMP(length, 0.0, 1.0));
 }
 
 /* What the task takes of a place that is there for a while: less, if others can follow it and
@@ -138,7 +139,7 @@
   double run_s = ws_learn_estimate_s(demand->core, job) + 5.0;
   double part = job->spec->kind == WS_KIND_ARRAY
                     ? MAX(LEAST_SHARE, run_s / (run_s + slack_s(demand, job)))
-                    : whole_share(demand, job);
+                    : 1.0;
   need.cpus = (gint64)((double)need.cpus * part);
   need.gpus = (gint64)((double)need.gpus * part);
   need.memory = (gint64)((double)need.memory * part);
@@ -217,7 +218,8 @@
 ws_demand_add(WsDemand *demand, const WsJob *job, guint tasks)
 {
   WsAmount need = share(demand, job);
-  guint left = tasks - put_in(demand, job, &need, tasks);
+  guint wanted = with_extra(demand, job, tasks);
+  guint left = wanted - put_in(demand, job, &need, wanted);
   while (left > 0) {
     guint machines = demand->machines->len;
     if (!(job->spec->spot && want_new(demand, job, TRUE, &need))
--- a/src/core/ws-plan.c
+++ b/src/core/ws-plan.c
@@ -12,7 +12,9 @@
    whatever the size. */
 #define STEPS_A_MS 40
 #define SPILL_MS 600
-#define TASKS_A_PLAN 400
+/* A bound for jobs of many thousands; all that waits at a start must be seen, or too little is
+ * rented. */
+#define TASKS_A_PLAN 4000
 #define LONG_FETCH_S 3.0
 #define STOP_AGAIN_MS 3000
 /* Time alone changes what is urgent, but slowly. */
