--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -64,7 +64,8 @@
   gboolean seen_from_outside; /* cut off, yet heard by machines of other zones */
   guint direct_calls;         /* launches on their way */
   guint status_calls;
-  guint status_next; /* where the next round of status calls begins */
+  guint status_next;   /* where the next round of status calls begins */
+  gboolean *cut_zones; /* by zone */
   gboolean plan_due;
   gint64 epoch_ms; /* since when the present epoch is known */
   guint64 epoch_seen;
@@ -137,6 +138,8 @@
 
 /* ws-silence.c */
 void ws_silence_tick(WsCore *core);
+/* As of the last tick. */
+gboolean ws_zone_cut(const WsCore *core, guint zone);
 gboolean ws_machine_up(const WsCore *core, const WsMachine *machine);
 /* Its reports come, but what it's told doesn't reach it. */
 gboolean ws_machine_deaf(const WsCore *core, const WsMachine *machine);
--- a/src/core/ws-demand.c
+++ b/src/core/ws-demand.c
@@ -92,8 +92,8 @@
     if (!machine->stored || machine->type == WS_NONE || machine->zone == WS_NONE)
       continue;
     demand->by_zone[machine->zone]++;
-    if (machine->marked)
-      continue;
+    if (machine->marked || ws_zone_cut(core, machine->zone))
+      continue; /* nobody hears of a machine that comes up behind a cut */
     if (is_booting(core, machine))
       add_virtual(demand, machine->type, machine->zone, machine->spot,
                   &ws_book_type(book, machine->type)->room, FALSE);
@@ -180,7 +180,7 @@
   char **zones = ws_book_type(demand->core->book, type)->zones;
   for (; *zones != NULL; zones++) {
     guint zone = ws_book_find_zone(demand->core->book, *zones);
-    if (zone == WS_NONE || !zone_fits(job, zone)
+    if (zone == WS_NONE || !zone_fits(job, zone) || ws_zone_cut(demand->core, zone)
         || ws_fleet_no_capacity(demand->core, type, zone, spot))
       continue;
     if (best == WS_NONE || demand->by_zone[zone] < demand->by_zone[best])
--- a/src/core/ws-fleet.c
+++ b/src/core/ws-fleet.c
@@ -614,7 +614,8 @@
   for (guint i = 0; i < core->book->machines->len; i++) {
     WsMachine *machine = ws_book_machine(core->book, i);
     if (!machine->stored || machine->marked || machine->heard_ms > 0 || machine->type == WS_NONE
-        || machine->tasks->len > 0 || core->now - core->epoch_ms < 10000)
+        || machine->tasks->len > 0 || core->now - core->epoch_ms < 10000
+        || ws_zone_cut(core, machine->zone))
       continue;
     double boot_s = ws_book_type(core->book, machine->type)->boot_s;
     if ((double)(core->wall - machine->at_ms) / 1000.0 > BOOT_PATIENCE * boot_s + 5.0)
--- a/src/core/ws-silence.c
+++ b/src/core/ws-silence.c
@@ -7,6 +7,8 @@
 #define STATUS_TIMEOUT_MS 500
 #define DOUBT_MS 8000
 #define MOST_STATUS_CALLS 32
+/* Leases for which the machines of a zone that is cut off are waited for. */
+#define CUT_LEASES 10.0
 /* A machine that doesn't do what it's told is not used after a while, and returned after a larger
    part of its lease. */
 #define DEAF_UNUSED_MS 4000
@@ -100,6 +102,37 @@
   return silent >= 3 && 5 * silent >= all;
 }
 
+/* Whether none of the zone's nodes is reached, nor most of this node's machines there. Inside, its
+   nodes go on answering its workers, so that nothing there ends with a lease: giving its machines
+   up would throw away work that goes on. */
+static gboolean
+find_zone_cut(const WsCore *core, guint zone)
+{
+  guint nodes = 0, silent = 0, all = 0;
+  for (guint n = 0; n < core->settings->nodes->len; n++) {
+    if (ws_book_find_zone(core->book, ws_settings_node(core->settings, n)->zone) != zone)
+      continue;
+    nodes++;
+    if (ws_mesh_reaches(core, n))
+      return FALSE;
+  }
+  for (guint i = 0; i < core->book->machines->len; i++) {
+    const WsMachine *machine = ws_book_machine(core->book, i);
+    if (machine->zone != zone || !machine->stored || machine->marked || machine->heard_ms == 0
+        || !ws_owns(core, machine))
+      continue;
+    all++;
+    silent += ws_machine_silent(core, machine) ? 1 : 0;
+  }
+  return nodes > 0 && 2 * silent >= all;
+}
+
+gboolean
+ws_zone_cut(const WsCore *core, guint zone)
+{
+  return zone < core->settings->zones->len && core->cut_zones[zone];
+}
+
 /* What is the same for all machines, found once. */
 typedef struct {
   gboolean known;
@@ -158,6 +191,8 @@
       = cuts->is_interruption || (machine->zone != WS_NONE && cuts->zones[machine->zone]);
   gint64 patience
       = is_cut ? (gint64)(core->settings->lease_s * 1000.0) + 500 : patience_ms(core) + 1500;
+  if (ws_zone_cut(core, machine->zone))
+    patience = (gint64)(core->settings->lease_s * CUT_LEASES * 1000.0);
   /* A cancelled task must be gone in time, cut or not. */
   if (has_cancelled(core, machine))
     patience = MIN(patience, (gint64)(core->settings->cancel_s * 400.0));
@@ -199,11 +234,15 @@
 {
   guint count = core->book->machines->len;
   Cuts cuts = { 0 };
+  for (guint z = 0; z < core->settings->zones->len; z++)
+    core->cut_zones[z] = find_zone_cut(core, z);
   for (guint i = 0; i < count; i++) {
     WsMachine *machine = ws_book_machine(core->book, (core->status_next + i) % count);
     if (!machine->stored || !ws_owns(core, machine))
       continue;
-    if (machine->doubts > 0 && core->now - machine->doubt_ms > DOUBT_MS)
+    /* A machine that isn't heard doesn't learn a higher token either. */
+    if (machine->doubts > 0 && core->now - machine->doubt_ms > DOUBT_MS
+        && ws_machine_up(core, machine))
       core->wants_epoch = TRUE;
     gboolean had_room = core->status_calls < MOST_STATUS_CALLS;
     if (!machine->marked || !machine->mark_now)
