--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -64,7 +64,8 @@
   gboolean seen_from_outside; /* cut off, yet heard by machines of other zones */
   guint direct_calls;         /* launches on their way */
   guint status_calls;
-  guint status_next;   /* where the next round of status calls begins */
+  guint status_next; /* where the next round of status calls begins */
+  guint64 plan_steps;
   gboolean *cut_zones; /* by zone */
   gboolean plan_due;
   gint64 epoch_ms; /* since when the present epoch is known */
--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -73,6 +73,12 @@
   g_free(core);
 }
 
+guint64
+ws_core_plan_steps(const WsCore *core)
+{
+  return core->plan_steps;
+}
+
 WsOutput *
 ws_core_pop(WsCore *core)
 {
@@ -211,10 +217,13 @@
   settle(core);
 }
 
+/* Users need no more than the state service and what is known from it: whether this node is among
+   the members yet matters to workers only. */
 static gboolean
 is_ready(const WsCore *core)
 {
-  return ws_entitled(core) && !ws_mesh_alone_refused(core) && !ws_mesh_cut_off(core);
+  return ws_store_loaded(core) && core->book->catalog != NULL && !ws_mesh_alone_refused(core)
+         && !ws_mesh_cut_off(core);
 }
 
 static void
--- a/src/core/ws-plan.c
+++ b/src/core/ws-plan.c
@@ -347,6 +347,7 @@
       left -= place_job(&run, job, left);
   }
   repeat_stops(&run);
+  core->plan_steps += run.map.steps;
   core->plan->next_ms = core->now + PAUSE_MS + run.map.steps / STEPS_A_MS;
   if (run.demand != NULL)
     ws_demand_end(run.demand);
--- a/src/protocol/ws-settings.c
+++ b/src/protocol/ws-settings.c
@@ -3,6 +3,11 @@
 #include <math.h>
 #include <string.h>
 
+/* A set of nodes is kept as bits. */
+#define MOST_NODES 31u
+/* A record of 128 tasks or of 50 machines fits in so much. */
+#define LEAST_VALUE_KB 8.0
+
 static void
 node_free(gpointer data)
 {
@@ -71,6 +76,8 @@
   size_t i;
   const json_t *peer;
   json_array_foreach(peers, i, peer) if (!add_node(settings, peer, FALSE)) return "peers";
+  if (settings->nodes->len > MOST_NODES)
+    return "peers (31 nodes are the most)";
   const WsNode *self = g_ptr_array_index(settings->nodes, 0);
   g_ptr_array_sort(settings->nodes, by_name);
   for (guint n = 0; n < settings->nodes->len; n++)
@@ -156,7 +163,8 @@
          : !positive(workers, "cancel_s", &s->cancel_s)       ? "params.workers.cancel_s"
          : !positive(state, "rps", &s->state_rps)             ? "params.state.rps"
          : !positive(state, "write_rps", &s->state_write_rps) ? "params.state.write_rps"
-         : !positive(state, "value_kb", &s->state_value_kb)   ? "params.state.value_kb"
+         : !positive(state, "value_kb", &s->state_value_kb) || s->state_value_kb < LEAST_VALUE_KB
+             ? "params.state.value_kb (8 is the least)"
          : !ws_json_count(state, "txn_ops", &s->state_txn_ops) || s->state_txn_ops < 4
              ? "params.state.txn_ops"
          : !positive(cloud, "rps", &s->cloud_rps)                 ? "params.cloud.rps"
--- /dev/null
+++ b/tests/sim/rig.c
@@ -0,0 +1,198 @@
+#include "sim/rig.h"
+
+#include "protocol/ws-json.h"
+#include "ws-site.h"
+
+#include <string.h>
+
+void
+rig_reply(Rig *rig, guint64 call, guint status, const json_t *body)
+{
+  g_autofree char *text = ws_json_text(body);
+  ws_core_reply(rig->core, rig->now_ms, rig->now_ms, call, status, text,
+                text != NULL ? strlen(text) : 0);
+}
+
+void
+rig_on_state(gpointer data, guint status, json_t *body)
+{
+  Asked *asked = data;
+  rig_reply(asked->rig, asked->call, status, body);
+  json_decref(body);
+  g_free(asked);
+}
+
+static json_t *
+catalog(void)
+{
+  return json_pack("{s:[{s:s, s:i, s:i, s:i, s:i, s:f, s:f, s:f, s:i, s:[s]}]}", "typy", "sku",
+                   "g4", "cpus", 32, "accelerators", 4, "mem_gb", 64, "local_gb", 100,
+                   "pull_gb_per_s", 1.0, "price", 8.0, "low_price", 3.0, "boot_s", 8, "haly", "a");
+}
+
+/* A peer that isn't a member, but has all that it's told. */
+static void
+take_gossip(Rig *rig, const WsOutput *output, const json_t *body)
+{
+  g_autoptr(json_t) answer
+      = json_pack("{s:s, s:O, s:b, s:i, s:b, s:i, s:i, s:O, s:[]}", "node",
+                  strstr(output->url, "mesh-1") != NULL ? "n1" : "n2", "epoch",
+                  json_object_get(body, "epoch"), "store", 1, "reaches", 7, "wants_epoch", 0,
+                  "base", 0, "rev", 0, "ack", json_object_get(body, "rev"), "machines");
+  rig->gossip_bytes = strlen(output->body);
+  rig_reply(rig, output->call, 200, answer);
+}
+
+static void
+take_call(Rig *rig, const WsOutput *output)
+{
+  g_autoptr(json_t) body
+      = output->body != NULL ? ws_json_parse(output->body, strlen(output->body)) : NULL;
+  const char *path = strchr(output->url + strlen("http://"), '/');
+  if (strstr(output->url, "//state") != NULL) {
+    Asked *asked = g_new0(Asked, 1);
+    *asked = (Asked){ rig, output->call };
+    if (strcmp(path, "/multi") == 0) {
+      json_decref(rig->last_txn);
+      rig->last_txn = json_incref(body);
+      if (strstr(output->body, "\"set\":\"w/member/n0\"") != NULL) {
+        json_decref(rig->member_txn);
+        rig->member_txn = json_incref(body);
+      }
+    }
+    if (rig->hold && output->body != NULL && strstr(output->body, "w/task/") != NULL) {
+      rig->hold = FALSE;
+      rig->held = output->call;
+      g_free(asked);
+      return;
+    }
+    sim_state_request(rig->state, rig->now_ms, output->method, path, body, rig_on_state, asked);
+  } else if (strcmp(path, "/catalog") == 0) {
+    g_autoptr(json_t) message = catalog();
+    rig_reply(rig, output->call, 200, message);
+  } else if (strcmp(path, "/commands") == 0) {
+    rig->direct++;
+    if (rig->workers_answer)
+      rig_reply(rig, output->call, 409, NULL);
+  } else if (strcmp(path, "/gossip") == 0) {
+    take_gossip(rig, output, body);
+  } else {
+    rig_reply(rig, output->call, 0, NULL);
+  }
+}
+
+void
+rig_pump(Rig *rig)
+{
+  WsOutput *output;
+  while ((output = ws_core_pop(rig->core)) != NULL) {
+    rig->outputs++;
+    if (output->is_answer) {
+      rig->status = output->status;
+      json_decref(rig->answer);
+      rig->answer = output->body != NULL ? ws_json_parse(output->body, strlen(output->body)) : NULL;
+    } else {
+      take_call(rig, output);
+    }
+    ws_output_free(output);
+  }
+}
+
+void
+rig_run(Rig *rig, double seconds)
+{
+  for (gint64 until_ms = rig->now_ms + (gint64)(seconds * 1000.0); rig->now_ms < until_ms;
+       rig->now_ms += 50) {
+    sim_state_tick(rig->state, rig->now_ms, FALSE);
+    ws_core_tick(rig->core, rig->now_ms, rig->now_ms);
+    rig_pump(rig);
+  }
+}
+
+void
+rig_ask(Rig *rig, const char *method, const char *path, json_t *body)
+{
+  g_autofree char *text = ws_json_text(body);
+  ws_core_request(rig->core, rig->now_ms, rig->now_ms, WS_DOOR_API, method, path, text,
+                  text != NULL ? strlen(text) : 0, rig);
+  json_decref(body);
+  rig_pump(rig);
+  rig_run(rig, 0.3);
+}
+
+json_t *
+rig_report_of(const char *machine, guint64 token, guint64 seq, json_t *tasks)
+{
+  return json_pack("{s:s, s:s, s:s, s:s, s:b, s:i, s:I, s:I, s:n, s:o}", "stroj", machine,
+                   "endpoint", "w-1:1", "typ", "g4", "hala", "a", "vypujcky", 0, "smena", 1,
+                   "poradi", (json_int_t)seq, "pecet", (json_int_t)token, "vypoved_s", "kusy",
+                   tasks);
+}
+
+void
+rig_send_report(Rig *rig, guint64 token, json_t *tasks)
+{
+  rig_ask(rig, "POST", "/v1/report", rig_report_of("m-1", token, ++rig->seq, tasks));
+}
+
+gboolean
+rig_is_assigned(const Rig *rig)
+{
+  return sim_state_has(rig->state, "w/task/req-1/0");
+}
+
+json_t *
+rig_submission(void)
+{
+  return json_pack(
+      "{s:s, s:s, s:s, s:s, s:s, s:i, s:f, s:f, s:f, s:s, s:f, s:b, s:b, s:b, s:f, s:f,"
+      " s:f}",
+      "id", "req-1", "trida", "batch", "dilna", "red", "druh", "sweep", "prednost", "standard",
+      "kusy", 1, "cpus", 8.0, "accelerators", 1.0, "mem_gb", 16.0, "obraz", "img-1", "pull_gb", 2.0,
+      "one_zone", 0, "scatter", 0, "vypujcky", 0, "odhad_s", 50.0, "zaloha_s", 0.0, "ulozeni_s",
+      0.0);
+}
+
+Rig *
+rig_bare(gboolean workers_answer)
+{
+  Rig *rig = g_new0(Rig, 1);
+  rig->settings = ws_test_settings(0);
+  rig->properties = ws_properties_new();
+  rig->state = sim_state_new();
+  rig->workers_answer = workers_answer;
+  rig->now_ms = 1000;
+  rig->core = ws_core_new(rig->settings, rig->properties, 7);
+  rig_run(rig, 1.0);
+  return rig;
+}
+
+Rig *
+rig_new(gboolean workers_answer)
+{
+  Rig *rig = rig_bare(workers_answer);
+  rig_send_report(rig, 0, json_array());
+  rig_send_report(rig, 1, json_array());
+  rig_ask(rig, "POST", "/api/jobs", rig_submission());
+  rig_run(rig, 1.0);
+  g_assert_true(rig_is_assigned(rig));
+  g_assert_cmpuint(rig->direct, >, 0);
+  return rig;
+}
+
+void
+rig_free(Rig *rig)
+{
+  WsOutput *output;
+  sim_state_free(rig->state); /* which ends the watch */
+  ws_core_stop(rig->core);
+  while ((output = ws_core_pop(rig->core)) != NULL)
+    ws_output_free(output);
+  ws_core_free(rig->core);
+  ws_properties_free(rig->properties);
+  ws_settings_free(rig->settings);
+  json_decref(rig->answer);
+  json_decref(rig->last_txn);
+  json_decref(rig->member_txn);
+  g_free(rig);
+}
--- /dev/null
+++ b/tests/sim/rig.h
@@ -0,0 +1,46 @@
+/* One controller alone in its epoch, with a state service and scripted workers: for what random
+   schedules rarely lean on, and for counting. */
+#pragma once
+
+#include "core/ws-core.h"
+#include "sim/state.h"
+
+typedef struct Rig {
+  WsSettings *settings;
+  WsProperties *properties;
+  SimState *state;
+  WsCore *core;
+  gint64 now_ms;
+  gboolean workers_answer; /* direct commands */
+  guint direct;            /* direct commands seen */
+  guint64 seq;
+  guint status; /* the last answer to a request of ours */
+  json_t *answer;
+  gboolean hold; /* the next transaction that assigns a task waits for held's answer */
+  guint64 held;
+  json_t *last_txn;
+  guint outputs;      /* answers and calls of the core */
+  gsize gossip_bytes; /* of the last gossip; a peer acknowledges it */
+  json_t *member_txn; /* the last one that wrote the member's own record */
+} Rig;
+
+typedef struct {
+  Rig *rig;
+  guint64 call;
+} Asked;
+
+/* A machine that has shown the token, a job and its task on the machine. */
+Rig *rig_new(gboolean workers_answer);
+/* The same without machine and job. */
+Rig *rig_bare(gboolean workers_answer);
+void rig_free(Rig *rig);
+void rig_pump(Rig *rig);
+void rig_run(Rig *rig, double seconds);
+/* A request, and a moment for its answer. */
+void rig_ask(Rig *rig, const char *method, const char *path, json_t *body /* taken */);
+json_t *rig_report_of(const char *machine, guint64 token, guint64 seq, json_t *tasks);
+void rig_send_report(Rig *rig, guint64 token, json_t *tasks);
+json_t *rig_submission(void);
+gboolean rig_is_assigned(const Rig *rig);
+void rig_reply(Rig *rig, guint64 call, guint status, const json_t *body);
+void rig_on_state(gpointer data, guint status, json_t *body);
--- a/tests/sim/state.c
+++ b/tests/sim/state.c
@@ -172,6 +172,24 @@
   return entry != NULL ? entry->version : 0;
 }
 
+/* As the settings of the tests say. */
+static void
+check_limits(const json_t *body)
+{
+  size_t i;
+  const json_t *item;
+  g_autofree char *text = json_dumps(body, JSON_COMPACT);
+  g_assert_cmpuint(strlen(text), <=, 65536);
+  g_assert_cmpuint(json_array_size(json_object_get(body, "apply")), <=, 16);
+  g_assert_cmpuint(json_array_size(json_object_get(body, "if")), <=, 64);
+  json_array_foreach(json_object_get(body, "apply"), i, item)
+  {
+    const json_t *value = json_object_get(item, "value");
+    g_autofree char *written = value != NULL ? json_dumps(value, JSON_COMPACT) : NULL;
+    g_assert_cmpuint(written != NULL ? strlen(written) : 0, <=, 16 * 1024);
+  }
+}
+
 static json_t *
 transact(SimState *state, const json_t *body, guint *status)
 {
@@ -194,7 +212,7 @@
       return json_pack("{s:s}", "error", "no such lease");
     }
   }
-  g_assert_cmpuint(json_array_size(changes), <=, 16);
+  check_limits(body);
   state->revision += json_array_size(changes) > 0 ? 1 : 0;
   json_array_foreach(changes, i, item)
   {
--- a/tests/test-coordination.c
+++ b/tests/test-coordination.c
@@ -1,6 +1,8 @@
 #include "coordination/ws-epoch.h"
 #include "ws-site.h"
 
+#include <string.h>
+
 static WsEpoch
 epoch_of(guint number, guint members)
 {
@@ -57,11 +59,39 @@
   ws_epoch_clear(&none);
 }
 
+static void
+check_refused(json_t *message /* taken */, const char *why)
+{
+  g_autofree char *reason = NULL;
+  g_assert_null(ws_settings_parse(message, &reason));
+  g_assert_nonnull(strstr(reason, why));
+  json_decref(message);
+}
+
+/* Limits are said at the door. */
+static void
+test_limits(void)
+{
+  json_t *crowd = ws_test_message(0);
+  for (guint n = 0; n < 40; n++) {
+    g_autofree char *name = g_strdup_printf("extra-%u", n);
+    json_array_append_new(
+        json_object_get(crowd, "peers"),
+        json_pack("{s:s, s:s, s:s}", "node_name", name, "zone", "a", "endpoint", "mesh-9:1"));
+  }
+  check_refused(crowd, "31 nodes");
+  json_t *narrow = ws_test_message(0);
+  json_object_set_new(json_object_get(json_object_get(narrow, "params"), "state"), "value_kb",
+                      json_real(2.0));
+  check_refused(narrow, "value_kb");
+}
+
 int
 main(int argc, char **argv)
 {
   g_test_init(&argc, &argv, NULL);
   g_test_add_func("/coordination/round-trip", test_round_trip);
   g_test_add_func("/coordination/split", test_split);
+  g_test_add_func("/coordination/limits", test_limits);
   return g_test_run();
 }
--- a/tests/ws-site.h
+++ b/tests/ws-site.h
@@ -3,8 +3,8 @@
 
 #include "protocol/ws-settings.h"
 
-static inline WsSettings *
-ws_test_settings(guint self)
+static inline json_t *
+ws_test_message(guint self)
 {
   static const char *const ZONES[] = { "a", "b", "c" };
   json_t *peers = json_array();
@@ -24,10 +24,15 @@
                              "report_s", 2.0, "lease_s", 12.0, "cancel_s", 30.0, "state", "rps",
                              200.0, "write_rps", 80.0, "value_kb", 16.0, "txn_ops", 16, "cloud",
                              "rps", 4.0, "list_lag_s", 4.0, "limits", "max_sockets", 1000);
-  g_autoptr(json_t) message
-      = json_pack("{s:s, s:s, s:s, s:s, s:o, s:{s:s, s:s}, s:o}", "node_name", name, "zone",
-                  ZONES[self], "api_addr", "api:1", "mesh_addr", "mesh:1", "peers", peers,
-                  "services", "cloud", "cloud:1", "state", "state:1", "params", params);
+  return json_pack("{s:s, s:s, s:s, s:s, s:o, s:{s:s, s:s}, s:o}", "node_name", name, "zone",
+                   ZONES[self], "api_addr", "api:1", "mesh_addr", "mesh:1", "peers", peers,
+                   "services", "cloud", "cloud:1", "state", "state:1", "params", params);
+}
+
+static inline WsSettings *
+ws_test_settings(guint self)
+{
+  g_autoptr(json_t) message = ws_test_message(self);
   g_autofree char *reason = NULL;
   WsSettings *settings = ws_settings_parse(message, &reason);
   g_assert_cmpstr(reason, ==, NULL);
