After a cut workers have a lease to find their owner

Ruled out: the cut itself, which is waited out. Now the long patience lasts a lease longer than the cut (/core/zone-alone fails without it).

--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -243,15 +243,23 @@
       g_hash_table_iter_remove(&iter);
 }
 
+static gboolean
+is_critical(const WsCore *core, const WsPick *pick)
+{
+  const WsJob *job = ws_book_job(core->book, pick->job);
+  return job->spec != NULL && job->spec->priority == WS_CRITICAL;
+}
+
 static void
-draft_picks(WsCore *core, WsDraft *draft)
+draft_picks(WsCore *core, WsDraft *draft, gboolean only_critical)
 {
   WsAssign *assign = core->assign;
   g_autoptr(GArray) picks = assign->picks;
   assign->picks = g_array_new(FALSE, FALSE, sizeof(WsPick));
   for (guint i = 0; i < picks->len; i++) {
     const WsPick *pick = &g_array_index(picks, WsPick, i);
-    WsDraftResult result = ws_draft_pick(draft, pick);
+    WsDraftResult result
+        = only_critical && !is_critical(core, pick) ? WS_DRAFT_FULL : ws_draft_pick(draft, pick);
     if (result == WS_DRAFT_TAKEN)
       g_array_append_vals(assign->writing, pick, 1);
     else if (result == WS_DRAFT_FULL)
@@ -271,8 +279,11 @@
     return;
   WsDraft *draft = ws_draft_new(core);
   g_array_set_size(assign->ending, 0);
+  /* Somebody waits for a critical task; when a cut heals or a wave has passed, the ends of hundreds
+     of others would fill one transaction after another before it. */
+  draft_picks(core, draft, TRUE);
   draft_releases(core, draft);
-  draft_picks(core, draft);
+  draft_picks(core, draft, FALSE);
   if (!ws_draft_is_empty(draft)) {
     assign->busy = TRUE;
     ws_txn_commit(core, ws_draft_write(draft, assign->ending), WS_FIRST_TASK, on_written, NULL);
--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -26,7 +26,7 @@
   core->giveback = ws_giveback_new();
   core->learned = ws_learned_new();
   core->peers = g_new0(WsPeer, settings->nodes->len);
-  core->cut_zones = g_new0(gboolean, MAX(settings->zones->len, 1u));
+  core->cut_ms = g_new0(gint64, MAX(settings->zones->len, 1u));
   return core;
 }
 
@@ -69,7 +69,7 @@
   g_hash_table_unref(core->learned);
   ws_book_free(core->book);
   g_free(core->peers);
-  g_free(core->cut_zones);
+  g_free(core->cut_ms);
   g_free(core);
 }
 
--- a/src/core/ws-silence.c
+++ b/src/core/ws-silence.c
@@ -9,6 +9,8 @@
 #define MOST_STATUS_CALLS 32
 /* Leases for which the machines of a zone that is cut off are waited for. */
 #define CUT_LEASES 10.0
+/* A cut is looked for at every tick; this is longer than the pause between two. */
+#define CUT_NOW_MS 600
 /* A machine that doesn't do what it's told is not used after a while, and returned after a larger
    part of its lease. */
 #define DEAF_UNUSED_MS 4000
@@ -130,7 +132,17 @@
 gboolean
 ws_zone_cut(const WsCore *core, guint zone)
 {
-  return zone < core->settings->zones->len && core->cut_zones[zone];
+  return zone < core->settings->zones->len && core->cut_ms[zone] > 0
+         && core->now - core->cut_ms[zone] < CUT_NOW_MS;
+}
+
+/* When a cut has ended, workers still have to find their owner: they aren't given up for a lease.
+ */
+static gboolean
+was_cut(const WsCore *core, guint zone)
+{
+  return zone < core->settings->zones->len && core->cut_ms[zone] > 0
+         && (double)(core->now - core->cut_ms[zone]) < core->settings->lease_s * 1000.0;
 }
 
 /* What is the same for all machines, found once. */
@@ -191,7 +203,7 @@
       = cuts->is_interruption || (machine->zone != WS_NONE && cuts->zones[machine->zone]);
   gint64 patience
       = is_cut ? (gint64)(core->settings->lease_s * 1000.0) + 500 : patience_ms(core) + 1500;
-  if (ws_zone_cut(core, machine->zone))
+  if (was_cut(core, machine->zone))
     patience = (gint64)(core->settings->lease_s * CUT_LEASES * 1000.0);
   /* A cancelled task must be gone in time, cut or not. */
   if (has_cancelled(core, machine))
@@ -235,7 +247,8 @@
   guint count = core->book->machines->len;
   Cuts cuts = { 0 };
   for (guint z = 0; z < core->settings->zones->len; z++)
-    core->cut_zones[z] = find_zone_cut(core, z);
+    if (find_zone_cut(core, z))
+      core->cut_ms[z] = core->now;
   for (guint i = 0; i < count; i++) {
     WsMachine *machine = ws_book_machine(core->book, (core->status_next + i) % count);
     if (!machine->stored || !ws_owns(core, machine))
--- a/tests/sim/sim.c
+++ b/tests/sim/sim.c
@@ -67,6 +67,7 @@
   SimState *state;
   gint64 calm_ms; /* since when all troubles are over; 0: they aren't */
   guint lost_tasks;
+  guint returned_tasks;
   SimFaults faults;
   Node nodes[SIM_NODES];
   WsSettings *settings[SIM_NODES];
@@ -296,6 +297,7 @@
     if (machine == NULL)
       continue;
     machine->returned = TRUE;
+    sim->returned_tasks += machine->worker->tasks->len;
     g_array_set_size(machine->worker->tasks, 0);
   }
 }
@@ -1006,6 +1008,12 @@
   return sim->lost_tasks;
 }
 
+guint
+sim_returned_tasks(const Sim *sim)
+{
+  return sim->returned_tasks;
+}
+
 gboolean
 sim_begun(const Sim *sim, guint index)
 {
