--- a/tests/test-guards.c
+++ b/tests/test-guards.c
@@ -231,6 +231,76 @@
   rig_free(rig);
 }
 
+static void
+report_now(Rig *rig, const char *machine, guint64 token, guint64 seq, json_t *tasks /* taken */)
+{
+  g_autoptr(json_t) body = rig_report_of(machine, token, seq, tasks);
+  g_autofree char *text = ws_json_text(body);
+  ws_core_request(rig->core, rig->now_ms, rig->now_ms, WS_DOOR_API, "POST", "/v1/report", text,
+                  strlen(text), rig);
+  rig_pump(rig);
+}
+
+static gboolean
+sets(const json_t *txn, const char *key)
+{
+  size_t i;
+  const json_t *change;
+  json_array_foreach(json_object_get(txn, "apply"), i, change)
+  {
+    if (g_strcmp0(json_string_value(json_object_get(change, "set")), key) == 0)
+      return TRUE;
+  }
+  return FALSE;
+}
+
+/* When the ends of many tasks come at once, as after a cut, the assignment of a critical task isn't
+   written after all of them. */
+static void
+test_critical_first(void)
+{
+  enum { JOBS = 12 };
+  Rig *rig = rig_bare(TRUE);
+  for (guint64 seq = 1; seq <= 2 + JOBS; seq++) {
+    for (guint m = 0; m < JOBS; m++) {
+      g_autofree char *machine = g_strdup_printf("m-1%u", m);
+      report_now(rig, machine, seq == 1 ? 0 : 1, seq, json_array());
+    }
+    rig_run(rig, 0.5);
+    if (seq <= 2)
+      continue;
+    guint number = (guint)seq - 3;
+    g_autofree char *id = g_strdup_printf("req-1%u", number);
+    json_t *job = rig_submission();
+    json_object_set_new(job, "id", json_string(id));
+    json_object_set_new(job, "dilna", json_string(number < 5 ? "red" : "blue"));
+    json_object_set_new(job, "cpus", json_real(20.0)); /* one on each machine */
+    rig_ask(rig, "POST", "/api/jobs", job);
+  }
+  rig_run(rig, 1.0);
+  rig->hold = TRUE;
+  for (guint number = 0; number < JOBS; number++) {
+    g_autofree char *key = g_strdup_printf("w/task/req-1%u/0", number);
+    g_autofree char *task = g_strdup_printf("req-1%u/0", number);
+    const json_t *on = json_object_get(sim_state_get(rig->state, key), "on");
+    g_assert_cmpuint(json_array_size(on), ==, 1);
+    report_now(rig, json_string_value(json_array_get(json_array_get(on, 0), 1)), 1, 100,
+               json_pack("[{s:s, s:i, s:s, s:s}]", "kus", task, "pokus", 1, "stav", "exited",
+                         "duvod", "done"));
+  }
+  json_t *critical = rig_submission();
+  json_object_set_new(critical, "id", json_string("req-9"));
+  json_object_set_new(critical, "prednost", json_string("critical"));
+  rig_ask(rig, "POST", "/api/jobs", critical);
+  json_t *before = rig->last_txn;
+  rig_reply(rig, rig->held, 409, NULL);
+  rig_pump(rig);
+  for (guint i = 0; i < 20 && rig->last_txn == before; i++)
+    rig_run(rig, 0.05);
+  g_assert_true(sets(rig->last_txn, "w/task/req-9/0"));
+  rig_free(rig);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -248,5 +318,6 @@
   g_test_add_func("/guards/gang", test_gang);
   g_test_add_func("/guards/member", test_member);
   g_test_add_func("/guards/ghost", test_ghost);
+  g_test_add_func("/guards/critical-first", test_critical_first);
   return g_test_run();
 }
