A crashed node and a dead machine are no sure cut

Now a zone that seems cut is waited for while that lasts, and for a lease after it only if three machines or a longer time than a restart say so.

--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -66,7 +66,8 @@
   guint status_calls;
   guint status_next; /* where the next round of status calls begins */
   guint64 plan_steps;
-  gint64 *cut_ms; /* by zone: when it was last seen cut off; 0: never */
+  gint64 *cut_ms;      /* by zone: when it last seemed to be cut off; 0: never */
+  gint64 *sure_cut_ms; /* by zone: when that was last sure */
   gboolean plan_due;
   gint64 epoch_ms; /* since when the present epoch is known */
   guint64 epoch_seen;
--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -27,6 +27,7 @@
   core->learned = ws_learned_new();
   core->peers = g_new0(WsPeer, settings->nodes->len);
   core->cut_ms = g_new0(gint64, MAX(settings->zones->len, 1u));
+  core->sure_cut_ms = g_new0(gint64, MAX(settings->zones->len, 1u));
   return core;
 }
 
@@ -70,6 +71,7 @@
   ws_book_free(core->book);
   g_free(core->peers);
   g_free(core->cut_ms);
+  g_free(core->sure_cut_ms);
   g_free(core);
 }
 
--- a/src/core/ws-silence.c
+++ b/src/core/ws-silence.c
@@ -9,6 +9,8 @@
 #define MOST_STATUS_CALLS 32
 /* Leases for which the machines of a zone that is cut off are waited for. */
 #define CUT_LEASES 10.0
+/* A restart takes less than this part of a lease. */
+#define RESTART_PART 0.8
 /* A cut is looked for at every tick; this is longer than the pause between two. */
 #define CUT_NOW_MS 600
 /* A machine that doesn't do what it's told is not used after a while, and returned after a larger
@@ -104,21 +106,32 @@
   return silent >= 3 && 5 * silent >= all;
 }
 
-/* Whether none of the zone's nodes is reached, nor most of this node's machines there. Inside, its
-   nodes go on answering its workers, so that nothing there ends with a lease: giving its machines
-   up would throw away work that goes on. */
-static gboolean
-find_zone_cut(const WsCore *core, guint zone)
+/* For how long none of the zone's nodes has been reached; 0: one is, or there is none. */
+static gint64
+out_of_reach_ms(const WsCore *core, guint zone)
 {
-  guint nodes = 0, silent = 0, all = 0;
+  gint64 since_ms = 0;
   for (guint n = 0; n < core->settings->nodes->len; n++) {
     if (ws_book_find_zone(core->book, ws_settings_node(core->settings, n)->zone) != zone)
       continue;
-    nodes++;
     if (ws_mesh_reaches(core, n))
-      return FALSE;
+      return 0;
+    gint64 heard_ms = core->peers[n].heard_ms > 0 ? core->peers[n].heard_ms : core->epoch_ms;
+    since_ms = MAX(since_ms, heard_ms);
   }
-  for (guint i = 0; i < core->book->machines->len; i++) {
+  return since_ms > 0 ? core->now - since_ms : 0;
+}
+
+/* Whether a zone is cut off: none of its nodes is reached, nor most of this node's machines there.
+   Inside, its nodes go on answering its workers, so that nothing there ends with a lease: giving
+   its machines up would throw away work that goes on. A node that has ended and a machine or two
+   that died look the same for as long as a restart takes. */
+static void
+find_zone_cut(WsCore *core, guint zone)
+{
+  gint64 out_ms = out_of_reach_ms(core, zone);
+  guint silent = 0, all = 0;
+  for (guint i = 0; out_ms > 0 && i < core->book->machines->len; i++) {
     const WsMachine *machine = ws_book_machine(core->book, i);
     if (machine->zone != zone || !machine->stored || machine->marked || machine->heard_ms == 0
         || !ws_owns(core, machine))
@@ -126,7 +139,13 @@
     all++;
     silent += ws_machine_silent(core, machine) ? 1 : 0;
   }
-  return nodes > 0 && 2 * silent >= all;
+  gboolean is_long = (double)out_ms > RESTART_PART * core->settings->lease_s * 1000.0;
+  gboolean many = silent >= 3 && 2 * silent > all;
+  gboolean everyone = all > 0 && silent == all;
+  if (out_ms > 0 && (many || everyone))
+    core->cut_ms[zone] = core->now;
+  if (out_ms > 0 && (many || (everyone && is_long)))
+    core->sure_cut_ms[zone] = core->now;
 }
 
 gboolean
@@ -139,10 +158,12 @@
 /* When a cut has ended, workers still have to find their owner: they aren't given up for a lease.
  */
 static gboolean
-was_cut(const WsCore *core, guint zone)
+is_or_was_cut(const WsCore *core, guint zone)
 {
-  return zone < core->settings->zones->len && core->cut_ms[zone] > 0
-         && (double)(core->now - core->cut_ms[zone]) < core->settings->lease_s * 1000.0;
+  if (ws_zone_cut(core, zone))
+    return TRUE;
+  return zone < core->settings->zones->len && core->sure_cut_ms[zone] > 0
+         && (double)(core->now - core->sure_cut_ms[zone]) < core->settings->lease_s * 1000.0;
 }
 
 /* What is the same for all machines, found once. */
@@ -203,7 +224,7 @@
       = cuts->is_interruption || (machine->zone != WS_NONE && cuts->zones[machine->zone]);
   gint64 patience
       = is_cut ? (gint64)(core->settings->lease_s * 1000.0) + 500 : patience_ms(core) + 1500;
-  if (was_cut(core, machine->zone))
+  if (is_or_was_cut(core, machine->zone))
     patience = (gint64)(core->settings->lease_s * CUT_LEASES * 1000.0);
   /* A cancelled task must be gone in time, cut or not. */
   if (has_cancelled(core, machine))
@@ -247,8 +268,7 @@
   guint count = core->book->machines->len;
   Cuts cuts = { 0 };
   for (guint z = 0; z < core->settings->zones->len; z++)
-    if (find_zone_cut(core, z))
-      core->cut_ms[z] = core->now;
+    find_zone_cut(core, z);
   for (guint i = 0; i < count; i++) {
     WsMachine *machine = ws_book_machine(core->book, (core->status_next + i) % count);
     if (!machine->stored || !ws_owns(core, machine))
