--- a/src/core/ws-demand.c
+++ b/src/core/ws-demand.c
@@ -9,8 +9,10 @@
 #define SHORT_BOOT_S 30.0
 #define LONG_BOOT_S 60.0
 #define LONG_BOOT_EXTRA 1.0
-/* Estimates are often wrong by half, so only a part of the slack is counted on. */
+/* Estimates are often wrong by half, so only a part of the slack is counted on: less of it where a
+   class has one time for all its jobs, whatever their size, than where each job has its own. */
 #define USED_SLACK 0.7
+#define USED_CLASS_SLACK 0.4
 /* How soon tasks should begin isn't an estimate, but many jobs may come at once. */
 #define USED_BEGIN_SLACK 0.5
 
@@ -113,7 +115,8 @@
   double begin_s = ws_settings_begin_within(core->settings, job->spec->class_name);
   double used_s = (double)(core->wall - job->at_ms) / 1000.0 + ws_book_type(core->book, 0)->boot_s;
   double end_s = 1.2 * ws_learn_estimate_s(core, job) + ws_job_fetch_s(core->book, job);
-  double spare_s = allowed_s >= 0.0 ? USED_SLACK * (allowed_s - used_s - end_s) : DEFAULT_SLACK_S;
+  double part = job->spec->deadline_s >= 0.0 ? USED_SLACK : USED_CLASS_SLACK;
+  double spare_s = allowed_s >= 0.0 ? part * (allowed_s - used_s - end_s) : DEFAULT_SLACK_S;
   if (begin_s >= 0.0)
     spare_s = MIN(spare_s, USED_BEGIN_SLACK * (begin_s - used_s));
   return MAX(0.0, spare_s);
@@ -152,11 +155,20 @@
   return job->spec->zone == NULL || job->zone == zone;
 }
 
+/* Without a deadline of its own, a job that can't wait until a running task is half done doesn't
+   count on its place. */
+static gboolean
+may_wait(const WsDemand *demand, const WsJob *job)
+{
+  return job->spec->deadline_s >= 0.0
+         || slack_s(demand, job) >= 0.5 * ws_learn_estimate_s(demand->core, job);
+}
+
 /* Returns how many of the tasks found room. */
 static guint
 put_in(WsDemand *demand, const WsJob *job, const WsAmount *need, guint tasks)
 {
-  gboolean waits = job->spec->kind == WS_KIND_ARRAY;
+  gboolean waits = job->spec->kind == WS_KIND_ARRAY && may_wait(demand, job);
   guint placed = 0;
   for (guint i = 0; i < demand->machines->len; i++) {
     Virtual *machine = &g_array_index(demand->machines, Virtual, i);
