--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -351,6 +351,51 @@
   sim_free(sim);
 }
 
+/* Bursts of jobs of every size, priority and team, few machines, and troubles in the middle: within
+   four minutes every job has begun, whatever it is, and in the end each is done. */
+static void
+served_day(guint32 seed)
+{
+  static const SimJob LARGE[]
+      = { { .tasks = 40, .team = "red", .priority = "best_effort", .spot = TRUE, .run_s = 8.0 },
+          { .tasks = 40, .team = "blue", .priority = "standard", .run_s = 8.0 } };
+  Sim *sim = sim_new(seed);
+  guint jobs = 0;
+  sim_run(sim, 3.0);
+  for (guint i = 0; i < 8; i++) {
+    if (i % 4 == 0)
+      sim_submit(sim, &LARGE[i / 4]);
+    jobs += i % 4 == 0 ? 1 : 0;
+    SimJob small = { .tasks = 1 + i, .team = i % 2 ? "red" : "blue", .run_s = 6.0 + i };
+    small.priority = i % 3 ? "standard" : "best_effort";
+    sim_submit(sim, &small);
+    jobs++;
+    any_fault(sim);
+    sim_faults(sim)->most_machines = 3;
+    sim_run(sim, 3.0);
+  }
+  sim_calm(sim);
+  sim_faults(sim)->most_machines = 3;
+  sim_run(sim, 210.0);
+  for (guint i = 0; i < jobs; i++)
+    if (!sim_begun(sim, i))
+      g_error("seed %u: job %u has not begun", seed, i);
+  for (guint i = 0; i < 400 && sim_open_jobs(sim) > 0; i++)
+    sim_run(sim, 1.0);
+  if (sim_open_jobs(sim) > 0)
+    g_error("seed %u: %u jobs are not served", seed, sim_open_jobs(sim));
+  sim_free(sim);
+}
+
+static void
+test_served(void)
+{
+  for (guint32 seed = 200; seed < 206; seed++) {
+    g_test_message("seed %u", seed);
+    served_day(seed);
+  }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -366,5 +411,6 @@
   g_test_add_func("/core/zone-alone", test_zone_alone);
   g_test_add_func("/core/deaf", test_deaf);
   g_test_add_func("/core/begun", test_begun);
+  g_test_add_func("/core/served", test_served);
   return g_test_run();
 }
