One way to send a direct command, one way to report in tests

ws_workers_raise had copied send_direct for the session of the report it answers, which is the machine's by then. Two test files each sent reports of their own, two searches went through a transaction's lists, and two tests named the same service. Behaviour and assertions are as they were.

--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -127,7 +127,7 @@
 
 /* ws-workers.c */
 /* Tells the worker our token, so that it drops the answers of whoever has an older one. */
-void ws_workers_raise(WsCore *core, WsMachine *machine, guint64 session);
+void ws_workers_raise(WsCore *core, WsMachine *machine);
 void ws_workers_report(WsCore *core, const char *body, gsize length, gpointer request);
 /* The answer to a report of a machine that this node owns. */
 json_t *ws_workers_process(WsCore *core, const WsReport *report);
--- a/src/core/ws-silence.c
+++ b/src/core/ws-silence.c
@@ -65,7 +65,7 @@
   }
   /* It is there and reports to somebody else, maybe to a node whose epoch is over. */
   if (report->token < core->book->epoch.number)
-    ws_workers_raise(core, machine, report->session);
+    ws_workers_raise(core, machine);
 }
 
 /* Whether it is the way to the machines of the zone that is silent, not they: a node of the zone is
--- a/src/core/ws-workers.c
+++ b/src/core/ws-workers.c
@@ -76,13 +76,9 @@
 }
 
 void
-ws_workers_raise(WsCore *core, WsMachine *machine, guint64 session)
+ws_workers_raise(WsCore *core, WsMachine *machine)
 {
-  Direct *direct = g_new0(Direct, 1);
-  *direct = (Direct){ machine->index, token(core), session, FALSE };
-  core->direct_calls++;
-  ws_call(core, "POST", machine->endpoint, "/commands",
-          ws_commands_direct(direct->token, session, json_array()), 2000, on_direct, direct);
+  send_direct(core, machine, json_array(), FALSE);
 }
 
 static gboolean
--- a/tests/sim/rig.c
+++ b/tests/sim/rig.c
@@ -129,6 +129,16 @@
                    tasks);
 }
 
+void
+rig_report_now(Rig *rig, const char *machine, guint64 token, guint64 seq, json_t *tasks)
+{
+  g_autoptr(json_t) body = rig_report_of(machine, token, seq, tasks);
+  g_autofree char *text = ws_json_text(body);
+  ws_core_request(rig->core, rig->now_ms, rig->now_ms, WS_DOOR_API, "POST", "/v1/report", text,
+                  strlen(text), rig);
+  rig_pump(rig);
+}
+
 void
 rig_send_report(Rig *rig, guint64 token, json_t *tasks)
 {
--- a/tests/sim/rig.h
+++ b/tests/sim/rig.h
@@ -39,6 +39,9 @@
 /* A request, and a moment for its answer. */
 void rig_ask(Rig *rig, const char *method, const char *path, json_t *body /* taken */);
 json_t *rig_report_of(const char *machine, guint64 token, guint64 seq, json_t *tasks);
+/* A report of any machine, and no pause after it. */
+void rig_report_now(Rig *rig, const char *machine, guint64 token, guint64 seq,
+                    json_t *tasks /* taken */);
 void rig_send_report(Rig *rig, guint64 token, json_t *tasks);
 json_t *rig_submission(void);
 gboolean rig_is_assigned(const Rig *rig);
--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -261,18 +261,19 @@
   }
 }
 
+static const SimJob SPREAD_SERVICE
+    = { .tasks = 6, .service = TRUE, .team = "red", .priority = "critical", .scatter = TRUE };
+
 /* A node that reaches neither the state service nor the others, while all workers reach it, sends
    them away: the others act without it, and no task is lost with a lease. */
 static void
 test_alone(void)
 {
-  static const SimJob SERVICE
-      = { .tasks = 6, .service = TRUE, .team = "red", .priority = "critical", .scatter = TRUE };
   static const SimJob ARRAY = { .tasks = 4, .team = "blue", .priority = "standard", .run_s = 3.0 };
   for (guint32 seed = 40; seed < 46; seed++) {
     Sim *sim = sim_new(seed);
     sim_run(sim, 3.0);
-    sim_submit(sim, &SERVICE);
+    sim_submit(sim, &SPREAD_SERVICE);
     sim_run(sim, 40.0);
     sim_faults(sim)->alone = 1u << (seed % SIM_NODES);
     sim_run(sim, 10.0);
@@ -291,12 +292,10 @@
 static void
 test_zone_alone(void)
 {
-  static const SimJob SERVICE
-      = { .tasks = 6, .service = TRUE, .team = "red", .priority = "critical", .scatter = TRUE };
   for (guint32 seed = 50; seed < 56; seed++) {
     Sim *sim = sim_new(seed);
     sim_run(sim, 3.0);
-    sim_submit(sim, &SERVICE);
+    sim_submit(sim, &SPREAD_SERVICE);
     sim_run(sim, 40.0);
     sim_faults(sim)->alone = 1u << (seed % SIM_NODES);
     sim_faults(sim)->cut = 1u << (seed % SIM_NODES);
--- a/tests/test-guards.c
+++ b/tests/test-guards.c
@@ -34,19 +34,26 @@
   sim_state_request(rig->state, rig->now_ms, "POST", "/multi", remove, rig_on_state, asked);
 }
 
+/* Whether the list of the transaction has an item whose field names the key. */
 static gboolean
-has_condition(const json_t *txn, const char *key)
+names_key(const json_t *txn, const char *list, const char *field, const char *key)
 {
   size_t i;
-  const json_t *condition;
-  json_array_foreach(json_object_get(txn, "if"), i, condition)
+  const json_t *item;
+  json_array_foreach(json_object_get(txn, list), i, item)
   {
-    if (strcmp(json_string_value(json_object_get(condition, "k")), key) == 0)
+    if (g_strcmp0(json_string_value(json_object_get(item, field)), key) == 0)
       return TRUE;
   }
   return FALSE;
 }
 
+static gboolean
+has_condition(const json_t *txn, const char *key)
+{
+  return names_key(txn, "if", "k", key);
+}
+
 /* Every write of assignments carries the epoch, the job and the team as conditions. */
 static void
 test_conditions(void)
@@ -243,16 +250,6 @@
   rig_free(rig);
 }
 
-static void
-report_now(Rig *rig, const char *machine, guint64 token, guint64 seq, json_t *tasks /* taken */)
-{
-  g_autoptr(json_t) body = rig_report_of(machine, token, seq, tasks);
-  g_autofree char *text = ws_json_text(body);
-  ws_core_request(rig->core, rig->now_ms, rig->now_ms, WS_DOOR_API, "POST", "/v1/report", text,
-                  strlen(text), rig);
-  rig_pump(rig);
-}
-
 /* A copy of an old report, from a machine that was returned before this run of the controller
    began, names an old token: nothing is recorded for it. The machine itself would show ours next
    time. */
@@ -260,30 +257,17 @@
 test_late_copy(void)
 {
   Rig *rig = rig_new(TRUE);
-  report_now(rig, "m-9", 0, 5, json_array());
+  rig_report_now(rig, "m-9", 0, 5, json_array());
   rig_run(rig, 2.0);
-  report_now(rig, "m-9", 0, 6, json_array());
+  rig_report_now(rig, "m-9", 0, 6, json_array());
   rig_run(rig, 2.0);
   g_assert_false(sim_state_names(rig->state, "w/lot/", "m-9"));
-  report_now(rig, "m-9", 1, 7, json_array());
+  rig_report_now(rig, "m-9", 1, 7, json_array());
   rig_run(rig, 1.0);
   g_assert_true(sim_state_names(rig->state, "w/lot/", "m-9"));
   rig_free(rig);
 }
 
-static gboolean
-sets(const json_t *txn, const char *key)
-{
-  size_t i;
-  const json_t *change;
-  json_array_foreach(json_object_get(txn, "apply"), i, change)
-  {
-    if (g_strcmp0(json_string_value(json_object_get(change, "set")), key) == 0)
-      return TRUE;
-  }
-  return FALSE;
-}
-
 /* When the ends of many tasks come at once, as after a cut, the assignment of a critical task isn't
    written after all of them. */
 static void
@@ -294,7 +278,7 @@
   for (guint64 seq = 1; seq <= 2 + JOBS; seq++) {
     for (guint m = 0; m < JOBS; m++) {
       g_autofree char *machine = g_strdup_printf("m-1%u", m);
-      report_now(rig, machine, seq == 1 ? 0 : 1, seq, json_array());
+      rig_report_now(rig, machine, seq == 1 ? 0 : 1, seq, json_array());
     }
     rig_run(rig, 0.5);
     if (seq <= 2)
@@ -314,9 +298,9 @@
     g_autofree char *task = g_strdup_printf("req-1%u/0", number);
     const json_t *on = json_object_get(sim_state_get(rig->state, key), "on");
     g_assert_cmpuint(json_array_size(on), ==, 1);
-    report_now(rig, json_string_value(json_array_get(json_array_get(on, 0), 1)), 1, 100,
-               json_pack("[{s:s, s:i, s:s, s:s}]", "kus", task, "pokus", 1, "stav", "exited",
-                         "duvod", "done"));
+    rig_report_now(rig, json_string_value(json_array_get(json_array_get(on, 0), 1)), 1, 100,
+                   json_pack("[{s:s, s:i, s:s, s:s}]", "kus", task, "pokus", 1, "stav", "exited",
+                             "duvod", "done"));
   }
   json_t *critical = rig_submission();
   json_object_set_new(critical, "id", json_string("req-9"));
@@ -327,7 +311,7 @@
   rig_pump(rig);
   for (guint i = 0; i < 20 && rig->last_txn == before; i++)
     rig_run(rig, 0.05);
-  g_assert_true(sets(rig->last_txn, "w/task/req-9/0"));
+  g_assert_true(names_key(rig->last_txn, "apply", "set", "w/task/req-9/0"));
   rig_free(rig);
 }
 
--- a/tests/test-size.c
+++ b/tests/test-size.c
@@ -1,10 +1,7 @@
 /* What a controller does for one report, one gossip and one plan, counted at two sizes: it may not
    grow with the number of machines, or no worse than stated. Steps and messages, not seconds. */
-#include "protocol/ws-json.h"
 #include "sim/rig.h"
 
-#include <string.h>
-
 #define SMALL 80u
 #define LARGE 640u
 
@@ -12,11 +9,7 @@
 report(Rig *rig, guint machine, guint64 token, guint64 seq)
 {
   g_autofree char *name = g_strdup_printf("m-%06u", machine);
-  g_autoptr(json_t) body = rig_report_of(name, token, seq, json_array());
-  g_autofree char *text = ws_json_text(body);
-  ws_core_request(rig->core, rig->now_ms, rig->now_ms, WS_DOOR_API, "POST", "/v1/report", text,
-                  strlen(text), rig);
-  rig_pump(rig);
+  rig_report_now(rig, name, token, seq, json_array());
 }
 
 /* All machines have shown the token, and the peers know of them. */
