--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -70,6 +70,7 @@
   guint status_calls;
   guint status_next; /* where the next round of status calls begins */
   guint64 plan_steps;
+  guint64 plans;
   gint64 *cut_ms;      /* by zone: when it last seemed to be cut off; 0: never */
   gint64 *sure_cut_ms; /* by zone: when that was last sure */
   gboolean plan_due;
--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -81,6 +81,12 @@
   return core->plan_steps;
 }
 
+guint64
+ws_core_plans(const WsCore *core)
+{
+  return core->plans;
+}
+
 WsOutput *
 ws_core_pop(WsCore *core)
 {
--- a/src/core/ws-core.h
+++ b/src/core/ws-core.h
@@ -38,5 +38,6 @@
                    const char *body, gsize length);
 /* Machines looked at by all plans so far: what planning costs. */
 guint64 ws_core_plan_steps(const WsCore *core);
+guint64 ws_core_plans(const WsCore *core);
 WsOutput *ws_core_pop(WsCore *core);
 void ws_output_free(WsOutput *output);
--- a/src/core/ws-place.c
+++ b/src/core/ws-place.c
@@ -11,6 +11,10 @@
 #define IMAGE_COMING 50.0
 #define OTHER_FETCH 20.0
 #define IMAGE_FOR_VICTIM 20.0
+/* Jobs of a plan, critical ones aside, for which victims are looked for: each looks at every
+   machine with an array's task, and when hundreds wait the first ones are the most urgent anyway.
+ */
+#define MOST_LOOKS 4
 
 typedef struct {
   guint machine;
@@ -82,11 +86,13 @@
   }
 }
 
+/* Machines on which nothing that waits has room aren't looked at job by job: nearly every machine
+   has some processors left, and when the cluster is full hundreds of jobs wait. */
 void
-ws_room_map_init(WsRoomMap *map, WsCore *core)
+ws_room_map_init(WsRoomMap *map, WsCore *core, const WsAmount *least)
 {
   const WsBook *book = core->book;
-  *map = (WsRoomMap){ .core = core };
+  *map = (WsRoomMap){ .core = core, .least = *least, .looks = MOST_LOOKS };
   map->slots = g_new0(WsSlot, MAX(book->machines->len, 1u));
   map->open = g_array_new(FALSE, FALSE, sizeof(guint));
   map->coming = g_array_new(FALSE, FALSE, sizeof(guint));
@@ -98,8 +104,7 @@
   }
   ws_assign_each_handed_in(core, take_handed_in, map);
   for (guint i = 0; i < book->machines->len; i++) {
-    const WsAmount *free = &map->slots[i].free;
-    if (map->slots[i].usable && free->cpus > 0 && free->memory > 0)
+    if (map->slots[i].usable && ws_amount_fits(least, &map->slots[i].free))
       g_array_append_val(map->open, i);
   }
   map->steps = book->machines->len;
@@ -220,13 +225,37 @@
   return kind >= WS_ROOM_TAKEN ? map->busy : map->coming;
 }
 
+static gboolean
+may_look_for_victims(WsRoomMap *map, const WsJob *job)
+{
+  if (!has_victims(map, job))
+    return FALSE;
+  if (job->spec->priority == WS_CRITICAL)
+    return TRUE;
+  if (map->looks == 0)
+    return FALSE;
+  map->looks--;
+  return TRUE;
+}
+
+/* What the jobs before this one have filled up. */
+static void
+drop_full(WsRoomMap *map)
+{
+  for (guint i = map->open->len; i-- > 0;)
+    if (!ws_amount_fits(&map->least, &map->slots[g_array_index(map->open, guint, i)].free))
+      g_array_remove_index_fast(map->open, i);
+}
+
 static void
 look_for(WsPlaces *places, WsRoom kind)
 {
   WsRoomMap *map = places->map;
   places->kinds[kind] = g_array_new(FALSE, FALSE, sizeof(Candidate));
-  if (kind >= WS_ROOM_TAKEN && !has_victims(map, places->job))
+  if (kind >= WS_ROOM_TAKEN && !may_look_for_victims(map, places->job))
     return;
+  if (kind == WS_ROOM_NOW)
+    drop_full(map);
   const GArray *machines = machines_of(map, kind);
   for (guint i = 0; i < machines->len; i++)
     consider(places, kind, ws_book_machine(map->core->book, g_array_index(machines, guint, i)));
--- a/src/core/ws-place.h
+++ b/src/core/ws-place.h
@@ -16,17 +16,19 @@
 typedef struct {
   WsCore *core;
   WsSlot *slots;      /* of each machine */
-  GArray *open;       /* of guint: machines with something free */
+  WsAmount least;     /* what is waited for takes at least so much */
+  GArray *open;       /* of guint: machines with that much free */
   GArray *coming;     /* of guint: machines where something is being stopped */
   GArray *busy;       /* of guint: machines with tasks of arrays */
   guint lowest;       /* the least urgent priority among them */
   gboolean borrowing; /* some of them are beyond a guarantee */
   guint steps;        /* machines looked at: what a plan costs */
+  guint looks;        /* for how many more jobs victims are looked for */
 } WsRoomMap;
 
 typedef struct _WsPlaces WsPlaces;
 
-void ws_room_map_init(WsRoomMap *map, WsCore *core);
+void ws_room_map_init(WsRoomMap *map, WsCore *core, const WsAmount *least);
 void ws_room_map_clear(WsRoomMap *map);
 
 WsPlaces *ws_places_new(WsRoomMap *map, const WsJob *job, guint *counts /* of tasks by zone */);
--- a/src/core/ws-plan.c
+++ b/src/core/ws-plan.c
@@ -329,22 +329,47 @@
               ws_book_machine(run->core->book, g_array_index(run->map.coming, guint, i)));
 }
 
+static gboolean
+is_for_us(const WsCore *core, const WsJob *job)
+{
+  return job->done_count + job->on_count < job->tasks && core->now >= job->retry_ms
+         && acting_node(core->book, job) == core->settings->self;
+}
+
+/* What every waiting task takes at least. */
+static WsAmount
+least_needed(const WsCore *core, const GArray *jobs)
+{
+  WsAmount least = { G_MAXINT64, G_MAXINT64, G_MAXINT64 };
+  for (guint i = 0; i < jobs->len; i++) {
+    const WsJob *job = g_array_index(jobs, WsWaiting, i).job;
+    if (!is_for_us(core, job))
+      continue;
+    least.cpus = MIN(least.cpus, job->spec->need.cpus);
+    least.gpus = MIN(least.gpus, job->spec->need.gpus);
+    least.memory = MIN(least.memory, job->spec->need.memory);
+  }
+  return least;
+}
+
 static void
 plan(WsCore *core)
 {
   Run run = { .core = core };
   g_autoptr(GArray) jobs = ws_order_jobs(core);
-  ws_room_map_init(&run.map, core);
+  WsAmount least = least_needed(core, jobs);
+  ws_room_map_init(&run.map, core, &least);
   run.use = g_memdup2(core->book->team_use, sizeof(WsAmount) * MAX(core->settings->teams->len, 1u));
   run.demand = ws_is_leader(core) ? ws_demand_new(core) : NULL;
   guint left = TASKS_A_PLAN;
   for (guint i = 0; i < jobs->len && left > 0; i++) {
     WsJob *job = g_array_index(jobs, WsWaiting, i).job;
-    if (core->now >= job->retry_ms && acting_node(core->book, job) == core->settings->self)
+    if (is_for_us(core, job))
       left -= place_job(&run, job, left);
   }
   repeat_stops(&run);
   core->plan_steps += run.map.steps;
+  core->plans++;
   core->plan->next_ms = core->now + PAUSE_MS + run.map.steps / STEPS_A_MS;
   if (run.demand != NULL)
     ws_demand_end(run.demand);
@@ -373,7 +398,7 @@
   if (!ws_entitled(core) || core->book->catalog == NULL || spec->spread || spec->one_zone)
     return WS_NONE;
   WsRoomMap map;
-  ws_room_map_init(&map, core);
+  ws_room_map_init(&map, core, &spec->need);
   g_autofree gint64 *places = g_new0(gint64, core->settings->nodes->len);
   guint zone = ws_book_find_zone(core->book, spec->zone);
   for (guint i = 0; i < map.open->len; i++) {
--- a/tests/sim/rig.c
+++ b/tests/sim/rig.c
@@ -110,6 +110,16 @@
   }
 }
 
+void
+rig_tell(Rig *rig, const char *path, json_t *body)
+{
+  g_autofree char *text = ws_json_text(body);
+  ws_core_request(rig->core, rig->now_ms, rig->now_ms, WS_DOOR_API, "POST", path, text,
+                  strlen(text), rig);
+  json_decref(body);
+  rig_pump(rig);
+}
+
 void
 rig_ask(Rig *rig, const char *method, const char *path, json_t *body)
 {
@@ -133,11 +143,7 @@
 void
 rig_report_now(Rig *rig, const char *machine, guint64 token, guint64 seq, json_t *tasks)
 {
-  g_autoptr(json_t) body = rig_report_of(rig, machine, token, seq, tasks);
-  g_autofree char *text = ws_json_text(body);
-  ws_core_request(rig->core, rig->now_ms, rig->now_ms, WS_DOOR_API, "POST", "/v1/report", text,
-                  strlen(text), rig);
-  rig_pump(rig);
+  rig_tell(rig, "/v1/report", rig_report_of(rig, machine, token, seq, tasks));
 }
 
 void
--- a/tests/sim/rig.h
+++ b/tests/sim/rig.h
@@ -43,6 +43,8 @@
 void rig_restart(Rig *rig);
 void rig_pump(Rig *rig);
 void rig_run(Rig *rig, double seconds);
+/* A POST, and no pause after it. */
+void rig_tell(Rig *rig, const char *path, json_t *body /* taken */);
 /* A request, and a moment for its answer. */
 void rig_ask(Rig *rig, const char *method, const char *path, json_t *body /* taken */);
 json_t *rig_report_of(const Rig *rig, const char *machine, guint64 token, guint64 seq,
--- a/tests/test-size.c
+++ b/tests/test-size.c
@@ -1,9 +1,11 @@
 /* What a controller does for one report, one gossip and one plan, counted at two sizes: it may not
    grow with the number of machines, or no worse than stated. Steps and messages, not seconds. */
+#include "bookkeeping/ws-book.h"
 #include "sim/rig.h"
 
 #define SMALL 80u
 #define LARGE 640u
+#define HUGE 2000u
 
 static void
 report(Rig *rig, guint machine, guint64 token, guint64 seq)
@@ -42,6 +44,7 @@
 {
   g_assert_cmpuint(outputs_of_report(SMALL), ==, 1);
   g_assert_cmpuint(outputs_of_report(LARGE), ==, 1);
+  g_assert_cmpuint(outputs_of_report(HUGE), ==, 1);
 }
 
 static gsize
@@ -60,9 +63,10 @@
 static void
 test_gossip(void)
 {
-  gsize small = quiet_gossip(SMALL), large = quiet_gossip(LARGE);
+  gsize small = quiet_gossip(SMALL), large = quiet_gossip(LARGE), huge = quiet_gossip(HUGE);
   g_assert_cmpuint(small, >, 0);
   g_assert_cmpuint(large, <=, small + 8); /* a longer count */
+  g_assert_cmpuint(huge, <=, small + 12);
 }
 
 static guint64
@@ -89,6 +93,79 @@
   g_assert_cmpuint(many, <=, large * 4);
 }
 
+static void
+submit(Rig *rig, guint number, guint tasks, double cpus)
+{
+  json_t *job = rig_submission();
+  g_autofree char *id = g_strdup_printf("req-%06u", number);
+  json_object_set_new(job, "id", json_string(id));
+  json_object_set_new(job, "kusy", json_integer((json_int_t)tasks));
+  json_object_set_new(job, "cpus", json_real(cpus));
+  rig_tell(rig, "/api/jobs", job);
+}
+
+/* Every machine shows the task of the first job that is assigned to it. */
+static void
+report_tasks(Rig *rig, guint machines, guint64 seq)
+{
+  for (guint chunk = 0; chunk * WS_CHUNK_TASKS < machines; chunk++) {
+    g_autofree char *key = g_strdup_printf("w/task/req-000001/%u", chunk);
+    size_t i;
+    const json_t *on;
+    json_array_foreach(json_object_get(sim_state_get(rig->state, key), "on"), i, on)
+    {
+      g_autofree char *task = g_strdup_printf("req-000001/%" JSON_INTEGER_FORMAT,
+                                              json_integer_value(json_array_get(on, 0)));
+      rig_report_now(rig, json_string_value(json_array_get(on, 1)), 1, seq,
+                     json_pack("[{s:s, s:O, s:s}]", "kus", task, "pokus", json_array_get(on, 2),
+                               "stav", "running"));
+    }
+  }
+}
+
+static void
+report_for_a_while(Rig *rig, guint machines, guint64 first)
+{
+  for (guint64 seq = first; seq < first + 3; seq++) {
+    report_tasks(rig, machines, seq);
+    rig_run(rig, 1.5);
+  }
+}
+
+/* A full cluster, with something left on each machine that is of no use, and so many waiting jobs.
+   Returns the steps of a plan. */
+static guint64
+steps_when_full(guint machines, guint jobs)
+{
+  Rig *rig = rig_with(machines);
+  for (guint t = 0; t < rig->settings->teams->len; t++) {
+    WsTeamSettings *team = g_ptr_array_index(rig->settings->teams, t);
+    team->limit = (WsAmount){ 0 };
+  }
+  submit(rig, 1, machines, 24.0);
+  rig_run(rig, 2.0);
+  report_for_a_while(rig, machines, 11);
+  for (guint j = 0; j < jobs; j++)
+    submit(rig, 100 + j, 25, 16.0);
+  report_for_a_while(rig, machines, 16);
+  guint64 steps = ws_core_plan_steps(rig->core), plans = ws_core_plans(rig->core);
+  report_for_a_while(rig, machines, 21);
+  steps = ws_core_plan_steps(rig->core) - steps;
+  plans = ws_core_plans(rig->core) - plans;
+  rig_free(rig);
+  return steps / MAX(plans, 1u);
+}
+
+/* When the cluster is full a plan doesn't grow with waiting jobs times machines: at 1,800 machines
+   there were seconds between two plans, and places stood empty meanwhile. */
+static void
+test_full(void)
+{
+  guint64 few = steps_when_full(HUGE, 2), many = steps_when_full(HUGE, 40);
+  g_assert_cmpuint(few, >, 0);
+  g_assert_cmpuint(many, <=, few * 4);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -97,5 +174,6 @@
   g_test_add_func("/size/report", test_report);
   g_test_add_func("/size/gossip", test_gossip);
   g_test_add_func("/size/plan", test_plan);
+  g_test_add_func("/size/full", test_full);
   return g_test_run();
 }
