--- a/src/core/ws-silence.c
+++ b/src/core/ws-silence.c
@@ -64,7 +64,8 @@
 gboolean
 ws_machine_deaf(const WsCore *core, const WsMachine *machine)
 {
-  return unmet_for(core, machine) > patience_ms(core);
+  /* One that says nothing isn't deaf, but silent. */
+  return ws_machine_up(core, machine) && unmet_for(core, machine) > patience_ms(core);
 }
 
 static void
@@ -113,8 +114,11 @@
   return silent >= 3 && 2 * silent > all;
 }
 
+static gboolean is_or_was_cut(const WsCore *core, guint zone);
+
 /* Spot machines are taken in waves; when ordinary ones fall silent together, something between them
-   and us is interrupted, and their tasks go on until the lease runs out. */
+   and us is interrupted, and their tasks go on until the lease runs out. Those behind a cut say
+   nothing of the others. */
 static gboolean
 is_interruption(const WsCore *core)
 {
@@ -122,7 +126,8 @@
   for (guint i = 0; i < core->book->machines->len; i++) {
     const WsMachine *machine = ws_book_machine(core->book, i);
     if (machine->spot || !machine->stored || silent_since(machine) == 0
-        || (machine->marked && g_strcmp0(machine->mark_why, "silent") != 0))
+        || (machine->marked && g_strcmp0(machine->mark_why, "silent") != 0)
+        || is_or_was_cut(core, machine->zone))
       continue;
     all++;
     silent += ws_machine_silent(core, machine) ? 1 : 0;
@@ -253,7 +258,8 @@
 {
   gboolean many = deaf >= 3 && 5 * deaf >= all; /* then it's rather this node that isn't heard */
   double part = many ? 1.0 : DEAF_PART;
-  if ((double)unmet_for(core, machine) > part * core->settings->lease_s * 1000.0)
+  if (ws_machine_up(core, machine)
+      && (double)unmet_for(core, machine) > part * core->settings->lease_s * 1000.0)
     ws_giveback_mark(core, machine, "deaf", TRUE);
 }
 
--- a/tests/test-guards.c
+++ b/tests/test-guards.c
@@ -381,6 +381,31 @@
   rig_free(rig);
 }
 
+/* What is silent behind a cut doesn't make a machine elsewhere wait, that died meanwhile: dozens
+   were given up only after a lease. */
+static void
+test_death_beside_cut(void)
+{
+  Rig *rig = rig_bare(TRUE);
+  rig->zone = "b";
+  for (guint64 seq = 1; seq <= 2; seq++) {
+    report_all(rig, 0, seq == 1 ? 0 : 1, seq, FALSE);
+    rig->zone = "a";
+    rig_report_now(rig, "m-2", seq == 1 ? 0 : 1, seq, json_array());
+    rig->zone = "b";
+    rig_run(rig, 1.5);
+  }
+  rig->peers_silent = TRUE;
+  rig->zone = "a";
+  for (guint64 seq = 1; seq <= 8; seq++) {
+    rig_report_now(rig, "m-1", seq == 1 ? 0 : 1, seq, json_array());
+    rig_run(rig, 1.0);
+  }
+  g_assert_cmpuint(sim_state_count(rig->state, "w/mark/"), ==, 1);
+  g_assert_true(sim_state_has(rig->state, "w/mark/m-2"));
+  rig_free(rig);
+}
+
 /* Six tasks on six machines of the zone, and the controller begins anew. */
 static Rig *
 rig_restarted(const char *zone, gboolean peers_silent)
@@ -451,6 +476,7 @@
   g_test_add_func("/guards/critical-first", test_critical_first);
   g_test_add_func("/guards/unheard", test_unheard);
   g_test_add_func("/guards/cut-at-once", test_cut_at_once);
+  g_test_add_func("/guards/death-beside-cut", test_death_beside_cut);
   g_test_add_func("/guards/restart-beside-cut", test_restart_beside_cut);
   g_test_add_func("/guards/new-owner", test_new_owner);
   return g_test_run();
