Ends of tasks are written by team and job

Now ends that share a team's or a chunk's record go together, each team having its turn to be first.

--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -33,6 +33,7 @@
   GArray *ending;     /* of guint: jobs that the transaction ends */
   gboolean busy;
   gint64 next_ms;
+  guint first_team; /* whose releases are written first, in turn */
 };
 
 static gpointer
@@ -232,15 +233,53 @@
   g_array_set_size(assign->writing, 0);
 }
 
-static void
-draft_releases(WsCore *core, WsDraft *draft)
+/* By team, beginning with the one whose turn it is, and by job. */
+static gint
+by_key(gconstpointer a, gconstpointer b, gpointer data)
+{
+  const WsCore *core = data;
+  const WsRelease *first = a, *second = b;
+  guint teams = MAX(core->settings->teams->len, 1u), from = core->assign->first_team;
+  guint first_turn = (ws_book_job(core->book, first->job)->team + teams - from) % teams;
+  guint second_turn = (ws_book_job(core->book, second->job)->team + teams - from) % teams;
+  if (first_turn != second_turn)
+    return first_turn < second_turn ? -1 : 1;
+  if (first->job != second->job)
+    return first->job < second->job ? -1 : 1;
+  return first->task < second->task ? -1 : first->task > second->task;
+}
+
+static GArray *
+releases_in_order(WsCore *core)
 {
+  GArray *releases = g_array_new(FALSE, FALSE, sizeof(WsRelease));
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init(&iter, core->assign->known);
   while (g_hash_table_iter_next(&iter, NULL, &value))
-    if (ws_draft_release(draft, &((Known *)value)->release) == WS_DRAFT_UNWANTED)
-      g_hash_table_iter_remove(&iter);
+    g_array_append_val(releases, ((Known *)value)->release);
+  g_array_sort_with_data(releases, by_key, core);
+  return releases;
+}
+
+/* A team's use is one change, however many of its tasks end, and so is a chunk of a job: ends that
+   share them go together, or hundreds of ends after machines died fill the budget of changes for
+   seconds, and nothing is placed meanwhile. */
+static void
+draft_releases(WsCore *core, WsDraft *draft)
+{
+  WsAssign *assign = core->assign;
+  g_autoptr(GArray) releases = releases_in_order(core);
+  gboolean is_full = FALSE;
+  for (guint i = 0; i < releases->len; i++) {
+    const WsRelease *release = &g_array_index(releases, WsRelease, i);
+    WsDraftResult result = ws_draft_release(draft, release);
+    if (result == WS_DRAFT_UNWANTED)
+      g_hash_table_remove(assign->known, task_key(release->job, release->task));
+    if (result == WS_DRAFT_FULL && !is_full)
+      assign->first_team = ws_book_job(core->book, release->job)->team;
+    is_full = is_full || result == WS_DRAFT_FULL;
+  }
 }
 
 static gboolean
