--- a/src/core/ws-merge.c
+++ b/src/core/ws-merge.c
@@ -1,10 +1,21 @@
 /* Merging: a machine that holds only a few services, whose work fits on others, is given back by
    the same path as an empty one. The move costs its people a moment, so it is done only where the
-   image is there already, when nothing waits for room, and for one machine at a time. */
+   image is there already, when nothing waits for room, and for few machines at a time, of which no
+   two hold tasks of the same service. */
 #include "core/ws-core-private.h"
 
-/* Machines looked at in one tick: each is held against all others. */
+/* Machines looked at in one tick, beside those that are merged: each is held against all others. */
 #define MOST_LOOKS 4
+/* One in so many machines is merged at a time. */
+#define MACHINES_A_MERGE 50
+
+/* What is merged together, in thought. */
+typedef struct {
+  WsAmount *taken;   /* by machine: what moves there */
+  gboolean *closing; /* by machine */
+  GHashTable *jobs;  /* index of each whose task moves */
+  guint machines;    /* so many */
+} Batch;
 
 static gboolean
 is_quiet(const WsCore *core)
@@ -35,43 +46,73 @@
 }
 
 static gboolean
-is_target(const WsCore *core, const WsMachine *machine, const WsMachine *target, const WsJob *job)
+is_target(const WsCore *core, const Batch *batch, const WsMachine *machine, const WsMachine *target,
+          const WsJob *job)
 {
-  return target != machine && target->stored && !target->marked && target->notice_ms == 0
-         && target->tasks->len > 0 && ws_machine_up(core, target)
-         && ws_plan_allowed(core->book, job->spec, job->zone, target)
-         && may_move(core, job, machine->zone, target->zone)
-         && ws_machine_has_image(target, job->image);
+  if (target == machine || !target->stored || target->marked || batch->closing[target->index]
+      || target->notice_ms != 0 || target->tasks->len == 0
+      || !ws_machine_has_image(target, job->image) || !ws_machine_up(core, target)
+      || !ws_plan_allowed(core->book, job->spec, job->zone, target))
+    return FALSE;
+  WsAmount room = ws_book_type(core->book, target->type)->room;
+  ws_amount_add(&room, &target->used, -1);
+  ws_amount_add(&room, &batch->taken[target->index], -1);
+  return ws_amount_fits(&job->spec->need, &room)
+         && may_move(core, job, machine->zone, target->zone);
 }
 
-/* Gives each task a place elsewhere, in thought. */
+/* Whether its tasks may move, and none of a service of which one moves already; nothing that moves
+   is to come here. */
 static gboolean
-fits_elsewhere(const WsCore *core, const WsMachine *machine)
+may_close(const WsCore *core, const Batch *batch, const WsMachine *machine)
 {
-  const WsBook *book = core->book;
-  g_autofree WsAmount *taken = g_new0(WsAmount, book->machines->len);
+  const WsAmount *moved = &batch->taken[machine->index];
   for (guint i = 0; i < machine->tasks->len; i++) {
     const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, i);
-    const WsJob *job = ws_book_job(book, ref->job);
+    const WsJob *job = ws_book_job(core->book, ref->job);
     const WsAssignment *a = ws_job_assignment(job, ref->task);
-    gboolean placed = FALSE;
-    if (job->spec->kind != WS_KIND_SERVICE || a == NULL || a->state != WS_TASK_RUNNING)
+    if (job->spec->kind != WS_KIND_SERVICE || a == NULL || a->state != WS_TASK_RUNNING
+        || g_hash_table_contains(batch->jobs, GUINT_TO_POINTER(job->index)))
       return FALSE;
-    for (guint m = 0; m < book->machines->len && !placed; m++) {
-      const WsMachine *target = ws_book_machine(book, m);
-      if (!is_target(core, machine, target, job))
-        continue;
-      WsAmount room = ws_book_type(book, target->type)->room;
-      ws_amount_add(&room, &target->used, -1);
-      ws_amount_add(&room, &taken[m], -1);
-      placed = ws_amount_fits(&job->spec->need, &room);
-      if (placed)
-        ws_amount_add(&taken[m], &job->spec->need, 1);
-    }
-    if (!placed)
+  }
+  return machine->tasks->len > 0 && moved->cpus == 0 && moved->gpus == 0;
+}
+
+static const WsMachine *
+find_target(const WsCore *core, const Batch *batch, const WsMachine *machine, const WsJob *job)
+{
+  for (guint m = 0; m < core->book->machines->len; m++) {
+    const WsMachine *target = ws_book_machine(core->book, m);
+    if (is_target(core, batch, machine, target, job))
+      return target;
+  }
+  return NULL;
+}
+
+/* Gives each task a place elsewhere, in thought; what was given stays taken if that fails. */
+static gboolean
+fits_elsewhere(const WsCore *core, Batch *batch, const WsMachine *machine)
+{
+  for (guint i = 0; i < machine->tasks->len; i++) {
+    const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, i);
+    const WsJob *job = ws_book_job(core->book, ref->job);
+    const WsMachine *target = find_target(core, batch, machine, job);
+    if (target == NULL)
       return FALSE;
+    ws_amount_add(&batch->taken[target->index], &job->spec->need, 1);
   }
-  return machine->tasks->len > 0;
+  return TRUE;
+}
+
+static void
+merge(WsCore *core, Batch *batch, WsMachine *machine)
+{
+  batch->closing[machine->index] = TRUE;
+  batch->machines++;
+  for (guint i = 0; i < machine->tasks->len; i++)
+    g_hash_table_add(batch->jobs,
+                     GUINT_TO_POINTER(g_array_index(machine->tasks, WsTaskRef, i).job));
+  ws_giveback_mark(core, machine, "merge", FALSE);
 }
 
 static gboolean
@@ -83,31 +124,50 @@
          && 2 * machine->used.gpus <= room->gpus;
 }
 
-void
-ws_merge_tick(WsCore *core)
+/* Whether the machine has been sparse for the hold. */
+static gboolean
+is_due(const WsCore *core, WsMachine *machine)
 {
-  gint64 hold_ms = (gint64)(core->properties->hold_s * 1000.0);
-  guint looked = 0;
-  if (core->book->catalog == NULL || !is_quiet(core))
-    return;
-  for (guint i = 0; i < core->book->machines->len; i++) {
+  if (!is_sparse(core, machine)) {
+    machine->sparse_ms = 0;
+    return FALSE;
+  }
+  if (machine->sparse_ms == 0)
+    machine->sparse_ms = core->now;
+  return core->now - machine->sparse_ms >= (gint64)(core->properties->hold_s * 1000.0);
+}
+
+static void
+merge_some(WsCore *core, Batch *batch)
+{
+  guint count = core->book->machines->len, stored = 0, looked = 0;
+  for (guint i = 0; i < count; i++)
+    stored += ws_book_machine(core->book, i)->stored ? 1 : 0;
+  for (guint i = 0; i < count; i++) {
     WsMachine *machine = ws_book_machine(core->book, i);
-    if (!machine->stored || machine->type == WS_NONE || !ws_owns(core, machine))
+    if (!machine->stored || machine->type == WS_NONE || !ws_owns(core, machine)
+        || !is_due(core, machine) || looked >= MOST_LOOKS || !may_close(core, batch, machine)
+        || batch->machines > stored / MACHINES_A_MERGE)
       continue;
-    if (!is_sparse(core, machine)) {
-      machine->sparse_ms = 0;
+    if (fits_elsewhere(core, batch, machine) && ws_giveback_allowed(core, machine)) {
+      merge(core, batch, machine);
       continue;
     }
-    if (machine->sparse_ms == 0)
-      machine->sparse_ms = core->now;
-    if (core->now - machine->sparse_ms < hold_ms || looked >= MOST_LOOKS)
-      continue;
     looked++;
-    if (!fits_elsewhere(core, machine) || !ws_giveback_allowed(core, machine)) {
-      machine->sparse_ms = core->now; /* the others have their turn first */
-      continue;
-    }
-    ws_giveback_mark(core, machine, "merge", FALSE);
-    return;
+    machine->sparse_ms = core->now; /* the others have their turn first */
   }
 }
+
+void
+ws_merge_tick(WsCore *core)
+{
+  if (core->book->catalog == NULL || !is_quiet(core))
+    return;
+  guint count = MAX(core->book->machines->len, 1u);
+  Batch batch
+      = { g_new0(WsAmount, count), g_new0(gboolean, count), g_hash_table_new(NULL, NULL), 0 };
+  merge_some(core, &batch);
+  g_free(batch.taken);
+  g_free(batch.closing);
+  g_hash_table_unref(batch.jobs);
+}
--- a/tests/test-size.c
+++ b/tests/test-size.c
@@ -145,7 +145,7 @@
   submit(rig, 1, machines, 24.0);
   rig_run(rig, 2.0);
   report_for_a_while(rig, machines, 11);
-  for (guint j = 0; j < jobs; j++)
+  for (guint j = 0; j < machines; j++)
     submit(rig, 100 + j, 25, 16.0);
   report_for_a_while(rig, machines, 16);
   guint64 steps = ws_core_plan_steps(rig->core), plans = ws_core_plans(rig->core);
@@ -166,6 +166,79 @@
   g_assert_cmpuint(many, <=, few * 4);
 }
 
+/* What every so many of the jobs have assigned is reported as running, machine by machine. */
+static void
+report_jobs(Rig *rig, guint machines, guint step, guint64 seq)
+{
+  g_autoptr(GPtrArray) lists = g_ptr_array_new();
+  for (guint m = 0; m < machines; m++)
+    g_ptr_array_add(lists, json_array());
+  for (guint j = 0; j < machines; j += step) {
+    g_autofree char *key = g_strdup_printf("w/task/req-%06u/0", j);
+    size_t i;
+    const json_t *on;
+    json_array_foreach(json_object_get(sim_state_get(rig->state, key), "on"), i, on)
+    {
+      guint64 machine = g_ascii_strtoull(json_string_value(json_array_get(on, 1)) + 2, NULL, 10);
+      g_autofree char *task = g_strdup_printf("req-%06u/%" JSON_INTEGER_FORMAT, j,
+                                              json_integer_value(json_array_get(on, 0)));
+      json_array_append_new(g_ptr_array_index(lists, machine),
+                            json_pack("{s:s, s:O, s:s}", "kus", task, "pokus",
+                                      json_array_get(on, 2), "stav", "running"));
+    }
+  }
+  for (guint m = 0; m < machines; m++) {
+    g_autofree char *name = g_strdup_printf("m-%06u", m);
+    rig_report_now(rig, name, 1, seq, g_ptr_array_index(lists, m));
+  }
+}
+
+/* Half-empty machines with services are merged a few at a time, more of them where there are more
+   machines: one at a time, a hundred stood half empty for minutes at the end of a day. */
+static guint
+most_merged(guint machines)
+{
+  Rig *rig = rig_with(machines);
+  guint most = 0;
+  for (guint t = 0; t < rig->settings->teams->len; t++)
+    ((WsTeamSettings *)g_ptr_array_index(rig->settings->teams, t))->limit = (WsAmount){ 0 };
+  for (guint j = 0; j < machines; j++) {
+    json_t *job = rig_submission();
+    g_autofree char *id = g_strdup_printf("req-%06u", j);
+    json_object_set_new(job, "id", json_string(id));
+    json_object_set_new(job, "druh", json_string("service"));
+    json_object_set_new(job, "kusy", json_integer(4));
+    rig_tell(rig, "/api/jobs", job);
+  }
+  guint64 seq = 20;
+  for (guint i = 0; i < 6; i++) {
+    rig_run(rig, 1.5);
+    report_jobs(rig, machines, 1, ++seq);
+  }
+  for (guint j = 0; j < machines; j++) {
+    if (j % 4 == 0)
+      continue; /* one in four stays: one task on each machine */
+    g_autofree char *path = g_strdup_printf("/api/jobs/req-%06u/withdraw", j);
+    rig_tell(rig, path, json_object());
+  }
+  for (guint i = 0; i < 30; i++) {
+    rig_run(rig, 1.5);
+    report_jobs(rig, machines, 4, ++seq);
+    most = MAX(most, sim_state_count(rig->state, "w/mark/"));
+  }
+  rig_free(rig);
+  return most;
+}
+
+static void
+test_merge(void)
+{
+  g_assert_cmpuint(most_merged(20), ==, 1);
+  guint many = most_merged(200);
+  g_assert_cmpuint(many, >, 1);
+  g_assert_cmpuint(many, <=, 5);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -175,5 +248,6 @@
   g_test_add_func("/size/gossip", test_gossip);
   g_test_add_func("/size/plan", test_plan);
   g_test_add_func("/size/full", test_full);
+  g_test_add_func("/size/merge", test_merge);
   return g_test_run();
 }
