A node that stood still renews its lease and reads before it acts

After a pause of 3 s between two inputs it isn't entitled nor ready until the state service has confirmed a lease asked for since, and a read made since is in; silence and holds count from then. Generated schedules now freeze nodes, cut them off from workers and hang several machines for longer than a lease.

--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -76,6 +76,7 @@
   gboolean plan_due;
   gint64 epoch_ms; /* since when the present epoch is known */
   guint64 epoch_seen;
+  gboolean is_dazed; /* stood still, and has not renewed and read since */
   gint64 upkeep_ms;
   gint64 sweep_ms;
   gboolean wants_epoch; /* a doubt can only be ended by a higher token */
@@ -125,6 +126,8 @@
 WsMembers *ws_members_new(void);
 void ws_members_free(WsMembers *members);
 void ws_members_tick(WsCore *core);
+/* This node stood still: it renews its lease or asks for one, and reads, before it acts again. */
+void ws_members_wake(WsCore *core, gint64 now_ms);
 
 /* ws-users.c */
 void ws_users_request(WsCore *core, const char *method, const char *path, const char *body,
--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+/* A pause between two ticks after which this node's lease may have ended. */
+#define STOOD_STILL_MS 3000
+
 typedef struct {
   guint64 id; /* the key under which it is kept */
   WsReply reply;
@@ -147,7 +150,7 @@
 gboolean
 ws_entitled(const WsCore *core)
 {
-  return ws_store_loaded(core)
+  return ws_store_loaded(core) && !core->is_dazed
          && ws_epoch_has(&core->book->epoch, core->settings->self, core->incarnation);
 }
 
@@ -163,9 +166,31 @@
   return ws_entitled(core) && machine->owner == core->settings->self;
 }
 
+/* Everything that this node would find out by silence, its own lease's end included, looks as if it
+   had happened when it stood still while its clocks ran on. */
+static void
+notice_gap(WsCore *core, gint64 now_ms)
+{
+  gint64 gap_ms = now_ms - core->now;
+  if (core->now == 0 || gap_ms <= STOOD_STILL_MS)
+    return;
+  g_info("this node stood still for %.1f s", (double)gap_ms / 1000.0);
+  core->is_dazed = TRUE;
+  core->epoch_ms = now_ms;
+  for (guint i = 0; i < core->book->machines->len; i++) {
+    WsMachine *machine = ws_book_machine(core->book, i);
+    machine->owned_ms = now_ms;
+    machine->empty_ms = 0;
+    machine->sparse_ms = 0;
+    machine->unmet_ms = 0;
+  }
+  ws_members_wake(core, now_ms);
+}
+
 static void
 set_time(WsCore *core, gint64 now_ms, gint64 wall_ms)
 {
+  notice_gap(core, now_ms);
   core->now = MAX(core->now, now_ms);
   core->wall = wall_ms;
 }
@@ -233,8 +258,8 @@
 static gboolean
 is_ready(const WsCore *core)
 {
-  return ws_store_loaded(core) && core->book->catalog != NULL && !ws_mesh_alone_refused(core)
-         && !ws_mesh_cut_off(core);
+  return ws_store_loaded(core) && !core->is_dazed && core->book->catalog != NULL
+         && !ws_mesh_alone_refused(core) && !ws_mesh_cut_off(core);
 }
 
 static void
--- a/src/core/ws-members.c
+++ b/src/core/ws-members.c
@@ -17,6 +17,10 @@
   gboolean writing_epoch;
   gint64 epoch_next_ms;
   gint64 forced_next_ms;
+  /* after standing still: */
+  gboolean asked_before; /* the call on its way was sent before */
+  gboolean is_renewed;
+  gboolean reading;
 };
 
 WsMembers *
@@ -51,12 +55,41 @@
   members->is_listed = FALSE;
 }
 
+/* What this node believed before it stood still counts again once the state service has confirmed
+   its lease, and everything up to then was read. */
+static void
+on_read_awake(WsCore *core, gboolean current, gpointer data)
+{
+  (void)data;
+  core->members->reading = FALSE;
+  if (!current || !core->members->is_renewed || !core->is_dazed)
+    return;
+  core->is_dazed = FALSE;
+  core->plan_due = TRUE;
+}
+
+static void
+note_renewed(WsMembers *members, gboolean is_renewed)
+{
+  members->is_renewed = is_renewed && !members->asked_before;
+  members->asked_before = FALSE;
+}
+
+void
+ws_members_wake(WsCore *core, gint64 now_ms)
+{
+  core->members->next_ms = now_ms;
+  core->members->asked_before = core->members->asking;
+  core->members->is_renewed = FALSE;
+}
+
 static void
 on_lease(WsCore *core, guint status, const json_t *body, gpointer data)
 {
   (void)data;
   WsMembers *members = core->members;
   members->asking = FALSE;
+  members->asked_before = FALSE;
   members->next_ms = core->now + 200;
   if (status == 200 && ws_json_count(body, W_LEASE, &members->lease))
     members->next_ms = core->now;
@@ -69,6 +102,7 @@
   WsMembers *members = core->members;
   members->asking = FALSE;
   members->is_listed = result == WS_TXN_OK;
+  note_renewed(members, members->is_listed);
   members->next_ms = core->now + (members->is_listed ? RENEW_MS : 200);
   if (result == WS_TXN_REFUSED)
     lose_lease(core);
@@ -82,6 +116,7 @@
   WsMembers *members = core->members;
   members->asking = FALSE;
   members->next_ms = core->now + (status == 200 ? RENEW_MS : 300);
+  note_renewed(members, status == 200);
   if (status == 404)
     lose_lease(core);
 }
@@ -206,6 +241,13 @@
   keep_lease(core);
   if (!ws_store_loaded(core))
     return;
+  if (core->is_dazed) {
+    if (core->members->is_renewed && !core->members->reading) {
+      core->members->reading = TRUE;
+      ws_store_read(core, on_read_awake, NULL);
+    }
+    return;
+  }
   stand_for_leader(core);
   keep_epoch(core);
 }
--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -147,7 +147,7 @@
 {
   GRand *rand = sim_rand(sim);
   SimFaults *faults = sim_faults(sim);
-  switch (g_rand_int_range(rand, 0, 16)) {
+  switch (g_rand_int_range(rand, 0, 19)) {
   case 0:
     sim_crash(sim, (guint)g_rand_int_range(rand, 0, SIM_NODES),
               g_rand_double_range(rand, 0.1, 8.0));
@@ -195,6 +195,17 @@
   case 14:
     sim_restart_machine(sim);
     break;
+  case 15:
+    sim_freeze(sim, (guint)g_rand_int_range(rand, 0, SIM_NODES),
+               g_rand_double_range(rand, 0.2, 30.0));
+    break;
+  case 16:
+    faults->unheard = faults->unheard ? 0 : 1u << g_rand_int_range(rand, 0, SIM_NODES);
+    break;
+  case 17:
+    for (guint i = 0; i < 4; i++)
+      sim_hang_machine(sim, g_rand_double_range(rand, 6.0, 18.0));
+    break;
   default:
     sim_cancel_any(sim);
   }
--- a/tests/test-guards.c
+++ b/tests/test-guards.c
@@ -454,6 +454,24 @@
   rig_free(rig);
 }
 
+/* A node that stood still while its clocks ran on takes nothing for granted: it answers no worker
+   and marks nothing, before it has renewed its lease and read. */
+static void
+test_stood_still(void)
+{
+  Rig *rig = rig_new(TRUE);
+  rig->now_ms += 30000;
+  rig_report_now(rig, "m-1", 1, 50, one_task("running", ""));
+  g_assert_cmpuint(rig->status, ==, 503);
+  rig_run(rig, 2.0);
+  rig_report_now(rig, "m-1", 1, 51, one_task("running", ""));
+  g_assert_cmpuint(rig->status, ==, 200);
+  rig_run(rig, 2.0);
+  g_assert_true(rig_is_assigned(rig));
+  g_assert_cmpuint(sim_state_count(rig->state, "w/mark/"), ==, 0);
+  rig_free(rig);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -479,5 +497,6 @@
   g_test_add_func("/guards/death-beside-cut", test_death_beside_cut);
   g_test_add_func("/guards/restart-beside-cut", test_restart_beside_cut);
   g_test_add_func("/guards/new-owner", test_new_owner);
+  g_test_add_func("/guards/stood-still", test_stood_still);
   return g_test_run();
 }
--- a/tests/test-size.c
+++ b/tests/test-size.c
@@ -145,7 +145,7 @@
   submit(rig, 1, machines, 24.0);
   rig_run(rig, 2.0);
   report_for_a_while(rig, machines, 11);
-  for (guint j = 0; j < machines; j++)
+  for (guint j = 0; j < jobs; j++)
     submit(rig, 100 + j, 25, 16.0);
   report_for_a_while(rig, machines, 16);
   guint64 steps = ws_core_plan_steps(rig->core), plans = ws_core_plans(rig->core);
