--- a/src/core/ws-giveback.c
+++ b/src/core/ws-giveback.c
@@ -200,10 +200,12 @@
          && (machine->spot || ws_spare_without(core, machine));
 }
 
+/* While the state service is away nothing is placed: a machine that is empty then isn't idle.
+   Dozens were given back at the end of an outage, with hundreds of jobs waiting. */
 static void
 elect(WsCore *core, WsMachine *machine)
 {
-  if (machine->tasks->len > 0 || !ws_machine_up(core, machine)) {
+  if (machine->tasks->len > 0 || !ws_machine_up(core, machine) || !ws_store_ok(core)) {
     machine->empty_ms = 0;
     return;
   }
--- a/src/runtime/ws-runtime.c
+++ b/src/runtime/ws-runtime.c
@@ -4,6 +4,11 @@
 #include "transport/ws-http-server.h"
 
 #define TICK_MS 50
+/* How the sockets are shared out, so that neither workers and users nor calls to hundreds of
+   workers can take what the other controllers and the state service need. */
+#define API_PART 0.65
+#define CLIENT_PART 0.25
+#define MESH_PART 0.05
 
 struct _WsRuntime {
   WsCore *core;
@@ -94,11 +99,12 @@
      a restart may fall into the same tick of a coarse clock. */
   guint64 incarnation = ((guint64)g_get_real_time() << 10 | (g_random_int() & 1023)) & G_MAXINT64;
   runtime->core = ws_core_new(settings, properties, incarnation);
-  runtime->client = ws_http_client_new((guint)settings->max_sockets / 3);
-  runtime->api = ws_http_server_new(settings->api_addr, (guint)settings->max_sockets, on_api,
-                                    runtime, error);
+  double sockets = (double)settings->max_sockets;
+  runtime->client = ws_http_client_new((guint)(sockets * CLIENT_PART));
+  runtime->api
+      = ws_http_server_new(settings->api_addr, (guint)(sockets * API_PART), on_api, runtime, error);
   if (runtime->api != NULL)
-    runtime->mesh = ws_http_server_new(settings->mesh_addr, (guint)settings->max_sockets, on_mesh,
+    runtime->mesh = ws_http_server_new(settings->mesh_addr, (guint)(sockets * MESH_PART), on_mesh,
                                        runtime, error);
   if (runtime->mesh == NULL) {
     ws_runtime_free(runtime);
--- a/tests/sim/rig.c
+++ b/tests/sim/rig.c
@@ -50,7 +50,9 @@
   g_autoptr(json_t) body
       = output->body != NULL ? ws_json_parse(output->body, strlen(output->body)) : NULL;
   const char *path = strchr(output->url + strlen("http://"), '/');
-  if (strstr(output->url, "//state") != NULL) {
+  if (strstr(output->url, "//state") != NULL && rig->state_out) {
+    rig_reply(rig, output->call, 503, NULL);
+  } else if (strstr(output->url, "//state") != NULL) {
     Asked *asked = g_new0(Asked, 1);
     *asked = (Asked){ rig, output->call, rig->run };
     if (strcmp(path, "/multi") == 0) {
@@ -104,7 +106,7 @@
 {
   for (gint64 until_ms = rig->now_ms + (gint64)(seconds * 1000.0); rig->now_ms < until_ms;
        rig->now_ms += 50) {
-    sim_state_tick(rig->state, rig->now_ms, FALSE);
+    sim_state_tick(rig->state, rig->now_ms, rig->state_out);
     ws_core_tick(rig->core, rig->now_ms, rig->now_ms);
     rig_pump(rig);
   }
--- a/tests/sim/rig.h
+++ b/tests/sim/rig.h
@@ -15,6 +15,7 @@
   const char *zone;        /* of the machines that report */
   gboolean spot;           /* what kind they are */
   gboolean peers_silent;   /* the other controllers aren't there */
+  gboolean state_out;      /* the state service answers 503 */
   gboolean workers_answer; /* direct commands */
   guint direct;            /* direct commands seen */
   guint64 seq;
--- a/tests/test-guards.c
+++ b/tests/test-guards.c
@@ -472,6 +472,25 @@
   rig_free(rig);
 }
 
+/* A machine that is empty during an outage isn't idle: nothing could be placed on it. */
+static void
+test_empty_in_outage(void)
+{
+  Rig *rig = rig_bare(TRUE);
+  for (guint64 seq = 1; seq <= 30; seq++) {
+    rig->state_out = rig->peers_silent = seq >= 6 && seq < 20;
+    rig_report_now(rig, "m-2", seq == 1 ? 0 : 1, seq, json_array());
+    rig_run(rig, 1.0);
+  }
+  g_assert_cmpuint(sim_state_count(rig->state, "w/mark/"), ==, 0);
+  for (guint64 seq = 31; seq <= 50; seq++) {
+    rig_report_now(rig, "m-2", 1, seq, json_array());
+    rig_run(rig, 1.0);
+  }
+  g_assert_cmpuint(sim_state_count(rig->state, "w/mark/"), ==, 1);
+  rig_free(rig);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -498,5 +517,6 @@
   g_test_add_func("/guards/restart-beside-cut", test_restart_beside_cut);
   g_test_add_func("/guards/new-owner", test_new_owner);
   g_test_add_func("/guards/stood-still", test_stood_still);
+  g_test_add_func("/guards/empty-in-outage", test_empty_in_outage);
   return g_test_run();
 }
