Merging's hold begins anew with each new task; reads after a second stand-still

Found on rereading: a machine that was filled and emptied between two turns of merging kept its old hold, and a read asked for before a second stand-still could have counted for it.

--- a/src/bookkeeping/ws-book.c
+++ b/src/bookkeeping/ws-book.c
@@ -389,6 +389,7 @@
     }
     WsTaskRef ref = { job->index, fresh->task };
     g_array_append_val(book->fresh, ref);
+    ws_book_machine(book, fresh->machine)->sparse_ms = 0; /* its hold begins anew */
   }
 }
 
--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -235,7 +235,7 @@
 
 /* By team, beginning with the one whose turn it is, and by job. */
 static gint
-by_key(gconstpointer a, gconstpointer b, gpointer data)
+by_team_and_job(gconstpointer a, gconstpointer b, gpointer data)
 {
   const WsCore *core = data;
   const WsRelease *first = a, *second = b;
@@ -258,7 +258,7 @@
   g_hash_table_iter_init(&iter, core->assign->known);
   while (g_hash_table_iter_next(&iter, NULL, &value))
     g_array_append_val(releases, ((Known *)value)->release);
-  g_array_sort_with_data(releases, by_key, core);
+  g_array_sort_with_data(releases, by_team_and_job, core);
   return releases;
 }
 
--- a/src/core/ws-members.c
+++ b/src/core/ws-members.c
@@ -21,6 +21,7 @@
   gboolean asked_before; /* the call on its way was sent before */
   gboolean is_renewed;
   gboolean reading;
+  guint wakes; /* a read counts only if nothing of the kind has happened since it was asked for */
 };
 
 WsMembers *
@@ -60,9 +61,9 @@
 static void
 on_read_awake(WsCore *core, gboolean current, gpointer data)
 {
-  (void)data;
-  core->members->reading = FALSE;
-  if (!current || !core->members->is_renewed || !core->is_dazed)
+  WsMembers *members = core->members;
+  members->reading = FALSE;
+  if (!current || !members->is_renewed || members->wakes != GPOINTER_TO_UINT(data))
     return;
   core->is_dazed = FALSE;
   core->plan_due = TRUE;
@@ -78,9 +79,11 @@
 void
 ws_members_wake(WsCore *core, gint64 now_ms)
 {
-  core->members->next_ms = now_ms;
-  core->members->asked_before = core->members->asking;
-  core->members->is_renewed = FALSE;
+  WsMembers *members = core->members;
+  members->wakes++;
+  members->next_ms = now_ms;
+  members->asked_before = members->asking;
+  members->is_renewed = FALSE;
 }
 
 static void
@@ -244,7 +247,7 @@
   if (core->is_dazed) {
     if (core->members->is_renewed && !core->members->reading) {
       core->members->reading = TRUE;
-      ws_store_read(core, on_read_awake, NULL);
+      ws_store_read(core, on_read_awake, GUINT_TO_POINTER(core->members->wakes));
     }
     return;
   }
--- a/src/core/ws-silence.c
+++ b/src/core/ws-silence.c
@@ -87,11 +87,43 @@
     ws_workers_raise(core, machine);
 }
 
+/* For how long none of the zone's nodes has been reached; 0: one is, or there is none. */
+static gint64
+out_of_reach_ms(const WsCore *core, guint zone)
+{
+  gint64 since_ms = 0;
+  for (guint n = 0; n < core->settings->nodes->len; n++) {
+    if (ws_book_find_zone(core->book, ws_settings_node(core->settings, n)->zone) != zone)
+      continue;
+    if (ws_mesh_reaches(core, n))
+      return 0;
+    gint64 heard_ms = core->peers[n].heard_ms > 0 ? core->peers[n].heard_ms : core->epoch_ms;
+    since_ms = MAX(since_ms, heard_ms);
+  }
+  return since_ms > 0 ? core->now - since_ms : 0;
+}
+
+gboolean
+ws_zone_cut(const WsCore *core, guint zone)
+{
+  return zone < core->settings->zones->len && core->cut_ms[zone] > 0
+         && core->now - core->cut_ms[zone] < CUT_NOW_MS;
+}
+
+/* When a cut has ended, workers still have to find their owner: they aren't given up for a lease.
+ */
+static gboolean
+is_or_was_cut(const WsCore *core, guint zone)
+{
+  if (ws_zone_cut(core, zone))
+    return TRUE;
+  return zone < core->settings->zones->len && core->sure_cut_ms[zone] > 0
+         && (double)(core->now - core->sure_cut_ms[zone]) < core->settings->lease_s * 1000.0;
+}
+
 /* Whether it is the way to the machines of the zone that is silent, not they: a node of the zone is
    out of reach, or many of its machines are silent together. Such machines go on working, and their
    reports come through another node after a while. */
-static gint64 out_of_reach_ms(const WsCore *core, guint zone);
-
 static gboolean
 zone_is_cut(const WsCore *core, guint zone)
 {
@@ -114,8 +146,6 @@
   return silent >= 3 && 2 * silent > all;
 }
 
-static gboolean is_or_was_cut(const WsCore *core, guint zone);
-
 /* Spot machines are taken in waves; when ordinary ones fall silent together, something between them
    and us is interrupted, and their tasks go on until the lease runs out. Those behind a cut say
    nothing of the others. */
@@ -135,22 +165,6 @@
   return silent >= 3 && 5 * silent >= all;
 }
 
-/* For how long none of the zone's nodes has been reached; 0: one is, or there is none. */
-static gint64
-out_of_reach_ms(const WsCore *core, guint zone)
-{
-  gint64 since_ms = 0;
-  for (guint n = 0; n < core->settings->nodes->len; n++) {
-    if (ws_book_find_zone(core->book, ws_settings_node(core->settings, n)->zone) != zone)
-      continue;
-    if (ws_mesh_reaches(core, n))
-      return 0;
-    gint64 heard_ms = core->peers[n].heard_ms > 0 ? core->peers[n].heard_ms : core->epoch_ms;
-    since_ms = MAX(since_ms, heard_ms);
-  }
-  return since_ms > 0 ? core->now - since_ms : 0;
-}
-
 /* Whether a zone is cut off: none of its nodes is reached, nor most of this node's machines there.
    Inside, its nodes go on answering its workers, so that nothing there ends with a lease: giving
    its machines up would throw away work that goes on. A node that has ended and a machine or two
@@ -177,24 +191,6 @@
     core->sure_cut_ms[zone] = core->now;
 }
 
-gboolean
-ws_zone_cut(const WsCore *core, guint zone)
-{
-  return zone < core->settings->zones->len && core->cut_ms[zone] > 0
-         && core->now - core->cut_ms[zone] < CUT_NOW_MS;
-}
-
-/* When a cut has ended, workers still have to find their owner: they aren't given up for a lease.
- */
-static gboolean
-is_or_was_cut(const WsCore *core, guint zone)
-{
-  if (ws_zone_cut(core, zone))
-    return TRUE;
-  return zone < core->settings->zones->len && core->sure_cut_ms[zone] > 0
-         && (double)(core->now - core->sure_cut_ms[zone]) < core->settings->lease_s * 1000.0;
-}
-
 /* What is the same for all machines, found once. */
 typedef struct {
   gboolean known;
