--- a/tests/sim/sim.c
+++ b/tests/sim/sim.c
@@ -9,8 +9,6 @@
 #include <string.h>
 
 #define TICK_MS 50
-#define REPORT_MS 2000
-#define LEASE_MS 12000
 #define CANCEL_MS 30000
 #define BOOT_MS 8000
 #define KNOWN_MS 75000
@@ -60,6 +58,8 @@
 
 struct _Sim {
   guint32 seed;
+  gint64 report_ms;
+  gint64 lease_ms;
   GRand *rand;
   gint64 now_ms;
   guint64 order;
@@ -549,7 +549,8 @@
   }
   if (call->machine != NULL && chance(sim, sim->faults.copies)) {
     call->refs++;
-    later(sim, after_ms + g_rand_int_range(sim->rand, 1000, 4 * LEASE_MS), arrive, call);
+    later(sim, after_ms + g_rand_int_range(sim->rand, 1000, 4 * (gint32)sim->lease_ms), arrive,
+          call);
   }
 }
 
@@ -587,8 +588,8 @@
 worker_replied(Sim *sim, Call *call)
 {
   Machine *machine = call->machine;
-  machine->report_ms
-      = sim->now_ms + REPORT_MS * 3 / 4 + g_rand_int_range(sim->rand, 0, REPORT_MS / 2);
+  machine->report_ms = sim->now_ms + sim->report_ms * 3 / 4
+                       + g_rand_int_range(sim->rand, 0, (gint32)sim->report_ms / 2);
   if (!is_up(sim, machine))
     return;
   if (sim->now_ms < machine->deaf_until_ms)
@@ -631,7 +632,7 @@
   if (machine->worker->seq == 0)
     machine->worker->renewed_ms = MAX(machine->worker->renewed_ms, machine->up_ms);
   guint tasks = machine->worker->tasks->len;
-  sim_worker_lease(machine->worker, sim->now_ms, LEASE_MS);
+  sim_worker_lease(machine->worker, sim->now_ms, sim->lease_ms);
   sim->lost_tasks += tasks - machine->worker->tasks->len;
   if (hangs(sim, machine))
     return;
@@ -929,10 +930,22 @@
   sim->rentals = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, names_free);
   for (guint n = 0; n < SIM_NODES; n++)
     sim->settings[n] = ws_test_settings(n);
+  sim_pace(sim, sim->settings[0]->report_s, sim->settings[0]->lease_s);
   later(sim, 0, tick, NULL);
   return sim;
 }
 
+void
+sim_pace(Sim *sim, double report_s, double lease_s)
+{
+  sim->report_ms = (gint64)(report_s * 1000.0);
+  sim->lease_ms = (gint64)(lease_s * 1000.0);
+  for (guint n = 0; n < SIM_NODES; n++) {
+    sim->settings[n]->report_s = report_s;
+    sim->settings[n]->lease_s = lease_s;
+  }
+}
+
 /* What is still on its way is given up, so that everything allocated ends. */
 static void
 drain(Sim *sim)
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -43,6 +43,8 @@
 
 Sim *sim_new(guint32 seed);
 void sim_free(Sim *sim);
+/* How often workers report, and how long their lease is; before anything runs. */
+void sim_pace(Sim *sim, double report_s, double lease_s);
 SimFaults *sim_faults(Sim *sim);
 GRand *sim_rand(Sim *sim);
 WsProperties *sim_properties(Sim *sim); /* of all nodes */
--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -212,10 +212,11 @@
 }
 
 static void
-rough_day(guint32 seed)
+rough_day(guint32 seed, double report_s, double lease_s)
 {
   Sim *sim = sim_new(seed);
   GRand *rand = sim_rand(sim);
+  sim_pace(sim, report_s, lease_s);
   sim_run(sim, 2.0);
   for (guint i = 0; i < 30; i++) {
     submit_some(sim, (guint)g_rand_int_range(rand, 0, 3));
@@ -245,7 +246,18 @@
   guint32 last = only != NULL ? first : 20;
   for (guint32 seed = first; seed <= last; seed++) {
     g_test_message("seed %u", seed);
-    rough_day(seed);
+    rough_day(seed, 2.0, 12.0);
+  }
+}
+
+/* The same where workers report less often, and where they do so more often. */
+static void
+test_rough_paces(void)
+{
+  for (guint32 seed = 300; seed < 306; seed++) {
+    g_test_message("seed %u", seed);
+    rough_day(seed, 6.0, 31.0);
+    rough_day(seed, 1.0, 8.0);
   }
 }
 
@@ -416,6 +428,7 @@
   g_test_add_func("/core/cut-zone", test_cut_zone);
   g_test_add_func("/core/large", test_large);
   g_test_add_func("/core/rough", test_rough);
+  g_test_add_func("/core/rough-paces", test_rough_paces);
   g_test_add_func("/core/crash-twice", test_crash_twice);
   g_test_add_func("/core/alone", test_alone);
   g_test_add_func("/core/zone-alone", test_zone_alone);
--- a/tests/test-size.c
+++ b/tests/test-size.c
@@ -1,5 +1,6 @@
-/* What a controller does for one report, one gossip and one plan, counted at two sizes: it may not
-   grow with the number of machines, or no worse than stated. Steps and messages, not seconds. */
+/* What a controller does for one report, one tick, one gossip, one plan and a takeover, counted at
+   several sizes: it may not grow with the number of machines, or no worse than stated. Steps and
+   messages, not seconds. */
 #include "bookkeeping/ws-book.h"
 #include "sim/rig.h"
 
@@ -47,6 +48,53 @@
   g_assert_cmpuint(outputs_of_report(HUGE), ==, 1);
 }
 
+/* The controller has begun anew, and every worker reports to it for the first time. */
+static guint
+outputs_of_takeover(guint machines)
+{
+  Rig *rig = rig_with(machines);
+  rig_restart(rig);
+  rig_run(rig, 6.0); /* the lease of its last run ends meanwhile */
+  guint before = rig->outputs;
+  for (guint m = 0; m < machines; m++)
+    report(rig, m, 1, 30);
+  guint outputs = rig->outputs - before;
+  g_assert_cmpuint(rig->status, ==, 200);
+  rig_free(rig);
+  return outputs;
+}
+
+/* Taking every machine over costs an answer for each, and a few messages more. */
+static void
+test_takeover(void)
+{
+  g_assert_cmpuint(outputs_of_takeover(SMALL), <=, SMALL + 10);
+  g_assert_cmpuint(outputs_of_takeover(HUGE), <=, HUGE + 10);
+}
+
+static guint
+outputs_of_second(guint machines)
+{
+  Rig *rig = rig_with(machines);
+  for (guint m = 0; m < machines; m++)
+    report(rig, m, 1, 11);
+  rig_run(rig, 0.5);
+  guint before = rig->outputs;
+  rig_run(rig, 1.0);
+  guint outputs = rig->outputs - before;
+  rig_free(rig);
+  return outputs;
+}
+
+/* Twenty ticks in which nothing happens say as much, whatever the number of machines. */
+static void
+test_tick(void)
+{
+  guint small = outputs_of_second(SMALL);
+  g_assert_cmpuint(small, >, 0);
+  g_assert_cmpuint(outputs_of_second(HUGE), <=, small + 2);
+}
+
 static gsize
 quiet_gossip(guint machines)
 {
@@ -261,6 +309,8 @@
   g_test_init(&argc, &argv, NULL);
   g_log_set_always_fatal(G_LOG_LEVEL_ERROR);
   g_test_add_func("/size/report", test_report);
+  g_test_add_func("/size/takeover", test_takeover);
+  g_test_add_func("/size/tick", test_tick);
   g_test_add_func("/size/gossip", test_gossip);
   g_test_add_func("/size/plan", test_plan);
   g_test_add_func("/size/full", test_full);
