Counting tests report and lift limits in one place

Found on reading the change once more: the loop over all machines stood four times in test-size.c, the one over the teams twice. What is counted and asserted is the same.

--- a/tests/test-size.c
+++ b/tests/test-size.c
@@ -15,14 +15,27 @@
   rig_report_now(rig, name, token, seq, json_array());
 }
 
+static void
+report_each(Rig *rig, guint machines, guint64 token, guint64 seq)
+{
+  for (guint m = 0; m < machines; m++)
+    report(rig, m, token, seq);
+}
+
+static void
+lift_limits(Rig *rig)
+{
+  for (guint t = 0; t < rig->settings->teams->len; t++)
+    ((WsTeamSettings *)g_ptr_array_index(rig->settings->teams, t))->limit = (WsAmount){ 0 };
+}
+
 /* All machines have shown the token, and the peers know of them. */
 static Rig *
 rig_with(guint machines)
 {
   Rig *rig = rig_bare(TRUE);
   for (guint64 seq = 1; seq <= 3; seq++) {
-    for (guint m = 0; m < machines; m++)
-      report(rig, m, seq == 1 ? 0 : 1, seq);
+    report_each(rig, machines, seq == 1 ? 0 : 1, seq);
     rig_run(rig, 1.5);
   }
   return rig;
@@ -56,8 +69,7 @@
   rig_restart(rig);
   rig_run(rig, 6.0); /* the lease of its last run ends meanwhile */
   guint before = rig->outputs;
-  for (guint m = 0; m < machines; m++)
-    report(rig, m, 1, 30);
+  report_each(rig, machines, 1, 30);
   guint outputs = rig->outputs - before;
   g_assert_cmpuint(rig->status, ==, 200);
   rig_free(rig);
@@ -76,8 +88,7 @@
 outputs_of_second(guint machines)
 {
   Rig *rig = rig_with(machines);
-  for (guint m = 0; m < machines; m++)
-    report(rig, m, 1, 11);
+  report_each(rig, machines, 1, 11);
   rig_run(rig, 0.5);
   guint before = rig->outputs;
   rig_run(rig, 1.0);
@@ -99,8 +110,7 @@
 quiet_gossip(guint machines)
 {
   Rig *rig = rig_with(machines);
-  for (guint m = 0; m < machines; m++)
-    report(rig, m, 1, 11);
+  report_each(rig, machines, 1, 11);
   rig_run(rig, 1.6);
   gsize bytes = rig->gossip_bytes;
   rig_free(rig);
@@ -186,10 +196,7 @@
 steps_when_full(guint machines, guint jobs)
 {
   Rig *rig = rig_with(machines);
-  for (guint t = 0; t < rig->settings->teams->len; t++) {
-    WsTeamSettings *team = g_ptr_array_index(rig->settings->teams, t);
-    team->limit = (WsAmount){ 0 };
-  }
+  lift_limits(rig);
   submit(rig, 1, machines, 24.0);
   rig_run(rig, 2.0);
   report_for_a_while(rig, machines, 11);
@@ -263,8 +270,7 @@
   guint most = 0;
   gint64 marked_ms = 0;
   rig_run(rig, 0.4); /* else the hold would end in our turn anyway */
-  for (guint t = 0; t < rig->settings->teams->len; t++)
-    ((WsTeamSettings *)g_ptr_array_index(rig->settings->teams, t))->limit = (WsAmount){ 0 };
+  lift_limits(rig);
   for (guint j = 0; j < machines; j++) {
     json_t *job = rig_submission();
     g_autofree char *id = g_strdup_printf("req-%06u", j);
