--- a/src/bookkeeping/ws-book.c
+++ b/src/bookkeeping/ws-book.c
@@ -77,6 +77,7 @@
   book->lots = g_ptr_array_new_with_free_func((GDestroyNotify)ws_lot_free);
   g_queue_init(&book->mail);
   book->fresh = g_array_new(FALSE, FALSE, sizeof(WsTaskRef));
+  book->cancelled = g_array_new(FALSE, FALSE, sizeof(guint));
   g_queue_init(&book->removed);
   book->team_use = g_new0(WsAmount, MAX(settings->teams->len, 1u));
   ws_names_init(&book->images);
@@ -89,6 +90,7 @@
   g_hash_table_unref(book->versions);
   g_queue_clear_full(&book->removed, removed_free);
   g_array_unref(book->fresh);
+  g_array_unref(book->cancelled);
   ws_epoch_clear(&book->epoch);
   g_array_unref(book->members);
   g_ptr_array_unref(book->active);
--- a/src/bookkeeping/ws-book.h
+++ b/src/bookkeeping/ws-book.h
@@ -21,6 +21,7 @@
   gint64 at_ms; /* wall clock of the assignment */
   /* soft: */
   WsTaskState state;
+  gboolean seen_gone;   /* the worker has shown that a cancelled task's attempt is not there */
   gint64 stop_asked_ms; /* when another owner was last asked to stop it */
   gboolean told;        /* its launch was in an answer to a report */
   gboolean stopping;    /* a stop is wanted, so that something else gets the room or the machine */
@@ -42,10 +43,11 @@
   guint tasks;
   guint team;
   guint image;
-  guint zone;        /* WS_NONE: any */
-  guint home;        /* a node, or WS_NONE: the leader */
-  gint64 at_ms;      /* wall clock */
-  GPtrArray *chunks; /* of WsChunk or NULL */
+  guint zone;          /* WS_NONE: any */
+  guint home;          /* a node, or WS_NONE: the leader */
+  gint64 at_ms;        /* wall clock */
+  gint64 cancelled_ms; /* wall clock of the cancellation; 0: there is none, or nobody wrote when */
+  GPtrArray *chunks;   /* of WsChunk or NULL */
   guint done_count;
   guint on_count;
   /* soft: */
@@ -92,6 +94,8 @@
   GArray *images;   /* of guint, oldest first */
   guint bad_jobs;   /* jobs that failed here since one last succeeded */
   guint last_bad_job;
+  guint64 halt_session; /* as the worker last told whoever halts a cancelled task there */
+  guint64 halt_token;
   guint doubts; /* direct launches without an answer */
   gint64 doubt_ms;
   guint64 doubt_token;
@@ -148,6 +152,7 @@
   GHashTable *versions; /* key -> WsKeyVersion */
   GQueue removed;       /* of WsRemoved: removed keys still among the versions */
   GArray *fresh;        /* of WsTaskRef: assigned since somebody last emptied it */
+  GArray *cancelled;    /* of guint: jobs with tasks cancelled since somebody last emptied it */
   guint64 revision;     /* everything up to here has been applied */
   WsEpoch epoch;
   guint64 leader_incarnation;
--- a/src/bookkeeping/ws-records.c
+++ b/src/bookkeeping/ws-records.c
@@ -88,8 +88,12 @@
 json_t *
 ws_job_encode(const WsJob *job, WsJobState state, const char *home)
 {
-  return json_pack("{s:s, s:I, s:s, s:o}", "s", JOB_STATES[state], "at", (json_int_t)job->at_ms,
-                   "home", home, "spec", ws_submission_encode(job->spec));
+  json_t *value
+      = json_pack("{s:s, s:I, s:s, s:o}", "s", JOB_STATES[state], "at", (json_int_t)job->at_ms,
+                  "home", home, "spec", ws_submission_encode(job->spec));
+  if (state == WS_JOB_CANCELLED)
+    json_object_set_new(value, "cancelled", json_integer((json_int_t)job->cancelled_ms));
+  return value;
 }
 
 json_t *
@@ -123,6 +127,7 @@
   WsJob *job = ws_book_find_job(book, id);
   if (job == NULL)
     job = ws_book_add_job(book, id);
+  gboolean is_cancelled = state == WS_JOB_CANCELLED && job->state != state;
   job->state = state;
   const json_t *spec = json_object_get(value, "spec");
   const char *home = "";
@@ -134,10 +139,14 @@
     job->tasks = (guint)tasks;
     return;
   }
-  guint64 at = 0;
+  guint64 at = 0, cancelled = 0;
   (void)ws_json_count(value, "at", &at);
+  (void)ws_json_count(value, "cancelled", &cancelled);
   (void)ws_json_string(value, "home", &home);
   job->at_ms = (gint64)at;
+  job->cancelled_ms = (gint64)cancelled;
+  if (is_cancelled)
+    g_array_append_val(book->cancelled, job->index);
   job->home = ws_settings_find_node(book->settings, home);
   if (job->spec != NULL)
     return;
--- /dev/null
+++ b/src/core/ws-cancel.c
@@ -0,0 +1,442 @@
+/* Confirmed cancellations, which are facts whatever the state service, an epoch or a replica says.
+
+   Whoever learns of one, by its own commit or through its replica, tells every peer until each has
+   acknowledged it, and has the tasks halted wherever they may be, owner or not: a halt can do no
+   harm. A machine that doesn't confirm in time is returned. */
+#include "core/ws-core-private.h"
+
+#include <string.h>
+
+#define TELL_TIMEOUT_MS 1000
+#define TELL_AGAIN_MS 500
+#define MOST_TOLD 400
+/* The owner halts at once; the others when its records don't show the end by then. */
+#define OTHERS_AFTER_MS 1500
+#define HALT_AGAIN_MS 1000
+#define HALT_TIMEOUT_MS 2000
+/* Where nothing answered, so that machines out of reach leave room for the others. */
+#define HALT_LATER_MS 4000
+#define MOST_HALT_CALLS 24
+/* Parts of cancel_s: from the first on a machine that hasn't confirmed is marked, from the second
+   on it is returned without a mark if the state service takes none. The rest is for the cloud. */
+#define MARK_PART 0.4
+#define RETURN_PART 0.6
+
+typedef struct {
+  char *id;
+  gint64 at_ms; /* when it was confirmed, or when this node learned of it */
+  guint knows;  /* bit for each node that has acknowledged it, or has told us */
+} Cancel;
+
+struct _WsCancels {
+  GPtrArray *list; /* of Cancel */
+  GHashTable *by_id;
+  gboolean *telling;   /* by node */
+  gint64 *tell_ms;     /* by node: when it may be told again */
+  GHashTable *halt_ms; /* machine -> when it may be sent a halt again */
+  guint halt_calls;
+  gint64 sweep_ms;
+};
+
+static void
+cancel_free(gpointer data)
+{
+  Cancel *cancel = data;
+  g_free(cancel->id);
+  g_free(cancel);
+}
+
+WsCancels *
+ws_cancels_new(const WsSettings *settings)
+{
+  WsCancels *cancels = g_new0(WsCancels, 1);
+  cancels->list = g_ptr_array_new_with_free_func(cancel_free);
+  cancels->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+  cancels->telling = g_new0(gboolean, settings->nodes->len);
+  cancels->tell_ms = g_new0(gint64, settings->nodes->len);
+  cancels->halt_ms = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+  return cancels;
+}
+
+void
+ws_cancels_free(WsCancels *cancels)
+{
+  g_hash_table_unref(cancels->by_id);
+  g_ptr_array_unref(cancels->list);
+  g_hash_table_unref(cancels->halt_ms);
+  g_free(cancels->telling);
+  g_free(cancels->tell_ms);
+  g_free(cancels);
+}
+
+static Cancel *
+find(const WsCore *core, const char *id)
+{
+  return g_hash_table_lookup(core->cancels->by_id, id);
+}
+
+gboolean
+ws_cancel_is_known(const WsCore *core, const WsJob *job)
+{
+  return job->state == WS_JOB_CANCELLED
+         || (core->cancels->list->len > 0 && job->state == WS_JOB_ACTIVE
+             && find(core, job->id) != NULL);
+}
+
+/* Nothing of the job is left anywhere, as far as the records say. */
+static gboolean
+is_over(const WsCore *core, const char *id)
+{
+  const WsJob *job = ws_book_find_job(core->book, id);
+  return job != NULL && job->spec == NULL && job->state != WS_JOB_ACTIVE;
+}
+
+static void
+learn(WsCore *core, const char *id, gint64 at_ms, guint from)
+{
+  WsCancels *cancels = core->cancels;
+  Cancel *cancel = find(core, id);
+  if (cancel == NULL) {
+    if (is_over(core, id))
+      return;
+    cancel = g_new0(Cancel, 1);
+    *cancel = (Cancel){ g_strdup(id), at_ms, 1u << core->settings->self };
+    g_ptr_array_add(cancels->list, cancel);
+    g_hash_table_insert(cancels->by_id, cancel->id, cancel);
+  }
+  cancel->at_ms = MIN(cancel->at_ms, at_ms);
+  cancel->knows |= 1u << from;
+}
+
+guint
+ws_cancel_untold(const WsCore *core, guint node)
+{
+  guint count = 0;
+  for (guint i = 0; i < core->cancels->list->len; i++)
+    count += (((const Cancel *)g_ptr_array_index(core->cancels->list, i))->knows >> node & 1) == 0;
+  return count;
+}
+
+void
+ws_cancel_peer_began_anew(WsCore *core, guint node)
+{
+  for (guint i = 0; i < core->cancels->list->len; i++)
+    ((Cancel *)g_ptr_array_index(core->cancels->list, i))->knows &= ~(1u << node);
+}
+
+/* Telling the others. */
+
+typedef struct {
+  guint node;
+  GPtrArray *ids;
+} Told;
+
+static void
+on_told(WsCore *core, guint status, const json_t *body, gpointer data)
+{
+  (void)body;
+  Told *told = data;
+  WsCancels *cancels = core->cancels;
+  cancels->telling[told->node] = FALSE;
+  if (status != 200)
+    cancels->tell_ms[told->node] = core->now + TELL_AGAIN_MS;
+  for (guint i = 0; status == 200 && i < told->ids->len; i++) {
+    Cancel *cancel = find(core, g_ptr_array_index(told->ids, i));
+    if (cancel != NULL)
+      cancel->knows |= 1u << told->node;
+  }
+  g_ptr_array_unref(told->ids);
+  g_free(told);
+}
+
+static void
+tell(WsCore *core, guint node)
+{
+  WsCancels *cancels = core->cancels;
+  json_t *jobs = json_array();
+  Told *told = g_new0(Told, 1);
+  *told = (Told){ node, g_ptr_array_new_with_free_func(g_free) };
+  for (guint i = 0; i < cancels->list->len && told->ids->len < MOST_TOLD; i++) {
+    const Cancel *cancel = g_ptr_array_index(cancels->list, i);
+    if ((cancel->knows >> node & 1) != 0)
+      continue;
+    json_array_append_new(jobs,
+                          json_pack("[s, I]", cancel->id, (json_int_t)(core->now - cancel->at_ms)));
+    g_ptr_array_add(told->ids, g_strdup(cancel->id));
+  }
+  cancels->telling[node] = TRUE;
+  ws_call(core, "POST", ws_settings_node(core->settings, node)->endpoint, "/cancelled",
+          json_pack("{s:s, s:o}", "node",
+                    ws_settings_node(core->settings, core->settings->self)->name, "jobs", jobs),
+          TELL_TIMEOUT_MS, on_told, told);
+}
+
+static gboolean
+is_well_formed(const json_t *jobs)
+{
+  size_t i;
+  const json_t *item;
+  json_array_foreach(jobs, i, item)
+  {
+    if (!json_is_string(json_array_get(item, 0)) || !json_is_integer(json_array_get(item, 1))
+        || json_integer_value(json_array_get(item, 1)) < 0)
+      return FALSE;
+  }
+  return json_is_array(jobs);
+}
+
+void
+ws_cancel_taken(WsCore *core, const json_t *message, gpointer request)
+{
+  const char *name = NULL;
+  const json_t *jobs = json_object_get(message, "jobs");
+  (void)ws_json_string(message, "node", &name);
+  guint node = ws_settings_find_node(core->settings, name);
+  if (node == WS_NONE || node == core->settings->self || !is_well_formed(jobs)) {
+    ws_answer_reason(core, request, 400, "malformed");
+    return;
+  }
+  size_t i;
+  const json_t *item;
+  json_array_foreach(jobs, i, item)
+  {
+    learn(core, json_string_value(json_array_get(item, 0)),
+          core->now - json_integer_value(json_array_get(item, 1)), node);
+  }
+  ws_answer(core, request, 200, json_object(), 0);
+}
+
+/* Halts. */
+
+static gboolean
+is_halted(const WsReport *report, const WsJob *job, const WsAssignment *a)
+{
+  for (guint i = 0; i < report->tasks->len; i++) {
+    const WsReportTask *task = &g_array_index(report->tasks, WsReportTask, i);
+    if (task->task == a->task && strcmp(task->job, job->id) == 0)
+      return task->state == WS_TASK_EXITED;
+  }
+  return TRUE;
+}
+
+/* A cancelled job's assignment on the machine whose end has not been seen; NULL: none. */
+static WsAssignment *
+unhalted(const WsCore *core, const WsMachine *machine, guint i, WsJob **job)
+{
+  const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, i);
+  *job = ws_book_job(core->book, ref->job);
+  WsAssignment *a = (*job)->spec != NULL ? ws_job_assignment(*job, ref->task) : NULL;
+  return a != NULL && !a->seen_gone && ws_cancel_is_known(core, *job) ? a : NULL;
+}
+
+/* The worker's own word. A launch of ours without an answer may still be carried out after it. */
+static void
+note_gone(WsCore *core, WsMachine *machine, const WsReport *report)
+{
+  WsJob *job;
+  machine->halt_session = report->session;
+  machine->halt_token = report->token;
+  for (guint i = 0; machine->doubts == 0 && i < machine->tasks->len; i++) {
+    WsAssignment *a = unhalted(core, machine, i, &job);
+    if (a != NULL && is_halted(report, job, a))
+      a->seen_gone = TRUE;
+  }
+}
+
+static void
+halt_again(WsCore *core, const WsMachine *machine, gint64 after_ms)
+{
+  gint64 *at_ms = g_new(gint64, 1);
+  *at_ms = core->now + after_ms;
+  g_hash_table_insert(core->cancels->halt_ms, GUINT_TO_POINTER(machine->index), at_ms);
+}
+
+typedef struct {
+  guint machine;
+  gboolean halts; /* it carried commands, and didn't only ask */
+} Halt;
+
+static void
+on_halted(WsCore *core, guint status, const json_t *body, gpointer data)
+{
+  Halt *halt = data;
+  WsMachine *machine = ws_book_machine(core->book, halt->machine);
+  core->cancels->halt_calls--;
+  if (status == 0)
+    halt_again(core, machine, HALT_LATER_MS);
+  g_autofree char *reason = NULL;
+  g_autoptr(WsReport) report
+      = status == 200 || status == 409 ? ws_report_parse(body, &reason) : NULL;
+  if (report != NULL && strcmp(report->machine, machine->name) == 0) {
+    note_gone(core, machine, report);
+    if (ws_owns(core, machine))
+      (void)ws_workers_presence(core, machine, report);
+    /* It was refused for a session or token that is over; now both are known. */
+    if (status == 409 || !halt->halts)
+      halt_again(core, machine, 0);
+  }
+  g_free(halt);
+}
+
+/* The session comes from /status or from the body of a refusal, and a token of equal height is
+   taken from any node: so the halt raises nothing, and takes no right from the owner. */
+static void
+halt(WsCore *core, WsMachine *machine)
+{
+  WsJob *job;
+  halt_again(core, machine, HALT_AGAIN_MS);
+  core->cancels->halt_calls++;
+  Halt *sent = g_new0(Halt, 1);
+  *sent = (Halt){ machine->index, MAX(machine->session, machine->halt_session) > 0 };
+  if (!sent->halts) {
+    ws_call(core, "GET", machine->endpoint, "/status", NULL, HALT_TIMEOUT_MS, on_halted, sent);
+    return;
+  }
+  json_t *commands = json_array();
+  for (guint i = 0; i < machine->tasks->len; i++) {
+    const WsAssignment *a = unhalted(core, machine, i, &job);
+    if (a != NULL)
+      json_array_append_new(commands,
+                            ws_command_encode(WS_OP_HALT, job->id, a->task, a->attempt, 0.0));
+  }
+  ws_call(core, "POST", machine->endpoint, "/commands",
+          ws_commands_direct(MAX(machine->token, machine->halt_token),
+                             MAX(machine->session, machine->halt_session), commands),
+          HALT_TIMEOUT_MS, on_halted, sent);
+}
+
+static gboolean
+may_halt(const WsCore *core, const WsMachine *machine)
+{
+  const gint64 *at_ms
+      = g_hash_table_lookup(core->cancels->halt_ms, GUINT_TO_POINTER(machine->index));
+  return machine->endpoint != NULL && core->cancels->halt_calls < MOST_HALT_CALLS
+         && (at_ms == NULL || core->now >= *at_ms);
+}
+
+/* An answer that renews a lease halts what is known to be cancelled, whoever gives it. */
+void
+ws_cancel_add_halts(const WsCore *core, const WsReport *report, json_t *commands)
+{
+  for (guint i = 0; core->cancels->list->len > 0 && i < report->tasks->len; i++) {
+    const WsReportTask *task = &g_array_index(report->tasks, WsReportTask, i);
+    if (task->state != WS_TASK_EXITED && find(core, task->job) != NULL)
+      json_array_append_new(
+          commands, ws_command_encode(WS_OP_HALT, task->job, task->task, task->attempt, 0.0));
+  }
+}
+
+/* Returns. */
+
+/* The state service takes a mark from nobody whom this node reaches, and this node is the first of
+   those that reach one another. */
+static gboolean
+returns_unmarked(const WsCore *core)
+{
+  for (guint n = 0; n < core->settings->nodes->len; n++) {
+    const WsPeer *peer = &core->peers[n];
+    if (n != core->settings->self && ws_mesh_reaches(core, n)
+        && (peer->store_ok || (peer->loaded && n < core->settings->self)))
+      return FALSE;
+  }
+  return TRUE;
+}
+
+static void
+give_back(WsCore *core, WsMachine *machine, gint64 age_ms)
+{
+  double part = (double)age_ms / (core->settings->cancel_s * 1000.0);
+  if (part < MARK_PART || machine->gone || ws_fleet_gone(core, machine->name))
+    return;
+  if (ws_store_ok(core)) {
+    if (ws_entitled(core) && machine->stored && !machine->mark_now)
+      ws_giveback_mark(core, machine, "cancelled", TRUE);
+  } else if (part >= RETURN_PART && returns_unmarked(core)) {
+    ws_fleet_return_unmarked(core, machine);
+  }
+}
+
+/* When the earliest cancellation that the machine hasn't confirmed was confirmed to its user. */
+static gint64
+unhalted_since(const WsCore *core, const WsMachine *machine)
+{
+  gint64 since_ms = 0;
+  for (guint i = 0; i < machine->tasks->len; i++) {
+    WsJob *job;
+    if (unhalted(core, machine, i, &job) == NULL)
+      continue;
+    const Cancel *cancel = find(core, job->id);
+    gint64 at_ms = cancel != NULL ? cancel->at_ms : core->now;
+    since_ms = since_ms == 0 ? at_ms : MIN(since_ms, at_ms);
+  }
+  return since_ms;
+}
+
+static void
+tend_machine(WsCore *core, WsMachine *machine)
+{
+  gint64 since_ms = unhalted_since(core, machine);
+  if (since_ms == 0)
+    return;
+  gint64 age_ms = core->now - since_ms;
+  if (may_halt(core, machine)
+      && (age_ms >= OTHERS_AFTER_MS || machine->owner == core->settings->self))
+    halt(core, machine);
+  give_back(core, machine, age_ms);
+}
+
+/* Each machine of a cancelled job once. */
+static void
+tend_machines(WsCore *core)
+{
+  g_autoptr(GHashTable) seen = g_hash_table_new(NULL, NULL);
+  for (guint c = 0; c < core->cancels->list->len; c++) {
+    const Cancel *cancel = g_ptr_array_index(core->cancels->list, c);
+    const WsJob *job = ws_book_find_job(core->book, cancel->id);
+    for (guint k = 0; job != NULL && job->spec != NULL && k < job->chunks->len; k++) {
+      const WsChunk *chunk = g_ptr_array_index(job->chunks, k);
+      for (guint i = 0; chunk != NULL && i < chunk->on->len; i++) {
+        const WsAssignment *a = &g_array_index(chunk->on, WsAssignment, i);
+        if (!a->seen_gone && g_hash_table_add(seen, GUINT_TO_POINTER(a->machine)))
+          tend_machine(core, ws_book_machine(core->book, a->machine));
+      }
+    }
+  }
+}
+
+static void
+forget_over(WsCore *core)
+{
+  WsCancels *cancels = core->cancels;
+  for (guint i = cancels->list->len; i-- > 0;) {
+    const Cancel *cancel = g_ptr_array_index(cancels->list, i);
+    if (!is_over(core, cancel->id))
+      continue;
+    g_hash_table_remove(cancels->by_id, cancel->id);
+    g_ptr_array_remove_index_fast(cancels->list, i);
+  }
+  if (cancels->list->len == 0)
+    g_hash_table_remove_all(cancels->halt_ms);
+}
+
+void
+ws_cancel_pump(WsCore *core)
+{
+  WsCancels *cancels = core->cancels;
+  GArray *fresh = core->book->cancelled;
+  for (guint i = 0; i < fresh->len; i++) {
+    const WsJob *job = ws_book_job(core->book, g_array_index(fresh, guint, i));
+    gint64 age_ms = CLAMP(core->wall - job->cancelled_ms, 0, core->now);
+    learn(core, job->id, core->now - age_ms, core->settings->self);
+  }
+  gboolean is_due = core->now >= cancels->sweep_ms || fresh->len > 0;
+  g_array_set_size(fresh, 0);
+  if (cancels->list->len == 0 || !is_due)
+    return;
+  cancels->sweep_ms = core->now + 100;
+  forget_over(core);
+  for (guint n = 0; n < core->settings->nodes->len; n++)
+    if (!cancels->telling[n] && core->now >= cancels->tell_ms[n] && ws_cancel_untold(core, n) > 0)
+      tell(core, n);
+  tend_machines(core);
+}
--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -28,11 +28,16 @@
 typedef struct _WsPlan WsPlan;
 typedef struct _WsAsks WsAsks;
 typedef struct _WsGiveback WsGiveback;
+typedef struct _WsCancels WsCancels;
 
 typedef struct {
   gint64 heard_ms;
   guint64 epoch;
   gboolean store_ok;
+  gboolean loaded;     /* it has read the state since it began */
+  guint64 incarnation; /* of the run that was last heard */
+  guint untold;        /* cancellations that it knows and this node hasn't acknowledged */
+  gint64 settled_ms;   /* when it last said that it is without state service and has told all */
   gboolean in_flight;
   gint64 sent_ms;
   gboolean unheard; /* it says that no worker reaches it */
@@ -60,6 +65,8 @@
   WsPlan *plan;
   WsAsks *asks;
   WsGiveback *giveback;
+  WsCancels *cancels;
+  gint64 vouched_ms;   /* when this node last knew all that was confirmed to users */
   GHashTable *learned; /* by class */
   WsPeer *peers;
   guint64 gossip_rev;         /* counts what changed about this node's machines */
@@ -102,6 +109,10 @@
 gboolean ws_store_stop(WsCore *core);
 gboolean ws_store_loaded(const WsCore *core);
 gboolean ws_store_ok(const WsCore *core);
+/* The replica is as new as the store, but for what is on its way. */
+gboolean ws_store_current(const WsCore *core);
+/* Since when there are only bad answers or none; 0: not so. */
+gint64 ws_store_bad_since(const WsCore *core);
 /* Whether the budget has room for so many changes now. */
 gboolean ws_store_may_write(WsCore *core, guint changes);
 void ws_store_call(WsCore *core, WsFirst first, const char *method, const char *path,
@@ -141,11 +152,23 @@
 json_t *ws_workers_process(WsCore *core, const WsReport *report);
 void ws_workers_launch_now(WsCore *core, WsMachine *machine, GArray *tasks /* of WsTaskRef */);
 void ws_workers_halt_now(WsCore *core, WsJob *job, WsAssignment *assignment);
-void ws_workers_cancelled(WsCore *core, WsJob *job);
 /* Believes what a message says of tasks that are there; concludes nothing from absence. */
 /* Returns FALSE for a message older than one that was seen before. */
 gboolean ws_workers_presence(WsCore *core, WsMachine *machine, const WsReport *report);
 
+/* ws-cancel.c */
+WsCancels *ws_cancels_new(const WsSettings *settings);
+void ws_cancels_free(WsCancels *cancels);
+/* By the records or by a peer's word: the job's user was told that it is cancelled. */
+gboolean ws_cancel_is_known(const WsCore *core, const WsJob *job);
+/* How many cancellations the node has neither told of nor acknowledged. */
+guint ws_cancel_untold(const WsCore *core, guint node);
+void ws_cancel_peer_began_anew(WsCore *core, guint node);
+void ws_cancel_taken(WsCore *core, const json_t *message, gpointer request);
+/* Halts for what the report shows of cancelled jobs. */
+void ws_cancel_add_halts(const WsCore *core, const WsReport *report, json_t *commands);
+void ws_cancel_pump(WsCore *core);
+
 /* ws-silence.c */
 void ws_silence_tick(WsCore *core);
 /* As of the last tick. */
@@ -164,6 +187,10 @@
 gboolean ws_mesh_alone_refused(const WsCore *core);
 /* Neither the state service nor any other node is reached. */
 gboolean ws_mesh_cut_off(const WsCore *core);
+/* Nothing that was confirmed to a user is missed by this node. */
+gboolean ws_vouches(const WsCore *core);
+/* Whether a lease that is renewed now ends in time for whatever is missed. */
+gboolean ws_may_renew(const WsCore *core);
 void ws_mesh_new_epoch(WsCore *core);
 void ws_mesh_relay(WsCore *core, guint owner, const char *report, gpointer request);
 
@@ -262,6 +289,8 @@
 void ws_fleet_intend(WsCore *core);
 gboolean ws_fleet_no_capacity(const WsCore *core, guint type, guint zone, gboolean spot);
 gboolean ws_fleet_gone(const WsCore *core, const char *machine);
+/* The one return without a mark: a cancelled task must go, and the state service takes none. */
+void ws_fleet_return_unmarked(WsCore *core, const WsMachine *machine);
 
 /* ws-merge.c: machines whose work fits on others. */
 void ws_merge_tick(WsCore *core);
--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -27,6 +27,7 @@
   core->plan = ws_plan_new();
   core->asks = ws_asks_new(settings);
   core->giveback = ws_giveback_new();
+  core->cancels = ws_cancels_new(settings);
   core->learned = ws_learned_new();
   core->peers = g_new0(WsPeer, settings->nodes->len);
   core->cut_ms = g_new0(gint64, MAX(settings->zones->len, 1u));
@@ -70,6 +71,7 @@
   ws_plan_free(core->plan);
   ws_asks_free(core->asks, core->settings);
   ws_giveback_free(core->giveback);
+  ws_cancels_free(core->cancels);
   g_hash_table_unref(core->learned);
   ws_book_free(core->book);
   g_free(core->peers);
@@ -228,6 +230,9 @@
 settle(WsCore *core)
 {
   notice_epoch(core);
+  if (ws_vouches(core))
+    core->vouched_ms = core->now;
+  ws_cancel_pump(core);
   ws_plan_tick(core);
   ws_giveback_pump(core);
   ws_assign_pump(core);
--- a/src/core/ws-fleet.c
+++ b/src/core/ws-fleet.c
@@ -23,8 +23,9 @@
 
 struct _WsFleet {
   WsRate rate;
-  GHashTable *scarce; /* kind -> Scarce */
-  GHashTable *gone;   /* names whose return was confirmed */
+  GHashTable *scarce;   /* kind -> Scarce */
+  GHashTable *gone;     /* names whose return was confirmed */
+  GHashTable *unmarked; /* names returned, or to be returned, without a mark */
   guint64 requests;
   gint64 catalog_ms;
   gboolean catalog_asked;
@@ -49,6 +50,7 @@
   ws_rate_init(&fleet->rate, settings->cloud_rps * 0.9, settings->cloud_rps * 1.8);
   fleet->scarce = g_hash_table_new_full(NULL, NULL, NULL, g_free);
   fleet->gone = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+  fleet->unmarked = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   fleet->renting = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   fleet->rent_retry = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   return fleet;
@@ -59,6 +61,7 @@
 {
   g_hash_table_unref(fleet->scarce);
   g_hash_table_unref(fleet->gone);
+  g_hash_table_unref(fleet->unmarked);
   g_hash_table_unref(fleet->renting);
   g_hash_table_unref(fleet->rent_retry);
   g_free(fleet->list_after);
@@ -349,6 +352,8 @@
                 .machines = machines };
   WsTxn *txn = ws_txn_new();
   ws_txn_if(txn, core->book, WS_KEY_EPOCH);
+  /* Carried out late, after the lot has shrunk, it would bring returned machines back. */
+  ws_txn_if(txn, core->book, key);
   ws_txn_remove(txn, key);
   if (machines->len > 0)
     ws_txn_set(txn, lot_key, ws_lot_encode(&lot, core->book));
@@ -587,16 +592,9 @@
 }
 
 static void
-keep_returns(WsCore *core)
+send_return(WsCore *core, GPtrArray *names /* taken */)
 {
   WsFleet *fleet = core->fleet;
-  GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
-  for (guint i = 0; i < core->book->machines->len; i++) {
-    const WsMachine *machine = ws_book_machine(core->book, i);
-    if (machine->marked && !ws_fleet_gone(core, machine->name)
-        && (machine->mark_now || machine->tasks->len == 0) && names->len < MOST_A_RETURN)
-      g_ptr_array_add(names, g_strdup(machine->name));
-  }
   if (names->len == 0 || fleet->returning || core->now < fleet->return_ms
       || !ws_rate_take(&fleet->rate, 1.0, core->now)) {
     g_ptr_array_unref(names);
@@ -607,6 +605,51 @@
           4000, on_returned, names);
 }
 
+void
+ws_fleet_return_unmarked(WsCore *core, const WsMachine *machine)
+{
+  if (g_hash_table_add(core->fleet->unmarked, g_strdup(machine->name)))
+    g_message("machine %s holds a cancelled task and the state service takes no mark: it is"
+              " returned without one",
+              machine->name);
+}
+
+/* The record is mended as soon as the state service is back: the mark follows the return, and goes
+   the ordinary way with the machine's place in its lot. If this process ends before, the machine is
+   silent with tasks on record, and is found by that. */
+static void
+keep_unmarked(WsCore *core)
+{
+  GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+  GHashTableIter iter;
+  gpointer name;
+  g_hash_table_iter_init(&iter, core->fleet->unmarked);
+  while (g_hash_table_iter_next(&iter, &name, NULL)) {
+    WsMachine *machine = ws_book_find_machine(core->book, name);
+    if (machine == NULL || machine->gone)
+      g_hash_table_iter_remove(&iter);
+    else if (!ws_fleet_gone(core, name) && names->len < MOST_A_RETURN)
+      g_ptr_array_add(names, g_strdup(name));
+    else if (ws_fleet_gone(core, name) && machine->stored && !machine->mark_now
+             && ws_entitled(core))
+      ws_giveback_mark(core, machine, "cancelled", TRUE);
+  }
+  send_return(core, names);
+}
+
+static void
+keep_returns(WsCore *core)
+{
+  GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+  for (guint i = 0; i < core->book->machines->len; i++) {
+    const WsMachine *machine = ws_book_machine(core->book, i);
+    if (machine->marked && !ws_fleet_gone(core, machine->name)
+        && (machine->mark_now || machine->tasks->len == 0) && names->len < MOST_A_RETURN)
+      g_ptr_array_add(names, g_strdup(machine->name));
+  }
+  send_return(core, names);
+}
+
 /* A machine that doesn't come up is charged all the same. After an epoch begins, the workers of
    those that are up have a lease to find their owner, and the owners to tell of them. */
 static void
@@ -628,6 +671,7 @@
 void
 ws_fleet_tick(WsCore *core)
 {
+  keep_unmarked(core);
   if (!ws_is_leader(core) || !ws_store_ok(core))
     return;
   keep_marks(core);
--- a/src/core/ws-mesh.c
+++ b/src/core/ws-mesh.c
@@ -10,6 +10,8 @@
 /* Reports on their way to one owner. When it has just ended, and nobody knows yet, its workers come
    to us by the hundred; they live on our token as well. */
 #define MOST_RELAYS 12
+/* For the moments until a refusal shows, for drift and for what is on its way. */
+#define VOUCH_MARGIN_MS 4000.0
 
 gboolean
 ws_mesh_reaches(const WsCore *core, guint node)
@@ -51,6 +53,42 @@
   return core->settings->nodes->len > 1;
 }
 
+/* To renew a lease is to vouch that no cancellation which was confirmed to its user is missed. A
+   node can while its replica is current; without the state service it can while all that it reaches
+   are without it too, and have told it what they knew: nothing new can be confirmed then. */
+gboolean
+ws_vouches(const WsCore *core)
+{
+  gboolean reached = FALSE, settled = FALSE;
+  if (!ws_store_loaded(core))
+    return FALSE;
+  if (ws_store_current(core) || core->settings->nodes->len == 1)
+    return TRUE;
+  for (guint n = 0; n < core->settings->nodes->len; n++) {
+    const WsPeer *peer = &core->peers[n];
+    if (n == core->settings->self)
+      continue;
+    if (ws_mesh_reaches(core, n) && (peer->store_ok || peer->untold > 0))
+      return FALSE;
+    reached = reached || ws_mesh_reaches(core, n);
+    settled = settled || (peer->settled_ms > 0 && peer->settled_ms >= ws_store_bad_since(core));
+  }
+  return reached && settled;
+}
+
+/* A lease that is renewed now may last for all of its time, and what was confirmed since this node
+   last vouched has to be gone within cancel_s. Inside a zone that is cut off its node goes on:
+   those outside return the machines there in time. */
+gboolean
+ws_may_renew(const WsCore *core)
+{
+  const WsSettings *settings = core->settings;
+  if (ws_vouches(core) || (ws_mesh_cut_off(core) && !core->seen_from_outside))
+    return TRUE;
+  return (double)(core->now - core->vouched_ms)
+         < (settings->cancel_s - settings->lease_s) * 1000.0 - VOUCH_MARGIN_MS;
+}
+
 /* Gossip. A node tells each peer what has changed about its machines since what the peer has
    acknowledged; all of it at first, after a restart and in a new epoch, when machines have other
    owners. A delta that was lost shows in the next acknowledgement. */
@@ -109,13 +147,14 @@
     if (machine->said_rev > peer->acked)
       json_array_append_new(machines, encode_machine(core, machine));
   }
-  return json_pack("{s:s, s:I, s:b, s:i, s:b, s:b, s:I, s:I, s:I, s:o}", "node",
-                   ws_settings_node(core->settings, core->settings->self)->name, "epoch",
-                   (json_int_t)core->book->epoch.number, "store",
-                   ws_store_loaded(core) && ws_store_ok(core), "reaches", (int)reaches,
-                   "wants_epoch", core->wants_epoch, "unheard", core->unheard, "base",
-                   (json_int_t)peer->acked, "rev", (json_int_t)core->gossip_rev, "ack",
-                   (json_int_t)peer->has, "machines", machines);
+  return json_pack(
+      "{s:s, s:I, s:b, s:i, s:b, s:b, s:I, s:I, s:I, s:I, s:b, s:i, s:o}", "node",
+      ws_settings_node(core->settings, core->settings->self)->name, "epoch",
+      (json_int_t)core->book->epoch.number, "store", ws_store_loaded(core) && ws_store_ok(core),
+      "reaches", (int)reaches, "wants_epoch", core->wants_epoch, "unheard", core->unheard, "base",
+      (json_int_t)peer->acked, "rev", (json_int_t)core->gossip_rev, "ack", (json_int_t)peer->has,
+      "incarnation", (json_int_t)core->incarnation, "loaded", ws_store_loaded(core), "untold",
+      (int)ws_cancel_untold(core, (guint)(peer - core->peers)), "machines", machines);
 }
 
 static void
@@ -184,17 +223,26 @@
 take_gossip(WsCore *core, const json_t *message)
 {
   const char *name;
-  guint64 epoch, reaches;
-  gboolean store, wants_epoch, unheard;
+  guint64 epoch, reaches, incarnation, untold;
+  gboolean store, wants_epoch, unheard, loaded;
   if (!ws_json_string(message, "node", &name) || !ws_json_count(message, "epoch", &epoch)
       || !ws_json_bool(message, "store", &store) || !ws_json_count(message, "reaches", &reaches)
       || !ws_json_bool(message, "wants_epoch", &wants_epoch)
-      || !ws_json_bool(message, "unheard", &unheard))
+      || !ws_json_bool(message, "unheard", &unheard)
+      || !ws_json_count(message, "incarnation", &incarnation)
+      || !ws_json_bool(message, "loaded", &loaded) || !ws_json_count(message, "untold", &untold))
     return;
   guint node = ws_settings_find_node(core->settings, name);
   if (node == WS_NONE || node == core->settings->self)
     return;
   WsPeer *peer = &core->peers[node];
+  if (incarnation != peer->incarnation)
+    ws_cancel_peer_began_anew(core, node);
+  peer->incarnation = incarnation;
+  peer->loaded = loaded;
+  peer->untold = (guint)untold;
+  if (loaded && !store && untold == 0)
+    peer->settled_ms = core->now;
   peer->heard_ms = core->now;
   peer->epoch = epoch;
   peer->store_ok = store;
@@ -265,12 +313,26 @@
 }
 
 static void
-keep_alive(WsCore *core, gpointer request)
+add_halts(const WsCore *core, const char *text, json_t *commands)
+{
+  g_autoptr(json_t) message = ws_json_parse(text, strlen(text));
+  g_autofree char *reason = NULL;
+  g_autoptr(WsReport) report = ws_report_parse(message, &reason);
+  if (report != NULL)
+    ws_cancel_add_halts(core, report, commands);
+}
+
+static void
+keep_alive(WsCore *core, const char *report, gpointer request)
 {
-  if (ws_entitled(core))
-    ws_answer(core, request, 200, ws_commands_answer(core->book->epoch.number, json_array()), 0);
+  json_t *commands = json_array();
+  add_halts(core, report, commands);
+  if (ws_entitled(core) && ws_may_renew(core))
+    ws_answer(core, request, 200,
+              ws_commands_answer(core->book->epoch.number, g_steal_pointer(&commands)), 0);
   else
     ws_answer_later(core, request, 1);
+  json_decref(commands);
 }
 
 static void
@@ -279,13 +341,16 @@
   Relay *relay = data;
   core->peers[relay->owner].relays--;
   if (status == 200) {
-    ws_answer(core, relay->request, 200, json_incref((json_t *)body), 0);
+    /* The owner may not have been told yet. */
+    json_t *answer = json_deep_copy(body);
+    add_halts(core, relay->report, ws_commands_of(answer));
+    ws_answer(core, relay->request, 200, answer, 0);
   } else if (relay->via == relay->owner && third_node(core, relay) != WS_NONE) {
     relay->via = third_node(core, relay);
     send_relay(core, relay);
     return;
   } else {
-    keep_alive(core, relay->request);
+    keep_alive(core, relay->report, relay->request);
   }
   relay_free(relay);
 }
@@ -312,7 +377,7 @@
     send_relay(core, relay);
     return;
   }
-  keep_alive(core, request);
+  keep_alive(core, report, request);
   relay_free(relay);
 }
 
@@ -333,7 +398,7 @@
   g_autoptr(WsReport) report = ws_report_parse(message, &reason);
   if (report == NULL)
     ws_answer_reason(core, request, 400, reason);
-  else if (report->token > core->book->epoch.number)
+  else if (report->token > core->book->epoch.number || !ws_may_renew(core))
     ws_answer_later(core, request, 1);
   else
     ws_answer(core, request, 200, ws_workers_process(core, report), 0);
@@ -380,6 +445,8 @@
   g_autoptr(json_t) message = ws_json_parse(body, length);
   if (strcmp(path, "/gossip") == 0) {
     answer_gossip(core, message, request);
+  } else if (strcmp(path, "/cancelled") == 0) {
+    ws_cancel_taken(core, message, request);
   } else if (strcmp(path, "/ask") == 0) {
     ws_ask_taken(core, message, request);
   } else if (strcmp(path, "/relay") == 0) {
--- a/src/core/ws-place.c
+++ b/src/core/ws-place.c
@@ -62,7 +62,7 @@
     const WsAssignment *a = ws_job_assignment(job, ref->task);
     has_array = has_array || job->spec->kind == WS_KIND_ARRAY;
     slot->has_service = slot->has_service || job->spec->kind == WS_KIND_SERVICE;
-    if (a == NULL || !(a->stopping || job->state == WS_JOB_CANCELLED))
+    if (a == NULL || !(a->stopping || ws_cancel_is_known(map->core, job)))
       continue;
     ws_amount_add(&slot->coming, &job->spec->need, 1);
     is_freed = TRUE;
--- a/src/core/ws-silence.c
+++ b/src/core/ws-silence.c
@@ -214,8 +214,8 @@
 has_cancelled(const WsCore *core, const WsMachine *machine)
 {
   for (guint i = 0; i < machine->tasks->len; i++)
-    if (ws_book_job(core->book, g_array_index(machine->tasks, WsTaskRef, i).job)->state
-        == WS_JOB_CANCELLED)
+    if (ws_cancel_is_known(
+            core, ws_book_job(core->book, g_array_index(machine->tasks, WsTaskRef, i).job)))
       return TRUE;
   return FALSE;
 }
--- a/src/core/ws-store.c
+++ b/src/core/ws-store.c
@@ -51,7 +51,9 @@
   guint64 load_revision; /* of the first page */
   GHashTable *load_keys;
   char *load_last;
-  gint64 bad_ms;   /* since when there are only bad ones; 0: not so */
+  gint64 bad_ms;  /* since when there are only bad ones; 0: not so */
+  gboolean stale; /* it was bad, and nothing has been read since */
+  gboolean catching_up;
   GArray *asked;   /* of Read: not yet sent */
   GArray *sent;    /* of Read: the read is on its way */
   GArray *waiting; /* of Read: the replica must reach a revision */
@@ -105,6 +107,18 @@
   return core->store->bad_ms == 0 || core->now - core->store->bad_ms < 700;
 }
 
+gboolean
+ws_store_current(const WsCore *core)
+{
+  return core->store->loaded && !core->store->stale && ws_store_ok(core);
+}
+
+gint64
+ws_store_bad_since(const WsCore *core)
+{
+  return core->store->bad_ms;
+}
+
 gboolean
 ws_store_may_write(WsCore *core, guint changes)
 {
@@ -425,6 +439,27 @@
   send_queued(core);
 }
 
+static void
+on_caught_up(WsCore *core, gboolean current, gpointer data)
+{
+  (void)data;
+  core->store->catching_up = FALSE;
+  core->store->stale = core->store->stale && !(current && ws_store_ok(core));
+}
+
+/* While this node had no answers others may have had theirs: what it knows is old until it has
+   read once more. */
+static void
+catch_up(WsCore *core)
+{
+  WsStore *store = core->store;
+  store->stale = store->stale || !ws_store_ok(core);
+  if (!store->stale || store->catching_up || !store->loaded || !ws_store_ok(core))
+    return;
+  store->catching_up = TRUE;
+  ws_store_read(core, on_caught_up, NULL);
+}
+
 void
 ws_store_tick(WsCore *core)
 {
@@ -433,6 +468,7 @@
   if (!store->loaded && !store->loading && !store->watching && core->now >= store->load_retry_ms)
     start_load(core);
   finish_reached(core);
+  catch_up(core);
 }
 
 gboolean
--- a/src/core/ws-users.c
+++ b/src/core/ws-users.c
@@ -201,7 +201,6 @@
   }
   WsJob *job = ws_book_find_job(core->book, visit->id);
   g_info("job %s cancelled", visit->id);
-  ws_workers_cancelled(core, job);
   end_with_state(core, visit, 200, job);
 }
 
@@ -210,8 +209,10 @@
 static void
 withdraw(WsCore *core, Visit *visit, const WsJob *job)
 {
+  WsJob cancelled = *job;
   g_autofree char *key = ws_key_job(job->id);
   g_autofree char *chunk = ws_key_chunk(job->id, 0);
+  cancelled.cancelled_ms = core->wall;
   gboolean untouched = ws_job_chunk_count(job) == 1 && ws_book_version(core->book, chunk) == 0;
   WsTxn *txn = ws_txn_new();
   ws_txn_if(txn, core->book, key);
@@ -219,7 +220,7 @@
     ws_txn_if_version(txn, chunk, 0);
   ws_txn_set(txn, key,
              untouched ? ws_job_encode_final(job, WS_JOB_CANCELLED)
-                       : ws_job_encode(job, WS_JOB_CANCELLED, ""));
+                       : ws_job_encode(&cancelled, WS_JOB_CANCELLED, ""));
   ws_txn_commit(core, txn, WS_FIRST_USER, on_withdrawn, visit);
 }
 
--- a/src/core/ws-workers.c
+++ b/src/core/ws-workers.c
@@ -97,7 +97,7 @@
 void
 ws_workers_launch_now(WsCore *core, WsMachine *machine, GArray *tasks)
 {
-  if (!can_send_direct(core, machine)
+  if (!can_send_direct(core, machine) || !ws_vouches(core)
       || (core->direct_calls >= MOST_DIRECT_CALLS && !any_critical(core, tasks)))
     return;
   json_t *commands = json_array();
@@ -105,7 +105,7 @@
     const WsTaskRef *ref = &g_array_index(tasks, WsTaskRef, i);
     const WsJob *job = ws_book_job(core->book, ref->job);
     WsAssignment *a = ws_job_assignment(job, ref->task);
-    if (a == NULL || job->state != WS_JOB_ACTIVE)
+    if (a == NULL || job->state != WS_JOB_ACTIVE || ws_cancel_is_known(core, job))
       continue;
     json_array_append_new(commands,
                           ws_command_encode(WS_OP_LAUNCH, job->id, a->task, a->attempt, 0.0));
@@ -117,10 +117,10 @@
 }
 
 static double
-grace(const WsJob *job)
+grace(const WsCore *core, const WsJob *job)
 {
-  return job->state == WS_JOB_ACTIVE && job->spec->checkpoint_s > 0.0 ? job->spec->save_s + 1.0
-                                                                      : 0.0;
+  return !ws_cancel_is_known(core, job) && job->spec->checkpoint_s > 0.0 ? job->spec->save_s + 1.0
+                                                                         : 0.0;
 }
 
 void
@@ -130,24 +130,11 @@
   if (!can_send_direct(core, machine))
     return;
   json_t *commands = json_array();
-  json_array_append_new(commands,
-                        ws_command_encode(WS_OP_HALT, job->id, a->task, a->attempt, grace(job)));
+  json_array_append_new(
+      commands, ws_command_encode(WS_OP_HALT, job->id, a->task, a->attempt, grace(core, job)));
   send_direct(core, machine, commands, FALSE);
 }
 
-void
-ws_workers_cancelled(WsCore *core, WsJob *job)
-{
-  for (guint c = 0; c < job->chunks->len; c++) {
-    WsChunk *chunk = g_ptr_array_index(job->chunks, c);
-    for (guint i = 0; chunk != NULL && i < chunk->on->len; i++) {
-      WsAssignment *a = &g_array_index(chunk->on, WsAssignment, i);
-      if (ws_owns(core, ws_book_machine(core->book, a->machine)))
-        ws_workers_halt_now(core, job, a);
-    }
-  }
-}
-
 /* What a message says about tasks that are there. */
 
 static void
@@ -318,11 +305,14 @@
       command(answer, WS_OP_REAP, task->job, task->task, task->attempt, 0.0);
     return;
   }
-  if (task->state == WS_TASK_EXITED || task->state == WS_TASK_SAVING)
+  if (task->state == WS_TASK_EXITED)
+    return;
+  gboolean is_cancelled = ws_cancel_is_known(answer->core, job);
+  if (task->state == WS_TASK_SAVING && !is_cancelled)
     return;
-  if (job->state == WS_JOB_CANCELLED || a->stopping || ws_job_is_broken_gang(job)
+  if (is_cancelled || a->stopping || ws_job_is_broken_gang(job)
       || (machine->marked && ws_giveback_may_stop(answer->core, machine, job, a)))
-    command(answer, WS_OP_HALT, task->job, task->task, task->attempt, grace(job));
+    command(answer, WS_OP_HALT, task->job, task->task, task->attempt, grace(answer->core, job));
 }
 
 static gboolean
@@ -341,8 +331,10 @@
 static void
 command_absent(Answer *answer, WsJob *job, WsAssignment *a)
 {
-  gboolean unwanted = job->state == WS_JOB_CANCELLED || a->stopping || answer->machine->marked
-                      || ws_job_is_broken_gang(job);
+  gboolean unwanted = ws_cancel_is_known(answer->core, job) || a->stopping
+                      || answer->machine->marked || ws_job_is_broken_gang(job);
+  if (!unwanted && !ws_vouches(answer->core))
+    return; /* it may be cancelled, and nobody could have told us */
   if (!unwanted) {
     command(answer, WS_OP_LAUNCH, job->id, a->task, a->attempt, 0.0);
     answer->unmet = answer->unmet || a->told;
@@ -493,7 +485,8 @@
   }
   core->report_ms = core->now;
   if (!ws_entitled(core) || report->token > token(core) || !knows_newest_epoch(core)
-      || ws_mesh_alone_refused(core) || ws_fleet_gone(core, report->machine)) {
+      || ws_mesh_alone_refused(core) || !ws_may_renew(core)
+      || ws_fleet_gone(core, report->machine)) {
     ws_answer_later(core, request, 1);
     return;
   }
--- a/src/protocol/ws-report.c
+++ b/src/protocol/ws-report.c
@@ -168,6 +168,12 @@
   return json_pack("{s:I, s:o}", W_TOKEN, (json_int_t)token, W_COMMANDS, commands);
 }
 
+json_t *
+ws_commands_of(const json_t *answer)
+{
+  return json_object_get(answer, W_COMMANDS);
+}
+
 json_t *
 ws_commands_direct(guint64 token, guint64 session, json_t *commands)
 {
--- a/src/protocol/ws-report.h
+++ b/src/protocol/ws-report.h
@@ -41,6 +41,7 @@
 
 json_t *ws_command_encode(WsOp op, const char *job, guint task, guint64 attempt, double grace_s);
 json_t *ws_commands_answer(guint64 token, json_t *commands);
+json_t *ws_commands_of(const json_t *answer); /* borrowed */
 json_t *ws_commands_direct(guint64 token, guint64 session, json_t *commands);
 json_t *ws_redirect_encode(const char *node);
 
--- a/tests/sim/rig.c
+++ b/tests/sim/rig.c
@@ -35,11 +35,11 @@
 static void
 take_gossip(Rig *rig, const WsOutput *output, const json_t *body)
 {
-  g_autoptr(json_t) answer = json_pack("{s:s, s:O, s:b, s:i, s:b, s:b, s:i, s:i, s:O, s:[]}",
-                                       "node", strstr(output->url, "mesh-1") != NULL ? "n1" : "n2",
-                                       "epoch", json_object_get(body, "epoch"), "store", 1,
-                                       "reaches", 7, "wants_epoch", 0, "unheard", 0, "base", 0,
-                                       "rev", 0, "ack", json_object_get(body, "rev"), "machines");
+  g_autoptr(json_t) answer = json_pack(
+      "{s:s, s:O, s:b, s:i, s:b, s:b, s:i, s:i, s:O, s:i, s:b, s:i, s:[]}", "node",
+      strstr(output->url, "mesh-1") != NULL ? "n1" : "n2", "epoch", json_object_get(body, "epoch"),
+      "store", 1, "reaches", 7, "wants_epoch", 0, "unheard", 0, "base", 0, "rev", 0, "ack",
+      json_object_get(body, "rev"), "incarnation", 1, "loaded", 1, "untold", 0, "machines");
   rig->gossip_bytes = strlen(output->body);
   rig_reply(rig, output->call, 200, answer);
 }
--- a/tests/sim/sim.c
+++ b/tests/sim/sim.c
@@ -36,6 +36,7 @@
   gboolean dead;
   gint64 hangs_until_ms;
   gint64 deaf_until_ms;
+  gint64 mute_until_ms;
   gint64 report_ms;
   guint node; /* where it reports */
 } Machine;
@@ -69,6 +70,8 @@
   gint64 calm_ms; /* since when all troubles are over; 0: they aren't */
   guint lost_tasks;
   guint returned_tasks;
+  guint late_starts;
+  double cancel_at_end;
   SimFaults faults;
   Node nodes[SIM_NODES];
   WsSettings *settings[SIM_NODES];
@@ -134,6 +137,7 @@
   /* the answer */
   guint status;
   json_t *answer;
+  json_t *held; /* an answer that hasn't set off yet */
 } Call;
 
 static void
@@ -146,6 +150,7 @@
   g_free(call->path);
   json_decref(call->body);
   json_decref(call->answer);
+  json_decref(call->held);
   g_free(call);
 }
 
@@ -379,10 +384,15 @@
   }
 }
 
+/* What was on its way when the user was told. */
+#define ON_ITS_WAY_MS 1500
+
 static void
 check_start(Sim *sim, const Machine *machine, const SimTask *task)
 {
   const Job *job = find_job(sim, task->job);
+  if (job->told == TOLD_CANCELLED && sim->now_ms > job->cancelled_ms + ON_ITS_WAY_MS)
+    sim->late_starts++;
   Running count = { 0 };
   count_running(sim, machine, job, task->task, &count);
   if (count.same_task != 0)
@@ -407,6 +417,17 @@
             task->task);
 }
 
+/* Its user asks at once. */
+static void
+cancel(Sim *sim, Job *job)
+{
+  if (job->told != TOLD_ACCEPTED)
+    return;
+  job->cancelling = TRUE;
+  if (job->next_ms != G_MAXINT64)
+    job->next_ms = sim->now_ms;
+}
+
 static void
 step_task(Sim *sim, Machine *machine, SimTask *task)
 {
@@ -423,7 +444,10 @@
   } else if (strcmp(task->state, "running") == 0) {
     task->state = "exited";
     task->why = "done";
-    find_job(sim, task->job)->completed[task->task] = 1;
+    Job *job = find_job(sim, task->job);
+    job->completed[task->task] = 1;
+    if (chance(sim, sim->cancel_at_end))
+      cancel(sim, job);
     machine->report_ms = MIN(machine->report_ms, sim->now_ms + 500);
   }
 }
@@ -498,7 +522,9 @@
   gboolean is_node = call->machine == NULL && call->job == NULL;
   if (is_node && ((sim->faults.alone >> node | sim->faults.alone >> call->node) & 1) != 0)
     call_unref(call);
-  else if (call->machine != NULL && (sim->faults.unheard >> node & 1) != 0)
+  else if (call->machine != NULL
+           && ((sim->faults.unheard >> node & 1) != 0
+               || sim->now_ms < call->machine->mute_until_ms))
     call_unref(call);
   else if (is_cut(sim, zone_of_caller(call), ZONES[node]))
     later(sim, 1000, arrive, call);
@@ -508,17 +534,90 @@
     ask_node(sim, call, node, call->address[0] == 'm' ? WS_DOOR_MESH : WS_DOOR_API);
 }
 
+static gboolean
+is_refused(const Sim *sim, const Call *call)
+{
+  return sim->faults.state_out || (sim->faults.state_refuses >> call->node & 1) != 0;
+}
+
+static void
+release_slow(Sim *sim, gpointer data)
+{
+  (void)sim;
+  Call *call = data;
+  reply(call, call->status, g_steal_pointer(&call->held));
+}
+
+static void
+release_held(Sim *sim, gpointer data)
+{
+  if (is_refused(sim, data))
+    later(sim, 100, release_held, data);
+  else
+    release_slow(sim, data);
+}
+
+/* The open watches of a node that is refused wait as they do in an outage. */
+static void
+state_replied(gpointer data, guint status, json_t *body)
+{
+  Call *call = data;
+  Sim *sim = call->sim;
+  if (call->over || call->held != NULL) {
+    json_decref(body);
+    call_unref(call);
+    return;
+  }
+  call->status = status;
+  call->held = body;
+  if (is_refused(sim, call) && g_str_has_prefix(call->path, "/follow"))
+    later(sim, 100, release_held, call);
+  else if (sim->faults.slow_state_ms > 0)
+    later(sim, g_rand_int_range(sim->rand, 0, (gint32)sim->faults.slow_state_ms), release_slow,
+          call);
+  else
+    release_slow(sim, call);
+}
+
+static void
+ignored(gpointer data, guint status, json_t *body)
+{
+  (void)status;
+  json_decref(body);
+  call_unref(data);
+}
+
+/* It gets no answer, and is carried out after newer ones. */
+static void
+write_late(Sim *sim, gpointer data)
+{
+  Call *call = data;
+  if (sim->faults.state_out)
+    later(sim, 1000, write_late, call);
+  else
+    sim_state_request(sim->state, sim->now_ms, call->method, call->path, call->body, ignored, call);
+}
+
+static void
+ask_state(Sim *sim, Call *call)
+{
+  if ((sim->faults.alone >> call->node & 1) != 0)
+    call_unref(call);
+  else if (is_refused(sim, call))
+    reply(call, 503, json_object());
+  else if (strcmp(call->path, "/multi") == 0 && chance(sim, sim->faults.late_writes))
+    later(sim, g_rand_int_range(sim->rand, 2000, 12000), write_late, call);
+  else
+    sim_state_request(sim->state, sim->now_ms, call->method, call->path, call->body, state_replied,
+                      call);
+}
+
 static void
 arrive(Sim *sim, gpointer data)
 {
   Call *call = data;
   if (strcmp(call->address, "state:1") == 0) {
-    if ((sim->faults.alone >> call->node & 1) != 0)
-      call_unref(call);
-    else if (sim->faults.state_out || (sim->faults.state_refuses >> call->node & 1) != 0)
-      reply(call, 503, json_object());
-    else
-      sim_state_request(sim->state, sim->now_ms, call->method, call->path, call->body, reply, call);
+    ask_state(sim, call);
   } else if (strcmp(call->address, "cloud:1") == 0) {
     ask_cloud(sim, call);
   } else if (g_str_has_prefix(call->address, "w-")) {
@@ -731,6 +830,68 @@
   g_ptr_array_add(sim->jobs, job);
 }
 
+void
+sim_cancel(Sim *sim, guint job)
+{
+  cancel(sim, g_ptr_array_index(sim->jobs, job));
+}
+
+void
+sim_cancel_at_end(Sim *sim, double part)
+{
+  sim->cancel_at_end = part;
+}
+
+gboolean
+sim_told_cancelled(const Sim *sim, guint job)
+{
+  return ((Job *)g_ptr_array_index(sim->jobs, job))->told == TOLD_CANCELLED;
+}
+
+static guint
+running_on(const Sim *sim, const Machine *machine, const Job *job)
+{
+  guint count = 0;
+  for (guint k = 0; is_up(sim, machine) && k < machine->worker->tasks->len; k++) {
+    const SimTask *task = &g_array_index(machine->worker->tasks, SimTask, k);
+    count += strcmp(task->job, job->id) == 0 && strcmp(task->state, "running") == 0 ? 1 : 0;
+  }
+  return count;
+}
+
+guint
+sim_running(const Sim *sim, guint job)
+{
+  guint count = 0;
+  for (guint i = 0; i < sim->machines->len; i++)
+    count
+        += running_on(sim, g_ptr_array_index(sim->machines, i), g_ptr_array_index(sim->jobs, job));
+  return count;
+}
+
+guint
+sim_machine_of(const Sim *sim, guint job)
+{
+  for (guint i = 0; i < sim->machines->len; i++)
+    if (running_on(sim, g_ptr_array_index(sim->machines, i), g_ptr_array_index(sim->jobs, job)) > 0)
+      return i;
+  return G_MAXUINT;
+}
+
+guint
+sim_late_starts(const Sim *sim)
+{
+  return sim->late_starts;
+}
+
+guint
+sim_leader(const Sim *sim)
+{
+  const char *name
+      = json_string_value(json_object_get(sim_state_get(sim->state, "w/leader"), "node"));
+  return name != NULL ? (guint)(name[1] - '0') : G_MAXUINT;
+}
+
 void
 sim_cancel_any(Sim *sim)
 {
@@ -846,6 +1007,40 @@
     machine->deaf_until_ms = sim->now_ms + (gint64)(seconds * 1000.0);
 }
 
+static void
+set_until(Sim *sim, gint64 *until_ms, double seconds)
+{
+  *until_ms = sim->now_ms + (gint64)(seconds * 1000.0);
+}
+
+void
+sim_hang(Sim *sim, guint machine, double seconds)
+{
+  set_until(sim, &((Machine *)g_ptr_array_index(sim->machines, machine))->hangs_until_ms, seconds);
+}
+
+void
+sim_deafen(Sim *sim, guint machine, double seconds)
+{
+  set_until(sim, &((Machine *)g_ptr_array_index(sim->machines, machine))->deaf_until_ms, seconds);
+}
+
+void
+sim_mute(Sim *sim, guint machine, double seconds)
+{
+  set_until(sim, &((Machine *)g_ptr_array_index(sim->machines, machine))->mute_until_ms, seconds);
+}
+
+guint
+sim_any_machine(Sim *sim)
+{
+  Machine *machine = any_up(sim);
+  guint place = G_MAXUINT;
+  if (machine != NULL)
+    (void)g_ptr_array_find(sim->machines, machine, &place);
+  return place;
+}
+
 void
 sim_restart_machine(Sim *sim)
 {
@@ -862,6 +1057,7 @@
 sim_calm(Sim *sim)
 {
   sim->faults = (SimFaults){ 0 };
+  sim->cancel_at_end = 0.0;
   sim->calm_ms = sim->now_ms;
 }
 
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -20,13 +20,15 @@
 /* Faults may be set and ended at any time. */
 typedef struct {
   SimNet net;
-  gboolean state_out;  /* the state service answers 503 */
-  guint state_refuses; /* bit for each node that alone is refused */
-  guint cut;           /* bit for each zone that is cut off from the other zones */
-  guint unheard;       /* bit for each node that no worker reaches, nor it them */
-  guint alone;         /* bit for each node that reaches neither state service nor other nodes */
-  double copies;       /* chance that a copy of a report comes late, up to several leases */
-  guint most_machines; /* that the cloud has in all; 0: any number */
+  gboolean state_out;   /* the state service answers 503 */
+  guint state_refuses;  /* bit for each node that alone is refused */
+  guint cut;            /* bit for each zone that is cut off from the other zones */
+  guint unheard;        /* bit for each node that no worker reaches, nor it them */
+  double late_writes;   /* chance that a transaction gets no answer and is carried out late */
+  gint64 slow_state_ms; /* by which an answer of the state service may be late */
+  guint alone;          /* bit for each node that reaches neither state service nor other nodes */
+  double copies;        /* chance that a copy of a report comes late, up to several leases */
+  guint most_machines;  /* that the cloud has in all; 0: any number */
   gboolean cloud_out;
   gboolean rent_nothing;
 } SimFaults;
@@ -56,6 +58,21 @@
 gboolean sim_node_up(const Sim *sim, guint node);
 void sim_submit(Sim *sim, const SimJob *job);
 void sim_cancel_any(Sim *sim);
+void sim_cancel(Sim *sim, guint job);
+/* Users cancel this part of the jobs at the end of a task of theirs. */
+void sim_cancel_at_end(Sim *sim, double part);
+/* A machine with a running task of the job, by its place; G_MAXUINT: there is none. */
+guint sim_machine_of(const Sim *sim, guint job);
+guint sim_any_machine(Sim *sim); /* that is up; G_MAXUINT: none */
+void sim_hang(Sim *sim, guint machine, double seconds);
+/* Its reports arrive, but neither answers nor commands reach it. */
+void sim_deafen(Sim *sim, guint machine, double seconds);
+/* Its reports reach no controller, while direct commands reach it. */
+void sim_mute(Sim *sim, guint machine, double seconds);
+/* The node that leads, as the state service has it; G_MAXUINT: none. */
+guint sim_leader(const Sim *sim);
+gboolean sim_told_cancelled(const Sim *sim, guint job);
+guint sim_running(const Sim *sim, guint job); /* its tasks that run now */
 /* A random machine that is up: it dies, or hangs for a while. */
 void sim_kill_machine(Sim *sim);
 void sim_hang_machine(Sim *sim, double seconds);
@@ -67,6 +84,8 @@
 /* All troubles are over: from now on no accepted job may go unanswered for long. */
 void sim_calm(Sim *sim);
 
+/* Tasks that started more than a moment after their user was told that they are cancelled. */
+guint sim_late_starts(const Sim *sim);
 guint sim_open_jobs(const Sim *sim); /* told accepted, and neither done nor cancelled */
 guint sim_done_jobs(const Sim *sim);
 guint sim_lost_tasks(const Sim *sim);            /* killed with the worker's lease */
