--- a/tests/sim/sim.c
+++ b/tests/sim/sim.c
@@ -361,6 +361,7 @@
 
 typedef struct {
   guint same_task;
+  guint same_job;
   guint team;
   guint in_zone;
   guint on_machine;
@@ -377,6 +378,7 @@
         continue;
       const Job *other = find_job(sim, task->job);
       count->same_task += other == job && task->task == number ? 1 : 0;
+      count->same_job += other == job ? 1 : 0;
       count->team += strcmp(other->spec.team, job->spec.team) == 0 ? 1 : 0;
       count->in_zone += other == job && machine->worker->zone == where->worker->zone ? 1 : 0;
       count->on_machine += machine == where ? 1 : 0;
@@ -401,6 +403,8 @@
   if (count.team + 1 > (strcmp(job->spec.team, "red") == 0 ? 6 : 8))
     g_error("seed %u, %.1f s: quota of %s", sim->seed, sim->now_ms / 1000.0, job->spec.team);
   if ((machine->worker->spot && !job->spec.spot)
+      || (job->spec.zone != NULL && strcmp(job->spec.zone, machine->worker->zone) != 0)
+      || (job->spec.one_zone && count.in_zone < count.same_job)
       || (job->spec.scatter && count.in_zone + 1 > (job->spec.tasks + 1) / 2))
     g_error("seed %u, %.1f s: wrong_place: %s/%u", sim->seed, sim->now_ms / 1000.0, job->id,
             task->task);
@@ -818,13 +822,14 @@
   job->spec = *spec;
   job->completed = g_new0(guint8, spec->tasks);
   job->message = json_pack(
-      "{s:s, s:s, s:s, s:s, s:s, s:i, s:f, s:f, s:f, s:s, s:f, s:n, s:n, s:b, s:b, s:b, s:f, s:f,"
+      "{s:s, s:s, s:s, s:s, s:s, s:i, s:f, s:f, s:f, s:s, s:f, s:n, s:s?, s:b, s:b, s:b, s:f, s:f,"
       " s:f, s:n}",
       "id", job->id, "trida", spec->service ? "live" : "batch", "dilna", spec->team, "druh",
       spec->service ? "service" : "sweep", "prednost", spec->priority, "kusy", (int)spec->tasks,
       "cpus", 8.0, "accelerators", 1.0, "mem_gb", 16.0, "obraz", "img-1", "pull_gb", 2.0, "typy",
-      "hala", "one_zone", 0, "scatter", spec->scatter, "vypujcky", spec->spot, "odhad_s",
-      spec->service ? 0.0 : spec->run_s, "zaloha_s", 0.0, "ulozeni_s", 0.0, "termin_s");
+      "hala", spec->zone, "one_zone", spec->one_zone, "scatter", spec->scatter, "vypujcky",
+      spec->spot, "odhad_s", spec->service ? 0.0 : spec->run_s, "zaloha_s", 0.0, "ulozeni_s", 0.0,
+      "termin_s");
   g_assert_nonnull(job->message);
   job->next_ms = sim->now_ms;
   g_ptr_array_add(sim->jobs, job);
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -40,6 +40,8 @@
   const char *priority;
   gboolean scatter;
   gboolean spot;
+  gboolean one_zone;
+  const char *zone; /* the only one allowed; NULL: any */
   double run_s;
 } SimJob;
 
