Assignments and ends share transactions; small tasks leave large machines free; guards of cancellations tested

Now assignments get up to two thirds of a transaction, ends the rest, those first that are most and have waited longest. Small tasks go to the smallest type that has room, and nothing is stopped for priority while a machine rented now would do.

--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -16,6 +16,7 @@
 
 typedef struct {
   WsRelease release;
+  gint64 known_ms;
   gint64 asked_ms; /* when it was handed in; 0: it wasn't */
 } Known;
 
@@ -33,7 +34,6 @@
   GArray *ending;     /* of guint: jobs that the transaction ends */
   gboolean busy;
   gint64 next_ms;
-  guint first_team; /* whose releases are written first, in turn */
 };
 
 static gpointer
@@ -42,6 +42,12 @@
   return GSIZE_TO_POINTER((gsize)job * WS_MAX_TASKS + task + 1);
 }
 
+static gpointer
+chunk_key(const WsRelease *release)
+{
+  return task_key(release->job, release->task / WS_CHUNK_TASKS);
+}
+
 WsAssign *
 ws_assign_new(void)
 {
@@ -79,6 +85,7 @@
     ws_learn_done(core, job, a);
   Known *known = g_new0(Known, 1);
   known->release = (WsRelease){ job->index, task, attempt, done };
+  known->known_ms = core->now;
   g_hash_table_insert(core->assign->known, key, known);
 }
 
@@ -233,52 +240,76 @@
   g_array_set_size(assign->writing, 0);
 }
 
-/* By team, beginning with the one whose turn it is, and by job. */
+/* What a release weighs: the longer it has been known, the more. */
+#define LEAST_WEIGHT_MS 300
+
+typedef struct {
+  WsRelease release;
+  gint64 of_team;  /* what all releases of its team weigh */
+  gint64 of_chunk; /* and all of its chunk */
+} Ending;
+
+/* A team's use is one change, however many of its tasks end, and so is a chunk of a job: ends that
+   share them go together, those first that are most and have waited longest. Otherwise hundreds of
+   ends fill the budget of changes for seconds, and nothing is placed meanwhile. */
 static gint
-by_team_and_job(gconstpointer a, gconstpointer b, gpointer data)
+by_weight(gconstpointer a, gconstpointer b)
 {
-  const WsCore *core = data;
-  const WsRelease *first = a, *second = b;
-  guint teams = MAX(core->settings->teams->len, 1u), from = core->assign->first_team;
-  guint first_turn = (ws_book_job(core->book, first->job)->team + teams - from) % teams;
-  guint second_turn = (ws_book_job(core->book, second->job)->team + teams - from) % teams;
-  if (first_turn != second_turn)
-    return first_turn < second_turn ? -1 : 1;
-  if (first->job != second->job)
-    return first->job < second->job ? -1 : 1;
-  return first->task < second->task ? -1 : first->task > second->task;
+  const Ending *first = a, *second = b;
+  if (first->of_team != second->of_team)
+    return first->of_team > second->of_team ? -1 : 1;
+  if (first->of_chunk != second->of_chunk)
+    return first->of_chunk > second->of_chunk ? -1 : 1;
+  if (first->release.job != second->release.job)
+    return first->release.job < second->release.job ? -1 : 1;
+  return first->release.task < second->release.task ? -1
+                                                    : first->release.task > second->release.task;
+}
+
+static gint64
+add_weight(GHashTable *sums, gpointer key, gint64 weight)
+{
+  gint64 sum = GPOINTER_TO_SIZE(g_hash_table_lookup(sums, key)) + weight;
+  g_hash_table_insert(sums, key, GSIZE_TO_POINTER((gsize)sum));
+  return sum;
 }
 
 static GArray *
-releases_in_order(WsCore *core)
+endings_in_order(WsCore *core)
 {
-  GArray *releases = g_array_new(FALSE, FALSE, sizeof(WsRelease));
+  GArray *endings = g_array_new(FALSE, FALSE, sizeof(Ending));
+  g_autoptr(GHashTable) chunks = g_hash_table_new(NULL, NULL);
+  g_autofree gint64 *teams = g_new0(gint64, core->settings->teams->len + 1);
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init(&iter, core->assign->known);
-  while (g_hash_table_iter_next(&iter, NULL, &value))
-    g_array_append_val(releases, ((Known *)value)->release);
-  g_array_sort_with_data(releases, by_team_and_job, core);
-  return releases;
+  while (g_hash_table_iter_next(&iter, NULL, &value)) {
+    const Known *known = value;
+    const WsJob *job = ws_book_job(core->book, known->release.job);
+    gint64 weight = LEAST_WEIGHT_MS + core->now - known->known_ms;
+    Ending ending = { .release = known->release };
+    g_array_append_val(endings, ending);
+    teams[MIN(job->team, core->settings->teams->len)] += weight;
+    (void)add_weight(chunks, chunk_key(&known->release), weight);
+  }
+  for (guint i = 0; i < endings->len; i++) {
+    Ending *ending = &g_array_index(endings, Ending, i);
+    const WsJob *job = ws_book_job(core->book, ending->release.job);
+    ending->of_team = teams[MIN(job->team, core->settings->teams->len)];
+    ending->of_chunk = add_weight(chunks, chunk_key(&ending->release), 0);
+  }
+  g_array_sort(endings, by_weight);
+  return endings;
 }
 
-/* A team's use is one change, however many of its tasks end, and so is a chunk of a job: ends that
-   share them go together, or hundreds of ends after machines died fill the budget of changes for
-   seconds, and nothing is placed meanwhile. */
 static void
 draft_releases(WsCore *core, WsDraft *draft)
 {
-  WsAssign *assign = core->assign;
-  g_autoptr(GArray) releases = releases_in_order(core);
-  gboolean is_full = FALSE;
-  for (guint i = 0; i < releases->len; i++) {
-    const WsRelease *release = &g_array_index(releases, WsRelease, i);
-    WsDraftResult result = ws_draft_release(draft, release);
-    if (result == WS_DRAFT_UNWANTED)
-      g_hash_table_remove(assign->known, task_key(release->job, release->task));
-    if (result == WS_DRAFT_FULL && !is_full)
-      assign->first_team = ws_book_job(core->book, release->job)->team;
-    is_full = is_full || result == WS_DRAFT_FULL;
+  g_autoptr(GArray) endings = endings_in_order(core);
+  for (guint i = 0; i < endings->len; i++) {
+    const WsRelease *release = &g_array_index(endings, Ending, i).release;
+    if (ws_draft_release(draft, release) == WS_DRAFT_UNWANTED)
+      g_hash_table_remove(core->assign->known, task_key(release->job, release->task));
   }
 }
 
@@ -321,6 +352,9 @@
   /* Somebody waits for a critical task; when a cut heals or a wave has passed, the ends of hundreds
      of others would fill one transaction after another before it. */
   draft_picks(core, draft, TRUE);
+  ws_draft_bound(draft, core->settings->state_txn_ops * 2 / 3);
+  draft_picks(core, draft, FALSE);
+  ws_draft_bound(draft, core->settings->state_txn_ops);
   draft_releases(core, draft);
   draft_picks(core, draft, FALSE);
   if (!ws_draft_is_empty(draft)) {
--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -274,6 +274,8 @@
 /* Whether the type, zone and kind of the machine are allowed. */
 gboolean ws_plan_allowed(const WsBook *book, const WsSubmission *spec, guint zone,
                          const WsMachine *machine);
+/* Processors of the smallest allowed type that has room for one task. */
+gint64 ws_smallest_room(const WsBook *book, const WsSubmission *spec);
 gboolean ws_type_allowed(const WsSubmission *spec, const WsType *type);
 /* Stops a less urgent task of the job's own team, and returns it. */
 WsAssignment *ws_preempt_in_team(WsCore *core, const WsJob *job);
--- a/src/core/ws-demand.c
+++ b/src/core/ws-demand.c
@@ -169,11 +169,14 @@
 put_in(WsDemand *demand, const WsJob *job, const WsAmount *need, guint tasks)
 {
   gboolean waits = job->spec->kind == WS_KIND_ARRAY && may_wait(demand, job);
+  gint64 smallest = ws_smallest_room(demand->core->book, job->spec);
   guint placed = 0;
   for (guint i = 0; i < demand->machines->len; i++) {
     Virtual *machine = &g_array_index(demand->machines, Virtual, i);
     if ((machine->spot && !job->spec->spot) || (machine->is_running && !waits)
         || !zone_fits(job, machine->zone)
+        || (machine->is_running
+            && ws_book_type(demand->core->book, machine->type)->room.cpus > smallest)
         || !ws_type_allowed(job->spec, ws_book_type(demand->core->book, machine->type)))
       continue;
     for (; placed < tasks && ws_amount_fits(need, &machine->room); placed++)
--- a/src/core/ws-draft.c
+++ b/src/core/ws-draft.c
@@ -24,6 +24,7 @@
   gboolean *touched;
   GHashTable *room;   /* machine index -> WsAmount taken by this draft */
   GHashTable *joined; /* index of each machine that gets a task */
+  guint most_ops;
   guint ops;
   guint conditions;
   guint bytes;
@@ -48,10 +49,17 @@
   draft->touched = g_new0(gboolean, MAX(teams, 1u));
   draft->room = g_hash_table_new_full(NULL, NULL, NULL, g_free);
   draft->joined = g_hash_table_new(NULL, NULL);
+  draft->most_ops = core->settings->state_txn_ops;
   draft->conditions = 1; /* the epoch */
   return draft;
 }
 
+void
+ws_draft_bound(WsDraft *draft, guint most_ops)
+{
+  draft->most_ops = most_ops;
+}
+
 void
 ws_draft_free(WsDraft *draft)
 {
@@ -127,7 +135,7 @@
   }
   if (joins != NULL && !g_hash_table_contains(draft->joined, GUINT_TO_POINTER(joins->index)))
     conditions++;
-  if (draft->ops + ops > settings->state_txn_ops
+  if (draft->ops + ops > draft->most_ops
       || draft->conditions + conditions > CONDITIONS_AN_OP * settings->state_txn_ops
       || draft->bytes + bytes > MOST_BYTES)
     return FALSE;
--- a/src/core/ws-draft.h
+++ b/src/core/ws-draft.h
@@ -21,6 +21,8 @@
 typedef struct _WsDraft WsDraft;
 
 WsDraft *ws_draft_new(WsCore *core);
+/* From now on it takes only what leaves it with so many changes. */
+void ws_draft_bound(WsDraft *draft, guint most_ops);
 void ws_draft_free(WsDraft *draft);
 gboolean ws_draft_is_empty(const WsDraft *draft);
 WsDraftResult ws_draft_release(WsDraft *draft, const WsRelease *release);
--- a/src/core/ws-place.c
+++ b/src/core/ws-place.c
@@ -11,6 +11,10 @@
 #define IMAGE_COMING 50.0
 #define OTHER_FETCH 20.0
 #define IMAGE_FOR_VICTIM 20.0
+/* A machine of a larger type than the task needs, where there is a smaller one: larger tasks have
+   nowhere else to go, and one small task keeps each of them out. */
+#define TOO_LARGE 150.0
+#define BOOT_PATIENCE 1.5
 /* Jobs of a plan, critical ones aside, for which victims are looked for: each looks at every
    machine with an array's task, and when hundreds wait the first ones are the most urgent anyway.
  */
@@ -26,6 +30,7 @@
   WsRoomMap *map;
   const WsJob *job;
   guint *counts;
+  gint64 smallest;              /* processors of the smallest type that has room for a task */
   GArray *kinds[WS_ROOM_KINDS]; /* of Candidate, the best first; NULL: not looked for yet */
 };
 
@@ -133,6 +138,8 @@
   double value = ws_machine_has_image(machine, job->image) ? IMAGE_THERE : 0.0;
   if (job->spec->spot && machine->spot)
     value += SPOT;
+  if (room->cpus > places->smallest)
+    value -= TOO_LARGE;
   if (!is_service && slot->has_service)
     value += STAYS_ANYWAY; /* it stays rented anyway */
   if (room->gpus > 0)
@@ -181,6 +188,45 @@
   return ws_amount_fits(&places->job->spec->need, &room);
 }
 
+/* Whether a machine that is rented now would do for the job: then nothing is stopped for its
+   priority, since what is stopped is work lost. */
+static gboolean
+can_wait_for_boot(const WsCore *core, const WsJob *job)
+{
+  const WsBook *book = core->book;
+  double allowed_s = ws_job_allowed_s(book, job);
+  double left_s = allowed_s - (double)(core->wall - job->at_ms) / 1000.0
+                  - ws_learn_estimate_s(core, job) - ws_job_fetch_s(book, job);
+  if (allowed_s < 0.0)
+    return FALSE;
+  for (guint t = 0; t < book->catalog->len; t++) {
+    const WsType *type = ws_book_type(book, t);
+    if (!ws_type_allowed(job->spec, type) || !ws_amount_fits(&job->spec->need, &type->room)
+        || left_s < BOOT_PATIENCE * type->boot_s)
+      continue;
+    for (char **zone = type->zones; *zone != NULL; zone++) {
+      guint z = ws_book_find_zone(book, *zone);
+      if (z != WS_NONE && (job->spec->zone == NULL || job->zone == z)
+          && (!ws_fleet_no_capacity(core, t, z, FALSE)
+              || (job->spec->spot && !ws_fleet_no_capacity(core, t, z, TRUE))))
+        return TRUE;
+    }
+  }
+  return FALSE;
+}
+
+gint64
+ws_smallest_room(const WsBook *book, const WsSubmission *spec)
+{
+  gint64 smallest = G_MAXINT64;
+  for (guint t = 0; t < book->catalog->len; t++) {
+    const WsType *type = ws_book_type(book, t);
+    if (ws_type_allowed(spec, type) && ws_amount_fits(&spec->need, &type->room))
+      smallest = MIN(smallest, type->room.cpus);
+  }
+  return smallest;
+}
+
 static void
 consider(WsPlaces *places, WsRoom kind, const WsMachine *machine)
 {
@@ -232,7 +278,7 @@
     return FALSE;
   if (job->spec->priority == WS_CRITICAL)
     return TRUE;
-  if (map->looks == 0)
+  if (map->looks == 0 || can_wait_for_boot(map->core, job))
     return FALSE;
   map->looks--;
   return TRUE;
@@ -267,7 +313,10 @@
 ws_places_new(WsRoomMap *map, const WsJob *job, guint *counts)
 {
   WsPlaces *places = g_new0(WsPlaces, 1);
-  *places = (WsPlaces){ .map = map, .job = job, .counts = counts };
+  *places = (WsPlaces){ .map = map,
+                        .job = job,
+                        .counts = counts,
+                        .smallest = ws_smallest_room(map->core->book, job->spec) };
   return places;
 }
 
--- a/tests/sim/rig.c
+++ b/tests/sim/rig.c
@@ -24,11 +24,19 @@
 }
 
 static json_t *
-catalog(void)
+catalog(const Rig *rig)
 {
-  return json_pack("{s:[{s:s, s:i, s:i, s:i, s:i, s:f, s:f, s:f, s:i, s:[s]}]}", "typy", "sku",
-                   "g4", "cpus", 32, "accelerators", 4, "mem_gb", 64, "local_gb", 100,
-                   "pull_gb_per_s", 1.0, "price", 8.0, "low_price", 3.0, "boot_s", 8, "haly", "a");
+  json_t *message
+      = json_pack("{s:[{s:s, s:i, s:i, s:i, s:i, s:f, s:f, s:f, s:i, s:[s]}]}", "typy", "sku", "g4",
+                  "cpus", 32, "accelerators", 4, "mem_gb", 64, "local_gb", 100, "pull_gb_per_s",
+                  1.0, "price", 8.0, "low_price", 3.0, "boot_s", 8, "haly", "a");
+  if (rig->small_type)
+    json_array_append_new(json_object_get(message, "typy"),
+                          json_pack("{s:s, s:i, s:i, s:i, s:i, s:f, s:f, s:f, s:i, s:[s]}", "sku",
+                                    "g1", "cpus", 8, "accelerators", 1, "mem_gb", 16, "local_gb",
+                                    100, "pull_gb_per_s", 1.0, "price", 2.2, "low_price", 0.8,
+                                    "boot_s", 8, "haly", "a"));
+  return message;
 }
 
 /* A peer that isn't a member, but has all that it's told. */
@@ -38,8 +46,9 @@
   g_autoptr(json_t) answer = json_pack(
       "{s:s, s:O, s:b, s:i, s:b, s:b, s:i, s:i, s:O, s:i, s:b, s:i, s:[]}", "node",
       strstr(output->url, "mesh-1") != NULL ? "n1" : "n2", "epoch", json_object_get(body, "epoch"),
-      "store", 1, "reaches", 7, "wants_epoch", 0, "unheard", 0, "base", 0, "rev", 0, "ack",
-      json_object_get(body, "rev"), "incarnation", 1, "loaded", 1, "untold", 0, "machines");
+      "store", !rig->peers_without_state, "reaches", 7, "wants_epoch", 0, "unheard", 0, "base", 0,
+      "rev", 0, "ack", json_object_get(body, "rev"), "incarnation", 1, "loaded", 1, "untold",
+      (int)rig->peers_untold, "machines");
   rig->gossip_bytes = strlen(output->body);
   rig_reply(rig, output->call, 200, answer);
 }
@@ -71,12 +80,18 @@
     }
     sim_state_request(rig->state, rig->now_ms, output->method, path, body, rig_on_state, asked);
   } else if (strcmp(path, "/catalog") == 0) {
-    g_autoptr(json_t) message = catalog();
+    g_autoptr(json_t) message = catalog(rig);
     rig_reply(rig, output->call, 200, message);
   } else if (strcmp(path, "/commands") == 0) {
     rig->direct++;
     if (rig->workers_answer)
       rig_reply(rig, output->call, 409, NULL);
+  } else if (strcmp(path, "/machines/return") == 0 && rig->cloud_returns) {
+    rig->returned++;
+    rig_reply(rig, output->call, 200, NULL);
+  } else if (strcmp(path, "/cancelled") == 0) {
+    rig->told++;
+    rig_reply(rig, output->call, rig->peers_take ? 200 : 0, NULL);
   } else if (strcmp(path, "/gossip") == 0 && !rig->peers_silent) {
     take_gossip(rig, output, body);
   } else {
@@ -122,6 +137,17 @@
   rig_pump(rig);
 }
 
+void
+rig_mesh(Rig *rig, const char *path, json_t *body)
+{
+  g_autofree char *text = ws_json_text(body);
+  ws_core_request(rig->core, rig->now_ms, rig->now_ms, WS_DOOR_MESH, "POST", path, text,
+                  strlen(text), rig);
+  json_decref(body);
+  rig_pump(rig);
+  rig_run(rig, 0.3);
+}
+
 void
 rig_ask(Rig *rig, const char *method, const char *path, json_t *body)
 {
@@ -172,10 +198,11 @@
       0.0);
 }
 
-Rig *
-rig_bare(gboolean workers_answer)
+static Rig *
+rig_begin(gboolean workers_answer, gboolean small_type)
 {
   Rig *rig = g_new0(Rig, 1);
+  rig->small_type = small_type;
   rig->settings = ws_test_settings(0);
   rig->properties = ws_properties_new();
   rig->state = sim_state_new();
@@ -187,6 +214,18 @@
   return rig;
 }
 
+Rig *
+rig_bare(gboolean workers_answer)
+{
+  return rig_begin(workers_answer, FALSE);
+}
+
+Rig *
+rig_two_types(void)
+{
+  return rig_begin(TRUE, TRUE);
+}
+
 Rig *
 rig_new(gboolean workers_answer)
 {
--- a/tests/sim/rig.h
+++ b/tests/sim/rig.h
@@ -17,7 +17,14 @@
   gboolean peers_silent;   /* the other controllers aren't there */
   gboolean state_out;      /* the state service answers 503 */
   gboolean workers_answer; /* direct commands */
-  guint direct;            /* direct commands seen */
+  gboolean small_type;     /* the cloud has a smaller type too */
+  gboolean cloud_returns;  /* it answers returns */
+  gboolean peers_without_state;
+  guint peers_untold;  /* cancellations that a peer knows and has not told */
+  gboolean peers_take; /* what they are told of cancellations */
+  guint told;          /* how often peers were told */
+  guint returned;      /* returns asked of the cloud */
+  guint direct;        /* direct commands seen */
   guint64 seq;
   guint status; /* the last answer to a request of ours */
   json_t *answer;
@@ -39,6 +46,8 @@
 Rig *rig_new(gboolean workers_answer);
 /* The same without machine and job. */
 Rig *rig_bare(gboolean workers_answer);
+/* The same where the cloud has a small type beside the large one. */
+Rig *rig_two_types(void);
 void rig_free(Rig *rig);
 /* The controller ends and begins anew, with the same state service. */
 void rig_restart(Rig *rig);
@@ -50,6 +59,8 @@
 void rig_ask(Rig *rig, const char *method, const char *path, json_t *body /* taken */);
 json_t *rig_report_of(const Rig *rig, const char *machine, guint64 token, guint64 seq,
                       json_t *tasks);
+/* What another controller says, and a moment for the answer. */
+void rig_mesh(Rig *rig, const char *path, json_t *body /* taken */);
 /* A report of any machine, and no pause after it. */
 void rig_report_now(Rig *rig, const char *machine, guint64 token, guint64 seq,
                     json_t *tasks /* taken */);
--- a/tests/test-guards.c
+++ b/tests/test-guards.c
@@ -510,6 +510,147 @@
   rig_free(rig);
 }
 
+/* A peer's word that a job is cancelled counts whatever the records say: its task is halted, and
+   not launched again in a new session. What can't be understood changes nothing. */
+static void
+test_cancel_told(void)
+{
+  Rig *rig = rig_new(TRUE);
+  rig_mesh(rig, "/cancelled", json_pack("{s:s, s:[[s]]}", "node", "n1", "jobs", "req-1"));
+  g_assert_cmpuint(rig->status, ==, 400);
+  rig_mesh(rig, "/cancelled", json_pack("{s:s, s:[[s, i]]}", "node", "n9", "jobs", "req-1", 0));
+  g_assert_cmpuint(rig->status, ==, 400);
+  rig_send_report(rig, 1, one_task("running", ""));
+  g_assert_false(has_command(rig, "halt"));
+  rig_mesh(rig, "/cancelled", json_pack("{s:s, s:[[s, i]]}", "node", "n1", "jobs", "req-1", 0));
+  g_assert_cmpuint(rig->status, ==, 200);
+  rig_send_report(rig, 1, one_task("running", ""));
+  g_assert_true(has_command(rig, "halt"));
+  rig_send_report(rig, 1, json_array());
+  g_assert_false(has_command(rig, "launch"));
+  rig_free(rig);
+}
+
+/* Peers are told until each has acknowledged it, and then no more. */
+static void
+test_cancel_tells(void)
+{
+  Rig *rig = rig_new(FALSE);
+  rig_ask(rig, "POST", "/api/jobs/req-1/withdraw", NULL);
+  g_assert_cmpuint(rig->told, ==, 2);
+  rig_run(rig, 3.0);
+  g_assert_cmpuint(rig->told, >=, 8);
+  rig->peers_take = TRUE;
+  rig_run(rig, 1.0);
+  guint told = rig->told;
+  rig_run(rig, 3.0);
+  g_assert_cmpuint(rig->told, ==, told);
+  rig_free(rig);
+}
+
+static guint
+status_of_report(Rig *rig, const char *machine, guint64 seq)
+{
+  rig_report_now(rig, machine, 1, seq, json_array());
+  return rig->status;
+}
+
+/* A node without state service and peers, which machines of other zones reach, stops renewing in
+   time for what may have been confirmed without it: also those that come back to it. */
+static void
+test_stops_vouching(void)
+{
+  Rig *rig = rig_new(TRUE);
+  rig->zone = "b";
+  g_assert_cmpuint(status_of_report(rig, "m-2", 1), ==, 200);
+  rig->state_out = rig->peers_silent = TRUE;
+  rig_run(rig, 5.0);
+  g_assert_cmpuint(status_of_report(rig, "m-2", 2), ==, 503);
+  g_assert_cmpuint(status_of_report(rig, "m-2", 3), ==, 200); /* it has found nobody else */
+  rig_run(rig, 13.0);
+  g_assert_cmpuint(status_of_report(rig, "m-2", 4), ==, 503);
+  g_assert_cmpuint(status_of_report(rig, "m-2", 5), ==, 503);
+  rig_free(rig);
+}
+
+/* If only its own zone reaches it, the zone is what is cut off, and its answers keep tasks alive.
+ */
+static void
+test_vouches_in_cut_zone(void)
+{
+  Rig *rig = rig_new(TRUE);
+  rig->state_out = rig->peers_silent = TRUE;
+  rig_run(rig, 25.0);
+  rig_send_report(rig, 1, one_task("running", ""));
+  g_assert_cmpuint(rig->status, ==, 200);
+  rig_free(rig);
+}
+
+/* In an outage for everybody tasks are launched (again) only when the peers have told all that they
+   knew, and leases aren't renewed for ever before that. */
+static void
+test_untold(void)
+{
+  Rig *rig = rig_new(TRUE);
+  rig->peers_untold = 1;
+  rig->state_out = rig->peers_without_state = TRUE;
+  rig_run(rig, 5.0);
+  rig_send_report(rig, 1, json_array());
+  g_assert_cmpuint(rig->status, ==, 200);
+  g_assert_false(has_command(rig, "launch"));
+  rig_run(rig, 13.0);
+  rig_send_report(rig, 1, one_task("running", ""));
+  g_assert_cmpuint(rig->status, ==, 503);
+  rig->peers_untold = 0;
+  rig_run(rig, 2.0);
+  rig_send_report(rig, 1, json_array());
+  g_assert_cmpuint(rig->status, ==, 200);
+  g_assert_true(has_command(rig, "launch"));
+  rig_free(rig);
+}
+
+/* A machine that doesn't confirm a cancellation while the state service takes no mark is returned
+   without one, and its record is mended afterwards: nothing leaks. */
+static void
+test_unmarked_return(void)
+{
+  Rig *rig = rig_new(FALSE);
+  rig->cloud_returns = TRUE;
+  rig_ask(rig, "POST", "/api/jobs/req-1/withdraw", NULL);
+  rig->state_out = rig->peers_without_state = TRUE;
+  rig_run(rig, 16.0);
+  g_assert_cmpuint(rig->returned, ==, 0);
+  rig_run(rig, 6.0);
+  g_assert_cmpuint(rig->returned, ==, 1);
+  g_assert_true(sim_state_names(rig->state, "w/lot/", "m-1"));
+  rig->state_out = rig->peers_without_state = FALSE;
+  rig_run(rig, 8.0);
+  g_assert_false(sim_state_names(rig->state, "w/lot/", "m-1"));
+  g_assert_cmpuint(sim_state_count(rig->state, "w/mark/"), ==, 0);
+  g_assert_false(rig_is_assigned(rig));
+  rig_free(rig);
+}
+
+/* Where a smaller type has room for it, a task leaves the larger machine to larger tasks: each
+   small one kept a large one out, on a day of armor-releves with half of the processors unused. */
+static void
+test_small_task(void)
+{
+  Rig *rig = rig_two_types();
+  for (guint64 seq = 1; seq <= 2; seq++) {
+    rig_report_now(rig, "m-1", seq - 1, seq, json_array());
+    json_t *small = rig_report_of(rig, "m-2", seq - 1, seq, json_array());
+    json_object_set_new(small, "typ", json_string("g1"));
+    rig_tell(rig, "/v1/report", small);
+    rig_run(rig, 0.5);
+  }
+  rig_ask(rig, "POST", "/api/jobs", rig_submission());
+  rig_run(rig, 1.0);
+  const json_t *on = json_object_get(sim_state_get(rig->state, "w/task/req-1/0"), "on");
+  g_assert_cmpstr(json_string_value(json_array_get(json_array_get(on, 0), 1)), ==, "m-2");
+  rig_free(rig);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -538,5 +679,12 @@
   g_test_add_func("/guards/new-owner", test_new_owner);
   g_test_add_func("/guards/stood-still", test_stood_still);
   g_test_add_func("/guards/empty-in-outage", test_empty_in_outage);
+  g_test_add_func("/guards/cancel-told", test_cancel_told);
+  g_test_add_func("/guards/cancel-tells", test_cancel_tells);
+  g_test_add_func("/guards/stops-vouching", test_stops_vouching);
+  g_test_add_func("/guards/vouches-in-cut-zone", test_vouches_in_cut_zone);
+  g_test_add_func("/guards/untold", test_untold);
+  g_test_add_func("/guards/unmarked-return", test_unmarked_return);
+  g_test_add_func("/guards/small-task", test_small_task);
   return g_test_run();
 }
