A marked machine is returned only once everything assigned before its mark is known

From the mark on nothing new can be assigned; what came before it is known once the watch has passed the mark, and only then is a drained machine returned, and a mark cleared. Beside it: a new leader writes assignments only when its replica has reached its epoch; the lot is a condition of an assignment, for a mark that came and went is absent once more; what is recorded for a machine that no lot names is released after a lease.

The simulated worker refuses a task when it is full, as the protocol says.

--- a/src/bookkeeping/ws-book.h
+++ b/src/bookkeeping/ws-book.h
@@ -68,6 +68,7 @@
   guint owner;     /* a node of the present epoch, WS_NONE: there is none */
   gboolean stored; /* a lot names it: the machine is ours, and is charged for */
   gboolean gone;   /* no lot names it any more: the cloud has confirmed its return */
+  const char *lot; /* interned: the last one that named it */
   guint lots;      /* how many lots name it: two, if two nodes met it at the same time */
   guint type;      /* in catalog order, WS_NONE: unknown */
   char *type_name;
--- a/src/bookkeeping/ws-records.c
+++ b/src/bookkeeping/ws-records.c
@@ -210,6 +210,7 @@
     ws_book_describe_machine(book, machine, type, zone, spot);
     machine->stored = TRUE;
     machine->lots++;
+    machine->lot = g_intern_string(name);
     machine->at_ms = (gint64)at;
   }
   return lot;
--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -339,11 +339,21 @@
   }
 }
 
+/* A new leader knows the epoch that it wrote before all that was written until then. A mark that
+   came and went with its machine meanwhile is absent once more, and a condition on its absence
+   holds: tasks were assigned to a machine that had been returned. */
+static gboolean
+knows_all_before(const WsCore *core)
+{
+  return core->book->revision >= ws_book_version(core->book, WS_KEY_EPOCH);
+}
+
 static void
 write_all(WsCore *core)
 {
   WsAssign *assign = core->assign;
   if (assign->busy || core->now < assign->next_ms || core->book->catalog == NULL
+      || !knows_all_before(core)
       || (g_hash_table_size(assign->known) == 0 && assign->picks->len == 0)
       || !ws_store_may_write(core, WORTH_A_TXN))
     return;
--- a/src/core/ws-draft.c
+++ b/src/core/ws-draft.c
@@ -24,6 +24,7 @@
   gboolean *touched;
   GHashTable *room;   /* machine index -> WsAmount taken by this draft */
   GHashTable *joined; /* index of each machine that gets a task */
+  GHashTable *lots;   /* the lots that name them */
   guint most_ops;
   guint ops;
   guint conditions;
@@ -49,6 +50,7 @@
   draft->touched = g_new0(gboolean, MAX(teams, 1u));
   draft->room = g_hash_table_new_full(NULL, NULL, NULL, g_free);
   draft->joined = g_hash_table_new(NULL, NULL);
+  draft->lots = g_hash_table_new(NULL, NULL);
   draft->most_ops = core->settings->state_txn_ops;
   draft->conditions = 1; /* the epoch */
   return draft;
@@ -68,6 +70,7 @@
   g_free(draft->touched);
   g_hash_table_unref(draft->room);
   g_hash_table_unref(draft->joined);
+  g_hash_table_unref(draft->lots);
   g_free(draft);
 }
 
@@ -135,6 +138,8 @@
   }
   if (joins != NULL && !g_hash_table_contains(draft->joined, GUINT_TO_POINTER(joins->index)))
     conditions++;
+  if (joins != NULL && !g_hash_table_contains(draft->lots, joins->lot))
+    conditions++;
   if (draft->ops + ops > draft->most_ops
       || draft->conditions + conditions > CONDITIONS_AN_OP * settings->state_txn_ops
       || draft->bytes + bytes > MOST_BYTES)
@@ -280,6 +285,7 @@
   ws_chunk_add(chunk, &assignment);
   ws_amount_add(taken(draft, pick->machine), &job->spec->need, 1);
   g_hash_table_add(draft->joined, GUINT_TO_POINTER(pick->machine));
+  g_hash_table_add(draft->lots, (gpointer)ws_book_machine(draft->core->book, pick->machine)->lot);
   use_team(draft, job, 1);
   return WS_DRAFT_TAKEN;
 }
@@ -353,7 +359,7 @@
   WsCore *core = draft->core;
   WsTxn *txn = ws_txn_new();
   GHashTableIter iter;
-  gpointer machine;
+  gpointer machine, lot;
   ws_txn_if(txn, core->book, WS_KEY_EPOCH);
   g_hash_table_iter_init(&iter, draft->joined);
   while (g_hash_table_iter_next(&iter, &machine, NULL)) {
@@ -361,6 +367,13 @@
         = ws_key(WS_KEYS_MARK, ws_book_machine(core->book, GPOINTER_TO_UINT(machine))->name);
     ws_txn_if_version(txn, mark, 0);
   }
+  /* Carried out late, after the machine was marked and returned, its mark is absent once more: but
+     its lot has changed, and never becomes again what it was. */
+  g_hash_table_iter_init(&iter, draft->lots);
+  while (g_hash_table_iter_next(&iter, &lot, NULL)) {
+    g_autofree char *key = ws_key(WS_KEYS_LOT, lot);
+    ws_txn_if(txn, core->book, key);
+  }
   for (guint i = 0; i < draft->works->len; i++) {
     const Work *work = g_ptr_array_index(draft->works, i);
     gboolean first = TRUE;
--- a/src/core/ws-fleet.c
+++ b/src/core/ws-fleet.c
@@ -551,13 +551,36 @@
   }
 }
 
+/* From its mark on a machine gets nothing new; what was assigned to it before, also by a
+   transaction that had no answer, is known once the watch has passed the mark. A machine was
+   returned as empty whose tasks had just been assigned. */
+static gboolean
+knows_what_is_on(const WsCore *core, const WsMachine *machine)
+{
+  g_autofree char *key = ws_key(WS_KEYS_MARK, machine->name);
+  return core->book->revision >= ws_book_version(core->book, key);
+}
+
+/* Whatever is on record for a machine that no lot names any more, and that hasn't been heard for as
+   long as its lease, waits for nothing. */
+static gboolean
+is_lost(const WsCore *core, const WsMachine *machine)
+{
+  gint64 since_ms = MAX(machine->heard_ms, core->epoch_ms);
+  return !machine->stored && !machine->marked && machine->tasks->len > 0
+         && (double)(core->now - since_ms) > core->settings->lease_s * 1000.0;
+}
+
 static void
 keep_marks(WsCore *core)
 {
   GArray *over = g_array_new(FALSE, FALSE, sizeof(guint));
   for (guint i = 0; i < core->book->machines->len; i++) {
     WsMachine *machine = ws_book_machine(core->book, i);
-    if (!machine->marked || machine->marking || !ws_fleet_gone(core, machine->name))
+    if (is_lost(core, machine))
+      release_all(core, machine);
+    if (!machine->marked || machine->marking || !ws_fleet_gone(core, machine->name)
+        || !knows_what_is_on(core, machine))
       continue;
     release_all(core, machine);
     if (machine->tasks->len == 0 && over->len < core->settings->state_txn_ops)
@@ -644,7 +667,8 @@
   for (guint i = 0; i < core->book->machines->len; i++) {
     const WsMachine *machine = ws_book_machine(core->book, i);
     if (machine->marked && !ws_fleet_gone(core, machine->name)
-        && (machine->mark_now || machine->tasks->len == 0) && names->len < MOST_A_RETURN)
+        && (machine->mark_now || (machine->tasks->len == 0 && knows_what_is_on(core, machine)))
+        && names->len < MOST_A_RETURN)
       g_ptr_array_add(names, g_strdup(machine->name));
   }
   send_return(core, names);
--- a/tests/sim/rig.c
+++ b/tests/sim/rig.c
@@ -67,6 +67,10 @@
     if (strcmp(path, "/multi") == 0) {
       json_decref(rig->last_txn);
       rig->last_txn = json_incref(body);
+      if (strstr(output->body, "\"set\":\"w/task/") != NULL) {
+        json_decref(rig->assign_txn);
+        rig->assign_txn = json_incref(body);
+      }
       if (strstr(output->body, "\"set\":\"w/member/n0\"") != NULL) {
         json_decref(rig->member_txn);
         rig->member_txn = json_incref(body);
@@ -267,6 +271,7 @@
   ws_settings_free(rig->settings);
   json_decref(rig->answer);
   json_decref(rig->last_txn);
+  json_decref(rig->assign_txn);
   json_decref(rig->member_txn);
   g_free(rig);
 }
--- a/tests/sim/rig.h
+++ b/tests/sim/rig.h
@@ -31,6 +31,7 @@
   gboolean hold; /* the next transaction that assigns a task waits for held's answer */
   guint64 held;
   json_t *last_txn;
+  json_t *assign_txn; /* the last one that wrote a task's record */
   guint outputs;      /* answers and calls of the core */
   gsize gossip_bytes; /* of the last gossip; a peer acknowledges it */
   json_t *member_txn; /* the last one that wrote the member's own record */
--- a/tests/sim/sim.c
+++ b/tests/sim/sim.c
@@ -12,7 +12,6 @@
 #define CANCEL_MS 30000
 #define BOOT_MS 8000
 #define KNOWN_MS 75000
-#define PLACES 4 /* tasks on a machine; each takes one GPU */
 
 typedef enum { TOLD_NOTHING, TOLD_ACCEPTED, TOLD_DONE, TOLD_CANCELLED } Told;
 
@@ -129,6 +128,8 @@
   gint64 sent_ms;
   guint64 session;
   Job *job;
+  guint expected; /* of an odd request: the status */
+  const char *expected_state;
   /* what is asked */
   char *method;
   char *address;
@@ -158,11 +159,30 @@
 static void worker_replied(Sim *sim, Call *call);
 static void user_replied(Sim *sim, Call *call);
 
+static gboolean
+is_from_node(const Call *call)
+{
+  return call->machine == NULL && call->job == NULL && call->expected == 0;
+}
+
+/* Not now, or lost, is an answer too. */
+static void
+check_odd(const Sim *sim, const Call *call)
+{
+  const char *state = json_string_value(json_object_get(call->answer, "stav"));
+  if (call->status == 503 || call->status == 0)
+    return;
+  if (call->status != call->expected
+      || (call->expected_state != NULL && g_strcmp0(state, call->expected_state) != 0))
+    g_error("seed %u, %.1f s: %s %s got %u (%s) instead of %u", sim->seed, sim->now_ms / 1000.0,
+            call->method, call->path, call->status, state, call->expected);
+}
+
 static void
 deliver_reply(Sim *sim, gpointer data)
 {
   Call *call = data;
-  gboolean is_for_node = call->machine == NULL && call->job == NULL;
+  gboolean is_for_node = is_from_node(call);
   gint64 frozen_ms = is_for_node ? sim->nodes[call->node].frozen_until_ms - sim->now_ms : 0;
   if (!call->over && frozen_ms > 0) {
     later(sim, frozen_ms, deliver_reply, call);
@@ -174,6 +194,8 @@
       worker_replied(sim, call);
     } else if (call->job != NULL) {
       user_replied(sim, call);
+    } else if (call->expected != 0) {
+      check_odd(sim, call);
     } else if (sim->nodes[call->node].core != NULL && sim->nodes[call->node].run == call->run) {
       g_autofree char *text = ws_json_text(call->answer);
       ws_core_reply(sim->nodes[call->node].core, sim->now_ms, wall(sim), call->call, call->status,
@@ -322,9 +344,9 @@
   } else if (g_str_has_prefix(call->path, "/catalog")) {
     reply(call, 200,
           json_pack("{s:[{s:s, s:f, s:f, s:f, s:f, s:f, s:f, s:f, s:f, s:[s,s,s]}]}", "typy", "sku",
-                    "g4", "cpus", 32.0, "accelerators", (double)PLACES, "mem_gb", 64.0, "local_gb",
-                    100.0, "pull_gb_per_s", 1.0, "price", 8.0, "low_price", 3.0, "boot_s", 8.0,
-                    "haly", "a", "b", "c"));
+                    "g4", "cpus", 32.0, "accelerators", (double)SIM_PLACES, "mem_gb", 64.0,
+                    "local_gb", 100.0, "pull_gb_per_s", 1.0, "price", 8.0, "low_price", 3.0,
+                    "boot_s", 8.0, "haly", "a", "b", "c"));
   } else if (strcmp(call->path, "/machines/return") == 0) {
     take_back(sim, call->body);
     reply(call, 200, json_object());
@@ -408,7 +430,7 @@
       || (job->spec.scatter && count.in_zone + 1 > (job->spec.tasks + 1) / 2))
     g_error("seed %u, %.1f s: wrong_place: %s/%u", sim->seed, sim->now_ms / 1000.0, job->id,
             task->task);
-  g_assert_cmpuint(count.on_machine, <, PLACES);
+  g_assert_cmpuint(count.on_machine, <, SIM_PLACES);
 }
 
 static void
@@ -499,7 +521,7 @@
 {
   if (call->machine != NULL)
     return call->machine->worker->zone;
-  return call->job != NULL ? NULL : ZONES[call->node];
+  return is_from_node(call) ? ZONES[call->node] : NULL;
 }
 
 static void
@@ -523,7 +545,7 @@
 arrive_at_node(Sim *sim, Call *call)
 {
   guint node = (guint)(strchr(call->address, '-')[1] - '0');
-  gboolean is_node = call->machine == NULL && call->job == NULL;
+  gboolean is_node = is_from_node(call);
   if (is_node && ((sim->faults.alone >> node | sim->faults.alone >> call->node) & 1) != 0)
     call_unref(call);
   else if (call->machine != NULL
@@ -764,6 +786,54 @@
   send(sim, call, 5000);
 }
 
+static void
+ask_odd(Sim *sim, const char *method, const char *path, json_t *body /* taken */, guint expected,
+        const char *state)
+{
+  Call *call = g_new0(Call, 1);
+  call->expected = expected;
+  call->expected_state = state;
+  call->method = g_strdup(method);
+  call->address = g_strdup_printf("api-%d:1", g_rand_int_range(sim->rand, 0, SIM_NODES));
+  call->path = g_strdup(path);
+  call->body = body;
+  send(sim, call, 5000);
+}
+
+static json_t *
+changed(const Job *job, const char *field, json_t *value /* taken; NULL: without it */)
+{
+  json_t *message = json_deep_copy(job->message);
+  json_object_set_new(message, "id", json_string("req-999999"));
+  if (value != NULL)
+    json_object_set_new(message, field, value);
+  else
+    json_object_del(message, field);
+  return message;
+}
+
+void
+sim_odd_requests(Sim *sim)
+{
+  if (sim->jobs->len == 0)
+    return;
+  const Job *any
+      = g_ptr_array_index(sim->jobs, (guint)g_rand_int_range(sim->rand, 0, (gint32)sim->jobs->len));
+  ask_odd(sim, "GET", "/api/jobs/req-999999", NULL, 404, NULL);
+  ask_odd(sim, "POST", "/api/jobs/req-999999/withdraw", NULL, 404, NULL);
+  ask_odd(sim, "POST", "/api/jobs", changed(any, "kusy", NULL), 400, NULL);
+  ask_odd(sim, "POST", "/api/jobs", changed(any, "dilna", json_integer(7)), 400, NULL);
+  ask_odd(sim, "POST", "/api/jobs", changed(any, "dilna", json_string("green")), 422, NULL);
+  ask_odd(sim, "POST", "/api/jobs", changed(any, "hala", json_string("z")), 422, NULL);
+  ask_odd(sim, "POST", "/api/jobs", changed(any, "cpus", json_real(500.0)), 422, NULL);
+  if (any->told != TOLD_DONE && any->told != TOLD_CANCELLED)
+    return;
+  g_autofree char *withdraw = g_strdup_printf("/api/jobs/%s/withdraw", any->id);
+  const char *state = any->told == TOLD_DONE ? "done" : "cancelled";
+  ask_odd(sim, "POST", withdraw, NULL, 200, state);
+  ask_odd(sim, "POST", "/api/jobs", json_deep_copy(any->message), 200, state);
+}
+
 static void
 step_user(Sim *sim, Job *job)
 {
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -63,6 +63,9 @@
 void sim_cancel(Sim *sim, guint job);
 /* Users cancel this part of the jobs at the end of a task of theirs. */
 void sim_cancel_at_end(Sim *sim, double part);
+/* Users ask about jobs that nobody submitted, cancel what is done, repeat submissions, and send
+   some that can't run or lack a field: each must get its answer, or a refusal for now. */
+void sim_odd_requests(Sim *sim);
 /* A machine with a running task of the job, by its place; G_MAXUINT: there is none. */
 guint sim_machine_of(const Sim *sim, guint job);
 guint sim_any_machine(Sim *sim); /* that is up; G_MAXUINT: none */
--- a/tests/sim/worker.c
+++ b/tests/sim/worker.c
@@ -68,6 +68,16 @@
                    notice, "kusy", tasks);
 }
 
+/* Fetching tasks count. */
+static guint
+places_taken(const SimWorker *worker)
+{
+  guint count = 0;
+  for (guint i = 0; i < worker->tasks->len; i++)
+    count += strcmp(g_array_index(worker->tasks, SimTask, i).state, "exited") != 0 ? 1 : 0;
+  return count;
+}
+
 static void
 launch(SimWorker *worker, gint64 now_ms, const char *job, guint number, guint64 attempt,
        SimDescribe describe, gpointer world)
@@ -82,6 +92,9 @@
   if (held != NULL || !describe(world, job, number, &run_s)) {
     task.state = "exited";
     task.why = held != NULL ? "busy" : "no_such";
+  } else if (places_taken(worker) >= SIM_PLACES) {
+    task.state = "exited";
+    task.why = "full";
   }
   g_array_append_val(worker->tasks, task);
 }
--- a/tests/sim/worker.h
+++ b/tests/sim/worker.h
@@ -4,6 +4,8 @@
 #include <glib.h>
 #include <jansson.h>
 
+#define SIM_PLACES 4 /* tasks on a machine; each takes one GPU */
+
 typedef struct {
   char *job;
   guint task;
--- a/tests/test-guards.c
+++ b/tests/test-guards.c
@@ -60,6 +60,7 @@
 {
   Rig *rig = rig_new(TRUE);
   static const char *const KEYS[] = { "w/epoch", "w/job/req-1", "w/task/req-1/0", "w/team/red" };
+  g_assert_true(has_condition(rig->assign_txn, "w/lot/a-1-0-1"));
   rig_send_report(rig, 1, one_task("exited", "error"));
   for (guint k = 0; k < G_N_ELEMENTS(KEYS); k++)
     g_assert_true(has_condition(rig->last_txn, KEYS[k]));
@@ -688,6 +689,21 @@
   g_assert_false(is_stopped_after(20.0));
 }
 
+/* What is recorded for a machine that no lot names any more is released once its lease must be
+   over: two jobs waited for ever for a machine that had been returned. */
+static void
+test_lost_machine(void)
+{
+  Rig *rig = rig_new(TRUE);
+  remove_key(rig, "w/lot/a-1-0-1");
+  rig_run(rig, 10.0);
+  g_assert_true(rig_is_assigned(rig));
+  rig_run(rig, 6.0);
+  g_assert_cmpuint(
+      json_array_size(json_object_get(sim_state_get(rig->state, "w/task/req-1/0"), "on")), ==, 0);
+  rig_free(rig);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -724,5 +740,6 @@
   g_test_add_func("/guards/unmarked-return", test_unmarked_return);
   g_test_add_func("/guards/small-task", test_small_task);
   g_test_add_func("/guards/loses-little", test_loses_little);
+  g_test_add_func("/guards/lost-machine", test_lost_machine);
   return g_test_run();
 }
--- a/tests/test-meetings.c
+++ b/tests/test-meetings.c
@@ -651,7 +651,18 @@
   sim_restart_machine(sim);
 }
 
+static void
+begin_odd(Sim *sim, double seconds)
+{
+  (void)seconds;
+  for (guint i = 0; i < 5; i++) {
+    sim_odd_requests(sim);
+    sim_run(sim, 0.7);
+  }
+}
+
 static const Trouble TROUBLES[] = {
+  { "odd-requests", begin_odd, NULL },
   { "refused", begin_refused, end_refused },
   { "outage", begin_outage, end_outage },
   { "slow", begin_slow, end_slow },
@@ -717,6 +728,7 @@
     sim_run(sim, 0.5);
   }
   serve_all(sim);
+  begin_odd(sim, 0.0);
   sim_free(sim);
 }
 
