--- a/src/core/ws-cancel.c
+++ b/src/core/ws-cancel.c
@@ -209,13 +209,14 @@
 
 /* Halts. */
 
+/* In any attempt: beside one that was refused as busy another may run. */
 static gboolean
 is_halted(const WsReport *report, const WsJob *job, const WsAssignment *a)
 {
   for (guint i = 0; i < report->tasks->len; i++) {
     const WsReportTask *task = &g_array_index(report->tasks, WsReportTask, i);
-    if (task->task == a->task && strcmp(task->job, job->id) == 0)
-      return task->state == WS_TASK_EXITED;
+    if (task->task == a->task && strcmp(task->job, job->id) == 0 && task->state != WS_TASK_EXITED)
+      return FALSE;
   }
   return TRUE;
 }
--- a/src/core/ws-place.c
+++ b/src/core/ws-place.c
@@ -14,6 +14,7 @@
 /* A machine of a larger type than the task needs, where there is a smaller one: larger tasks have
    nowhere else to go, and one small task keeps each of them out. */
 #define TOO_LARGE 150.0
+/* Boots take up to half as long again as stated. */
 #define BOOT_PATIENCE 1.5
 /* Jobs of a plan, critical ones aside, for which victims are looked for: each looks at every
    machine with an array's task, and when hundreds wait the first ones are the most urgent anyway.
@@ -189,8 +190,8 @@
   return ws_amount_fits(&places->job->spec->need, &room);
 }
 
-/* Whether a machine that is rented now would do for the job: then nothing is stopped for its
-   priority, since what is stopped is work lost. */
+/* Whether a machine that is rented now would do for the job: then nothing is stopped for it, since
+   what is stopped is work lost. */
 static gboolean
 can_wait_for_boot(const WsCore *core, const WsJob *job)
 {
