Tests: one way to hand the controller a request, one way to lift limits

Three functions of the rig and two guards wrote the same request out; limits were lifted in two places. No assertion changed.

--- a/tests/sim/rig.c
+++ b/tests/sim/rig.c
@@ -144,37 +144,42 @@
 }
 
 void
-rig_tell(Rig *rig, const char *path, json_t *body)
+rig_request(Rig *rig, WsDoor door, const char *method, const char *path, json_t *body)
 {
   g_autofree char *text = ws_json_text(body);
-  ws_core_request(rig->core, rig->now_ms, rig->now_ms, WS_DOOR_API, "POST", path, text,
-                  strlen(text), rig);
+  ws_core_request(rig->core, rig->now_ms, rig->now_ms, door, method, path, text,
+                  text != NULL ? strlen(text) : 0, rig);
   json_decref(body);
   rig_pump(rig);
 }
 
+void
+rig_tell(Rig *rig, const char *path, json_t *body)
+{
+  rig_request(rig, WS_DOOR_API, "POST", path, body);
+}
+
 void
 rig_mesh(Rig *rig, const char *path, json_t *body)
 {
-  g_autofree char *text = ws_json_text(body);
-  ws_core_request(rig->core, rig->now_ms, rig->now_ms, WS_DOOR_MESH, "POST", path, text,
-                  strlen(text), rig);
-  json_decref(body);
-  rig_pump(rig);
+  rig_request(rig, WS_DOOR_MESH, "POST", path, body);
   rig_run(rig, 0.3);
 }
 
 void
 rig_ask(Rig *rig, const char *method, const char *path, json_t *body)
 {
-  g_autofree char *text = ws_json_text(body);
-  ws_core_request(rig->core, rig->now_ms, rig->now_ms, WS_DOOR_API, method, path, text,
-                  text != NULL ? strlen(text) : 0, rig);
-  json_decref(body);
-  rig_pump(rig);
+  rig_request(rig, WS_DOOR_API, method, path, body);
   rig_run(rig, 0.3);
 }
 
+void
+rig_lift_limits(Rig *rig)
+{
+  for (guint t = 0; t < rig->settings->teams->len; t++)
+    ((WsTeamSettings *)g_ptr_array_index(rig->settings->teams, t))->limit = (WsAmount){ 0 };
+}
+
 json_t *
 rig_report_of(const Rig *rig, const char *machine, guint64 token, guint64 seq, json_t *tasks)
 {
--- a/tests/sim/rig.h
+++ b/tests/sim/rig.h
@@ -57,6 +57,11 @@
 void rig_release_watch(Rig *rig);
 void rig_pump(Rig *rig);
 void rig_run(Rig *rig, double seconds);
+/* A request, and no pause after it. */
+void rig_request(Rig *rig, WsDoor door, const char *method, const char *path,
+                 json_t *body /* taken, may be NULL */);
+/* The teams have no limits. */
+void rig_lift_limits(Rig *rig);
 /* A POST, and no pause after it. */
 void rig_tell(Rig *rig, const char *path, json_t *body /* taken */);
 /* A request, and a moment for its answer. */
--- a/tests/test-guards.c
+++ b/tests/test-guards.c
@@ -186,12 +186,9 @@
   rig->hold = TRUE;
   rig_ask(rig, "POST", "/api/jobs", second);
   g_assert_cmpuint(rig->held, !=, 0);
-  g_autoptr(json_t) picks = json_pack("{s:i, s:[[s, i, s], [s, i, s]], s:[]}", "epoch", 1, "picks",
-                                      "req-2", 0, "m-1", "req-2", 0, "m-2", "stops");
-  g_autofree char *text = ws_json_text(picks);
-  ws_core_request(rig->core, rig->now_ms, rig->now_ms, WS_DOOR_MESH, "POST", "/ask", text,
-                  strlen(text), rig);
-  rig_pump(rig);
+  rig_request(rig, WS_DOOR_MESH, "POST", "/ask",
+              json_pack("{s:i, s:[[s, i, s], [s, i, s]], s:[]}", "epoch", 1, "picks", "req-2", 0,
+                        "m-1", "req-2", 0, "m-2", "stops"));
   rig_reply(rig, rig->held, 409, NULL);
   rig_pump(rig);
   rig_run(rig, 1.0);
@@ -328,12 +325,8 @@
     }
     g_autoptr(json_t) report = rig_report_of(rig, name, token, seq, json_array());
     g_autofree char *report_text = ws_json_text(report);
-    g_autoptr(json_t) relay
-        = json_pack("{s:i, s:s, s:s}", "epoch", 1, "owner", "n0", "report", report_text);
-    g_autofree char *text = ws_json_text(relay);
-    ws_core_request(rig->core, rig->now_ms, rig->now_ms, WS_DOOR_MESH, "POST", "/relay", text,
-                    strlen(text), rig);
-    rig_pump(rig);
+    rig_request(rig, WS_DOOR_MESH, "POST", "/relay",
+                json_pack("{s:i, s:s, s:s}", "epoch", 1, "owner", "n0", "report", report_text));
   }
 }
 
@@ -778,8 +771,7 @@
   static const char *const MACHINES[] = { "m-1", "m-2", "m-3" };
   Rig *rig = rig_bare(TRUE);
   rig->settings->state_txn_ops = 5; /* a team and two jobs that end */
-  for (guint t = 0; t < rig->settings->teams->len; t++)
-    ((WsTeamSettings *)g_ptr_array_index(rig->settings->teams, t))->limit = (WsAmount){ 0 };
+  rig_lift_limits(rig);
   for (guint64 seq = 1; seq <= 2; seq++)
     for (guint m = 0; m < G_N_ELEMENTS(MACHINES); m++) {
       rig_report_now(rig, MACHINES[m], seq - 1, seq, json_array());
--- a/tests/test-size.c
+++ b/tests/test-size.c
@@ -22,13 +22,6 @@
     report(rig, m, token, seq);
 }
 
-static void
-lift_limits(Rig *rig)
-{
-  for (guint t = 0; t < rig->settings->teams->len; t++)
-    ((WsTeamSettings *)g_ptr_array_index(rig->settings->teams, t))->limit = (WsAmount){ 0 };
-}
-
 /* All machines have shown the token, and the peers know of them. */
 static Rig *
 rig_with(guint machines)
@@ -196,7 +189,7 @@
 steps_when_full(guint machines, guint jobs)
 {
   Rig *rig = rig_with(machines);
-  lift_limits(rig);
+  rig_lift_limits(rig);
   submit(rig, 1, machines, 24.0);
   rig_run(rig, 2.0);
   report_for_a_while(rig, machines, 11);
@@ -270,7 +263,7 @@
   guint most = 0;
   gint64 marked_ms = 0;
   rig_run(rig, 0.4); /* else the hold would end in our turn anyway */
-  lift_limits(rig);
+  rig_lift_limits(rig);
   for (guint j = 0; j < machines; j++) {
     json_t *job = rig_submission();
     g_autofree char *id = g_strdup_printf("req-%06u", j);
@@ -316,7 +309,7 @@
 {
   enum { JOBS = 200 };
   Rig *rig = rig_with(HUGE);
-  lift_limits(rig);
+  rig_lift_limits(rig);
   for (guint i = 0; i < JOBS; i++) {
     json_t *job = rig_submission();
     g_autofree char *id = g_strdup_printf("req-%u", i);
