A mark that came to nothing no longer blocks other nodes' marks of the machine

Its flag was cleared only for machines that it owns, so it refused the new owner's request for as long as it led, and a dead machine was charged for ever. The flag is now cleared for every machine.

--- a/src/core/ws-giveback.c
+++ b/src/core/ws-giveback.c
@@ -220,8 +220,6 @@
 static void
 tend(WsCore *core, WsMachine *machine)
 {
-  if (machine->marking && core->now - machine->marking_ms > HANDED_IN_MS)
-    machine->marking = FALSE; /* nothing came of it */
   if (machine->notice_ms > 0 && !machine->marked)
     ws_giveback_mark(core, machine, "notice", FALSE);
   else if (machine->bad_jobs >= 2 && !machine->marked)
@@ -235,6 +233,11 @@
 {
   for (guint i = 0; i < core->book->machines->len; i++) {
     WsMachine *machine = ws_book_machine(core->book, i);
+    /* Nothing came of it. Also on machines that this node no longer owns: one that had asked for a
+       mark and then led refused everybody else's marks of that machine, and it was never returned.
+     */
+    if (machine->marking && core->now - machine->marking_ms > HANDED_IN_MS)
+      machine->marking = FALSE;
     if (machine->stored && ws_owns(core, machine))
       tend(core, machine);
   }
--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -250,6 +250,14 @@
   }
 }
 
+/* A node asked for a machine's mark, lost the machine to another node, and led: it refused what the
+   new owner asked for, and the machine, which had died, was never returned. */
+static void
+test_unfinished_mark(void)
+{
+  rough_day(821, 2.0, 12.0);
+}
+
 /* The same where workers report less often, and where they do so more often. */
 static void
 test_rough_paces(void)
@@ -428,6 +436,7 @@
   g_test_add_func("/core/cut-zone", test_cut_zone);
   g_test_add_func("/core/large", test_large);
   g_test_add_func("/core/rough", test_rough);
+  g_test_add_func("/core/unfinished-mark", test_unfinished_mark);
   g_test_add_func("/core/rough-paces", test_rough_paces);
   g_test_add_func("/core/crash-twice", test_crash_twice);
   g_test_add_func("/core/alone", test_alone);
