All teams' use in one record; a job ends with one change

With six teams half of a transaction were records of teams, and each job's end cost two changes (its record, and its chunk removed).

Now the use of all teams is one record, compared and set in each such transaction as before, and the chunks of an ended job are removed when nothing waits for the budget.

--- a/src/bookkeeping/ws-book.c
+++ b/src/bookkeeping/ws-book.c
@@ -80,6 +80,7 @@
   book->cancelled = g_array_new(FALSE, FALSE, sizeof(guint));
   g_queue_init(&book->removed);
   book->team_use = g_new0(WsAmount, MAX(settings->teams->len, 1u));
+  book->team_is_recorded = g_new0(gboolean, MAX(settings->teams->len, 1u));
   ws_names_init(&book->images);
   return book;
 }
@@ -102,6 +103,7 @@
   g_ptr_array_unref(book->lots);
   g_queue_clear_full(&book->mail, mail_free);
   g_free(book->team_use);
+  g_free(book->team_is_recorded);
   ws_names_clear(&book->images);
   if (book->catalog != NULL)
     g_ptr_array_unref(book->catalog);
--- a/src/bookkeeping/ws-book.h
+++ b/src/bookkeeping/ws-book.h
@@ -170,6 +170,7 @@
   GPtrArray *lots;  /* of WsLot */
   GQueue mail;      /* of json_t: what nodes left in the store for each other */
   WsAmount *team_use;
+  gboolean *team_is_recorded; /* its use comes from the record that it belongs to */
   WsNames images;
   GPtrArray *catalog; /* of WsType, NULL: not known yet */
 } WsBook;
--- a/src/bookkeeping/ws-keys.h
+++ b/src/bookkeeping/ws-keys.h
@@ -10,6 +10,8 @@
 #define WS_KEYS_MEMBER WS_PREFIX "member/"
 #define WS_KEYS_JOB WS_PREFIX "job/"
 #define WS_KEYS_TASKS WS_PREFIX "task/"
+#define WS_KEYS_TEAM_USE WS_PREFIX "team-use/"
+/* A record for each team, which versions before 0.2 wrote. */
 #define WS_KEYS_TEAM WS_PREFIX "team/"
 #define WS_KEYS_LOT WS_PREFIX "lot/"
 #define WS_KEYS_MARK WS_PREFIX "mark/"
--- a/src/bookkeeping/ws-records.c
+++ b/src/bookkeeping/ws-records.c
@@ -1,5 +1,5 @@
 /* The records of the state service: how each is written, and what it changes in the book. */
-#include "bookkeeping/ws-book.h"
+#include "bookkeeping/ws-team-use.h"
 
 #include <string.h>
 
@@ -166,16 +166,6 @@
   return json_pack("{s:I, s:I}", "c", (json_int_t)amount->cpus, "g", (json_int_t)amount->gpus);
 }
 
-static void
-apply_team(WsBook *book, const char *name, const json_t *value)
-{
-  guint team = ws_book_find_team(book, name);
-  if (team == WS_NONE)
-    return;
-  book->team_use[team].cpus = json_integer_value(json_object_get(value, "c"));
-  book->team_use[team].gpus = json_integer_value(json_object_get(value, "g"));
-}
-
 json_t *
 ws_lot_encode(const WsLot *lot, const WsBook *book)
 {
@@ -341,10 +331,15 @@
   static const struct {
     const char *prefix;
     void (*apply)(WsBook *, const char *, const json_t *);
-  } KINDS[] = { { WS_KEYS_JOB, apply_job },       { WS_KEYS_TASKS, apply_chunk },
-                { WS_KEYS_TEAM, apply_team },     { WS_KEYS_LOT, apply_lot },
-                { WS_KEYS_MARK, apply_mark },     { WS_KEYS_RENT, apply_rent },
-                { WS_KEYS_MEMBER, apply_member }, { WS_KEYS_MAIL, apply_mail } };
+  } KINDS[] = { { WS_KEYS_JOB, apply_job },
+                { WS_KEYS_TASKS, apply_chunk },
+                { WS_KEYS_TEAM, ws_team_use_apply_single },
+                { WS_KEYS_TEAM_USE, ws_team_use_apply },
+                { WS_KEYS_LOT, apply_lot },
+                { WS_KEYS_MARK, apply_mark },
+                { WS_KEYS_RENT, apply_rent },
+                { WS_KEYS_MEMBER, apply_member },
+                { WS_KEYS_MAIL, apply_mail } };
   if (strcmp(key, WS_KEY_EPOCH) == 0) {
     if (value == NULL || !ws_epoch_parse(&book->epoch, value, book->settings))
       g_warning("the epoch's record is missing or damaged");
--- /dev/null
+++ b/src/bookkeeping/ws-team-use.c
@@ -0,0 +1,75 @@
+#include "bookkeeping/ws-team-use.h"
+
+#include <string.h>
+
+/* A team's part of a record, beside its name: two amounts of up to 19 digits, and punctuation. */
+#define BYTES_A_TEAM 48
+/* A record is filled to this part of the largest value, as names spread unevenly. */
+#define FILLED_PART 0.5
+
+guint
+ws_team_use_groups(const WsSettings *settings)
+{
+  double bytes = 0.0;
+  for (guint t = 0; t < settings->teams->len; t++) {
+    const WsTeamSettings *team = g_ptr_array_index(settings->teams, t);
+    bytes += (double)strlen(team->name) + BYTES_A_TEAM;
+  }
+  return 1 + (guint)(bytes / (FILLED_PART * settings->state_value_kb * 1024.0));
+}
+
+guint
+ws_team_use_group(const WsSettings *settings, guint team)
+{
+  const WsTeamSettings *named = g_ptr_array_index(settings->teams, team);
+  return g_str_hash(named->name) % ws_team_use_groups(settings);
+}
+
+char *
+ws_team_use_key(guint group)
+{
+  return g_strdup_printf(WS_KEYS_TEAM_USE "%u", group);
+}
+
+json_t *
+ws_team_use_encode(const WsSettings *settings, guint group, const WsAmount *use)
+{
+  json_t *value = json_object();
+  for (guint t = 0; t < settings->teams->len; t++) {
+    const WsTeamSettings *team = g_ptr_array_index(settings->teams, t);
+    if (ws_team_use_group(settings, t) == group)
+      json_object_set_new(value, team->name, ws_amount_encode(&use[t]));
+  }
+  return value;
+}
+
+static void
+apply_amount(WsBook *book, guint team, const json_t *amount, gboolean is_own_record)
+{
+  if (team == WS_NONE || !json_is_object(amount)
+      || (!is_own_record && book->team_is_recorded[team]))
+    return;
+  book->team_is_recorded[team] = is_own_record;
+  book->team_use[team].cpus = json_integer_value(json_object_get(amount, "c"));
+  book->team_use[team].gpus = json_integer_value(json_object_get(amount, "g"));
+}
+
+void
+ws_team_use_apply(WsBook *book, const char *group_name, const json_t *value)
+{
+  guint64 group = g_ascii_strtoull(group_name, NULL, 10);
+  const char *name;
+  json_t *amount;
+  json_object_foreach((json_t *)value, name, amount)
+  {
+    guint team = ws_book_find_team(book, name);
+    gboolean is_own = team != WS_NONE && ws_team_use_group(book->settings, team) == group;
+    apply_amount(book, team, amount, is_own);
+  }
+}
+
+void
+ws_team_use_apply_single(WsBook *book, const char *team_name, const json_t *value)
+{
+  apply_amount(book, ws_book_find_team(book, team_name), value, FALSE);
+}
--- /dev/null
+++ b/src/bookkeeping/ws-team-use.h
@@ -0,0 +1,33 @@
+/**
+ * Stored records of what each team's assigned tasks use.
+ *
+ * All teams share one record, since a change of the state service costs the same whatever it holds
+ * and nearly every transaction touches several teams. Only where the record would come near the
+ * largest value that the state service takes are the teams spread over several, by their names.
+ */
+#pragma once
+
+#include "bookkeeping/ws-book.h"
+
+/** How many records there are, numbered from 0. */
+guint ws_team_use_groups(const WsSettings *settings);
+
+/** The record that holds the team. */
+guint ws_team_use_group(const WsSettings *settings, guint team);
+
+/** The record's key; the caller frees it. */
+char *ws_team_use_key(guint group);
+
+/** The record's value. @use: of each team. */
+json_t *ws_team_use_encode(const WsSettings *settings, guint group, const WsAmount *use);
+
+/**
+ * Takes a record into the replica.
+ *
+ * A team counts by the record that it belongs to; another one that names it, from before the
+ * settings' teams changed, counts only as long as there is no such record.
+ */
+void ws_team_use_apply(WsBook *book, const char *group_name, const json_t *value);
+
+/** Takes a record of one team, as versions before 0.2 wrote them. */
+void ws_team_use_apply_single(WsBook *book, const char *team_name, const json_t *value);
--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -3,6 +3,7 @@
    A task is assigned there before it is launched, and its team's use is counted in the same
    transaction; a task is released only when ws-workers.c or ws-fleet.c knows that it is gone. The
    leader writes for everybody, one transaction at a time; the other nodes hand theirs in. */
+#include "bookkeeping/ws-team-use.h"
 #include "core/ws-draft.h"
 
 #define GATHER_MS 50
@@ -116,6 +117,12 @@
   return !core->assign->busy && core->assign->picks->len == 0;
 }
 
+gboolean
+ws_assign_is_behind(const WsCore *core)
+{
+  return core->assign->picks->len > 0 || g_hash_table_size(core->assign->known) > 0;
+}
+
 void
 ws_assign_each_handed_in(const WsCore *core, WsPickFunc take, gpointer data)
 {
@@ -245,19 +252,19 @@
 
 typedef struct {
   WsRelease release;
-  gint64 of_team;  /* what all releases of its team weigh */
-  gint64 of_chunk; /* and all of its chunk */
+  gint64 of_team_use; /* what all releases weigh whose teams share a record */
+  gint64 of_chunk;    /* and all of its chunk */
 } Ending;
 
-/* A team's use is one change, however many of its tasks end, and so is a chunk of a job: ends that
-   share them go together, those first that are most and have waited longest. Otherwise hundreds of
-   ends fill the budget of changes for seconds, and nothing is placed meanwhile. */
+/* A record of teams' use is one change, however many tasks end, and so is a chunk of a job: ends
+   that share them go together, those first that are most and have waited longest. Otherwise
+   hundreds of ends fill the budget of changes for seconds, and nothing is placed meanwhile. */
 static gint
 by_weight(gconstpointer a, gconstpointer b)
 {
   const Ending *first = a, *second = b;
-  if (first->of_team != second->of_team)
-    return first->of_team > second->of_team ? -1 : 1;
+  if (first->of_team_use != second->of_team_use)
+    return first->of_team_use > second->of_team_use ? -1 : 1;
   if (first->of_chunk != second->of_chunk)
     return first->of_chunk > second->of_chunk ? -1 : 1;
   if (first->release.job != second->release.job)
@@ -279,7 +286,8 @@
 {
   GArray *endings = g_array_new(FALSE, FALSE, sizeof(Ending));
   g_autoptr(GHashTable) chunks = g_hash_table_new(NULL, NULL);
-  g_autofree gint64 *teams = g_new0(gint64, core->settings->teams->len + 1);
+  const WsSettings *settings = core->settings;
+  g_autofree gint64 *records = g_new0(gint64, ws_team_use_groups(settings));
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init(&iter, core->assign->known);
@@ -289,13 +297,15 @@
     gint64 weight = LEAST_WEIGHT_MS + core->now - known->known_ms;
     Ending ending = { .release = known->release };
     g_array_append_val(endings, ending);
-    teams[MIN(job->team, core->settings->teams->len)] += weight;
+    if (job->team != WS_NONE)
+      records[ws_team_use_group(settings, job->team)] += weight;
     (void)add_weight(chunks, chunk_key(&known->release), weight);
   }
   for (guint i = 0; i < endings->len; i++) {
     Ending *ending = &g_array_index(endings, Ending, i);
     const WsJob *job = ws_book_job(core->book, ending->release.job);
-    ending->of_team = teams[MIN(job->team, core->settings->teams->len)];
+    if (job->team != WS_NONE)
+      ending->of_team_use = records[ws_team_use_group(settings, job->team)];
     ending->of_chunk = add_weight(chunks, chunk_key(&ending->release), 0);
   }
   g_array_sort(endings, by_weight);
--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -222,6 +222,8 @@
 void ws_assign_pick(WsCore *core, guint job, guint task, guint machine);
 gboolean ws_assign_pending(const WsCore *core, guint job, guint task);
 gboolean ws_assign_idle(const WsCore *core);
+/* Whether assignments or ends of tasks wait to be written. */
+gboolean ws_assign_is_behind(const WsCore *core);
 void ws_assign_pump(WsCore *core);
 void ws_assign_forget_picks(WsCore *core);
 typedef void (*WsPickFunc)(const WsJob *job, guint machine, gpointer data);
--- a/src/core/ws-draft.c
+++ b/src/core/ws-draft.c
@@ -4,10 +4,12 @@
    the jobs, and the marks of the machines: one that is being given back gets nothing new. */
 #include "core/ws-draft.h"
 
+#include "bookkeeping/ws-team-use.h"
 #include "core/ws-reservation.h"
 
 /* The state service takes 64 KiB; the rest is for the job's own records and for conditions. */
 #define MOST_BYTES 40000
+#define BYTES_A_TEAM 64
 #define BYTES_A_TASK 60
 #define BYTES_A_CHUNK 400
 #define CONDITIONS_AN_OP 4
@@ -21,9 +23,9 @@
 
 struct _WsDraft {
   WsCore *core;
-  GPtrArray *works; /* of Work */
-  WsAmount *use;    /* of each team, as the transaction leaves it */
-  gboolean *touched;
+  GPtrArray *works;   /* of Work */
+  WsAmount *use;      /* of each team, as the transaction leaves it */
+  gboolean *touched;  /* by record of teams' use */
   GHashTable *room;   /* machine index -> WsAmount taken by this draft */
   GHashTable *joined; /* index of each machine that gets a task */
   GHashTable *lots;   /* the lots that name them */
@@ -49,7 +51,7 @@
   draft->core = core;
   draft->works = g_ptr_array_new_with_free_func(work_free);
   draft->use = g_memdup2(core->book->team_use, sizeof(WsAmount) * MAX(teams, 1u));
-  draft->touched = g_new0(gboolean, MAX(teams, 1u));
+  draft->touched = g_new0(gboolean, ws_team_use_groups(core->settings));
   draft->room = g_hash_table_new_full(NULL, NULL, NULL, g_free);
   draft->joined = g_hash_table_new(NULL, NULL);
   draft->lots = g_hash_table_new(NULL, NULL);
@@ -122,19 +124,29 @@
   return job->spec->one_zone || job->spec->spread;
 }
 
+static guint
+count_works(const WsDraft *draft, const WsJob *job)
+{
+  guint count = 0;
+  for (guint i = 0; i < draft->works->len; i++)
+    count += ((const Work *)g_ptr_array_index(draft->works, i))->job == job->index ? 1 : 0;
+  return count;
+}
+
 /* Takes room in the transaction for one more change of the task's chunk, or says that there is
-   none. spare_ops: for the job's own record, if this change ends it. */
+   none. A job that this change ends has its own record written, and none of its chunks. */
 static gboolean
-reserve(WsDraft *draft, const WsJob *job, guint task, const WsMachine *joins, guint spare_ops)
+reserve(WsDraft *draft, const WsJob *job, guint task, const WsMachine *joins, gboolean ends)
 {
   const WsSettings *settings = draft->core->settings;
   guint index = task / WS_CHUNK_TASKS;
-  guint ops = spare_ops + (draft->touched[job->team] ? 0 : 1);
-  guint conditions = draft->touched[job->team] ? 0 : 1;
-  guint bytes = BYTES_A_TASK;
+  gboolean is_new_record = !draft->touched[ws_team_use_group(settings, job->team)];
+  gint ops = is_new_record ? 1 : 0;
+  guint conditions = is_new_record ? 1 : 0;
+  guint bytes = BYTES_A_TASK + (is_new_record ? BYTES_A_TEAM * settings->teams->len : 0);
   if (find_work(draft, job->index, index) == NULL) {
     const WsChunk *chunk = ws_job_chunk(job, task);
-    ops++;
+    ops += ends ? 0 : 1;
     conditions += 1 + (all_chunks_matter(job) ? ws_job_chunk_count(job) : 1);
     bytes += BYTES_A_CHUNK + BYTES_A_TASK * (chunk != NULL ? chunk->on->len : 0);
   }
@@ -142,11 +154,13 @@
     conditions++;
   if (joins != NULL && !g_hash_table_contains(draft->lots, joins->lot))
     conditions++;
-  if (draft->ops + ops > draft->most_ops
+  if (ends)
+    ops += 1 - (gint)count_works(draft, job);
+  if ((gint)draft->ops + ops > (gint)draft->most_ops
       || draft->conditions + conditions > CONDITIONS_AN_OP * settings->state_txn_ops
       || draft->bytes + bytes > MOST_BYTES)
     return FALSE;
-  draft->ops += ops;
+  draft->ops = (guint)((gint)draft->ops + ops);
   draft->conditions += conditions;
   draft->bytes += bytes;
   return TRUE;
@@ -168,7 +182,7 @@
 static void
 use_team(WsDraft *draft, const WsJob *job, gint64 times)
 {
-  draft->touched[job->team] = TRUE;
+  draft->touched[ws_team_use_group(draft->core->settings, job->team)] = TRUE;
   ws_amount_add(&draft->use[job->team], &job->spec->need, times);
 }
 
@@ -199,7 +213,7 @@
   const WsAssignment *a = job->spec != NULL ? ws_job_assignment(job, release->task) : NULL;
   if (a == NULL || a->attempt != release->attempt)
     return WS_DRAFT_UNWANTED; /* done, or somebody else's by now */
-  if (!reserve(draft, job, release->task, NULL, ends_job(draft, job, release->done) ? 1 : 0))
+  if (!reserve(draft, job, release->task, NULL, ends_job(draft, job, release->done)))
     return WS_DRAFT_FULL;
   WsChunk *chunk = open_chunk(draft, job, release->task);
   ws_amount_add(taken(draft, a->machine), &job->spec->need, -1);
@@ -293,7 +307,7 @@
   const WsJob *job = ws_book_job(draft->core->book, pick->job);
   if (!still_wanted(draft, job, pick))
     return WS_DRAFT_UNWANTED;
-  if (!reserve(draft, job, pick->task, ws_book_machine(draft->core->book, pick->machine), 0))
+  if (!reserve(draft, job, pick->task, ws_book_machine(draft->core->book, pick->machine), FALSE))
     return WS_DRAFT_FULL;
   WsChunk *chunk = open_chunk(draft, job, pick->task);
   WsAssignment assignment = { .task = pick->task, .machine = pick->machine };
@@ -312,8 +326,8 @@
 
 /* Writing it down. */
 
-/* Ends a job with its last task, in the same transaction; its chunks of tasks go as far as the
-   transaction holds them. */
+/* Ends a job with its last task, in the same transaction. Its chunks of tasks say nothing any more
+   and are removed when there is time (ws-sweep.c): each would be one more change. */
 static gboolean
 write_final(const WsDraft *draft, WsTxn *txn, const WsJob *job, GArray *ending)
 {
@@ -346,30 +360,29 @@
 write_job(const WsDraft *draft, WsTxn *txn, const WsJob *job, GArray *ending)
 {
   condition_on_job(draft, txn, job);
-  gboolean is_final = write_final(draft, txn, job, ending);
+  if (write_final(draft, txn, job, ending))
+    return;
   for (guint i = 0; i < draft->works->len; i++) {
     const Work *work = g_ptr_array_index(draft->works, i);
     if (work->job != job->index)
       continue;
     g_autofree char *key = ws_key_chunk(job->id, work->index);
-    if (is_final)
-      ws_txn_remove(txn, key);
-    else
-      ws_txn_set(txn, key, ws_chunk_encode(work->chunk, draft->core->book));
+    ws_txn_set(txn, key, ws_chunk_encode(work->chunk, draft->core->book));
   }
 }
 
+/* Compared and set in every transaction, also where the use comes out the same: that is what fences
+   a late transaction of this very leader. */
 static void
-write_teams(const WsDraft *draft, WsTxn *txn)
+write_team_use(const WsDraft *draft, WsTxn *txn)
 {
   const WsSettings *settings = draft->core->settings;
-  for (guint t = 0; t < settings->teams->len; t++) {
-    if (!draft->touched[t])
+  for (guint group = 0; group < ws_team_use_groups(settings); group++) {
+    if (!draft->touched[group])
       continue;
-    const WsTeamSettings *team = g_ptr_array_index(settings->teams, t);
-    g_autofree char *key = ws_key(WS_KEYS_TEAM, team->name);
+    g_autofree char *key = ws_team_use_key(group);
     ws_txn_if(txn, draft->core->book, key);
-    ws_txn_set(txn, key, ws_amount_encode(&draft->use[t]));
+    ws_txn_set(txn, key, ws_team_use_encode(settings, group, draft->use));
   }
 }
 
@@ -402,6 +415,6 @@
     if (first)
       write_job(draft, txn, ws_book_job(core->book, work->job), ending);
   }
-  write_teams(draft, txn);
+  write_team_use(draft, txn);
   return txn;
 }
--- a/src/core/ws-sweep.c
+++ b/src/core/ws-sweep.c
@@ -1,10 +1,16 @@
-/* A large job ends with more records of tasks than one transaction can remove. The leader removes
-   what is left of ended jobs, a transaction at a time. */
+/* Garbage collection of ended jobs' records of tasks.
+
+   A job ends with one change, of its own record; its records of tasks stay behind and mean nothing
+   any more. The leader removes them, a transaction at a time, when no assignment and no end of a
+   task waits for the budget of changes, or when too many have gathered. */
 #include "core/ws-core-private.h"
 
 #include <string.h>
 
-#define PAUSE_MS 8000
+#define PAUSE_MS 3000
+#define BUSY_PAUSE_MS 500
+/* So many are left only while there is other work: they are read at every start. */
+#define MOST_LEFT 2000
 
 /* Whether the key is a record of tasks of a job that has ended. */
 static gboolean
@@ -22,7 +28,25 @@
 on_swept(WsCore *core, WsTxnResult result, gpointer data)
 {
   (void)data;
-  core->sweep_ms = core->now + (result == WS_TXN_OK ? PAUSE_MS / 16 : PAUSE_MS);
+  core->sweep_ms = core->now + (result == WS_TXN_OK ? BUSY_PAUSE_MS : PAUSE_MS);
+}
+
+/* Returns how many there are; as many as a transaction takes are added to it. */
+static guint
+add_left_over(const WsCore *core, WsTxn *txn)
+{
+  guint count = 0;
+  GHashTableIter iter;
+  gpointer key, value;
+  g_hash_table_iter_init(&iter, core->book->versions);
+  while (g_hash_table_iter_next(&iter, &key, &value)) {
+    if (!((const WsKeyVersion *)value)->present || !is_left_over(core->book, key))
+      continue;
+    count++;
+    if (ws_txn_ops(txn) < core->settings->state_txn_ops)
+      ws_txn_remove(txn, key);
+  }
+  return count;
 }
 
 void
@@ -30,17 +54,14 @@
 {
   if (!ws_is_leader(core) || core->now < core->sweep_ms || !ws_store_ok(core))
     return;
-  core->sweep_ms = core->now + PAUSE_MS;
   WsTxn *txn = ws_txn_new();
-  GHashTableIter iter;
-  gpointer key, value;
   ws_txn_if(txn, core->book, WS_KEY_EPOCH);
-  g_hash_table_iter_init(&iter, core->book->versions);
-  while (g_hash_table_iter_next(&iter, &key, &value)
-         && ws_txn_ops(txn) < core->settings->state_txn_ops)
-    if (((WsKeyVersion *)value)->present && is_left_over(core->book, key))
-      ws_txn_remove(txn, key);
-  if (ws_txn_ops(txn) > 0)
+  guint count = add_left_over(core, txn);
+  gboolean may_write = count > MOST_LEFT
+                       || (!ws_assign_is_behind(core)
+                           && ws_store_may_write(core, core->settings->state_txn_ops / 2));
+  core->sweep_ms = core->now + (count > 0 ? BUSY_PAUSE_MS : PAUSE_MS);
+  if (count > 0 && may_write)
     ws_txn_commit(core, txn, WS_FIRST_REST, on_swept, NULL);
   else
     ws_txn_free(txn);
--- a/tests/test-bookkeeping.c
+++ b/tests/test-bookkeeping.c
@@ -1,7 +1,9 @@
-#include "bookkeeping/ws-book.h"
+#include "bookkeeping/ws-team-use.h"
 #include "ws-gen.h"
 #include "ws-site.h"
 
+#include <string.h>
+
 typedef struct {
   char *key;
   json_t *value;
@@ -161,6 +163,49 @@
   ws_book_free(book);
 }
 
+static void
+add_teams(WsSettings *settings, guint count)
+{
+  for (guint i = 0; i < count; i++) {
+    WsTeamSettings *team = g_new0(WsTeamSettings, 1);
+    team->name = g_strdup_printf("generated-team-%04u", i);
+    g_ptr_array_add(settings->teams, team);
+  }
+}
+
+/* What teams use is read as it was written, however many there are, and no record comes near the
+   largest value; one from before the records changed counts until there is a newer one. */
+static void
+test_team_use(void)
+{
+  g_autoptr(GRand) rand = g_rand_new_with_seed(41);
+  for (guint round = 0; round < 20; round++) {
+    g_autoptr(WsSettings) settings = ws_test_settings(0);
+    settings->state_value_kb = 8.0;
+    add_teams(settings, (guint)g_rand_int_range(rand, 0, 400));
+    WsBook *book = ws_book_new(settings);
+    g_autofree WsAmount *use = g_new0(WsAmount, settings->teams->len);
+    for (guint t = 0; t < settings->teams->len; t++)
+      use[t] = (WsAmount){ .cpus = g_rand_int(rand), .gpus = g_rand_int(rand) };
+    g_autoptr(json_t) old = json_pack("{s:i, s:i}", "c", 1, "g", 2);
+    ws_book_apply(book, "w/team/red", old, 1);
+    g_assert_cmpint(book->team_use[0].gpus, ==, 2);
+    for (guint group = 0; group < ws_team_use_groups(settings); group++) {
+      g_autofree char *key = ws_team_use_key(group);
+      g_autoptr(json_t) value = ws_team_use_encode(settings, group, use);
+      g_autofree char *text = json_dumps(value, JSON_COMPACT);
+      g_assert_cmpuint(strlen(text), <, 8 * 1024 * 3 / 4);
+      ws_book_apply(book, key, value, 2 + group);
+    }
+    ws_book_apply(book, "w/team/red", old, 1000);
+    for (guint t = 0; t < settings->teams->len; t++) {
+      g_assert_cmpint(book->team_use[t].cpus, ==, use[t].cpus);
+      g_assert_cmpint(book->team_use[t].gpus, ==, use[t].gpus);
+    }
+    ws_book_free(book);
+  }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -170,5 +215,6 @@
   g_test_add_func("/bookkeeping/early", test_early);
   g_test_add_func("/bookkeeping/forget", test_forget);
   g_test_add_func("/bookkeeping/damaged", test_damaged);
+  g_test_add_func("/bookkeeping/team-use", test_team_use);
   return g_test_run();
 }
