--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -105,7 +105,7 @@
 void
 ws_assign_pick(WsCore *core, guint job, guint task, guint machine)
 {
-  WsPick pick = { job, task, machine };
+  WsPick pick = { job, task, machine, core->now };
   if (g_hash_table_add(core->assign->picked, task_key(job, task)))
     g_array_append_val(core->assign->picks, pick);
 }
@@ -117,6 +117,20 @@
   return !core->assign->busy && core->assign->picks->len == 0;
 }
 
+gint64
+ws_assign_oldest_ms(const WsCore *core, gboolean of_ends)
+{
+  gint64 oldest_ms = core->now;
+  GHashTableIter iter;
+  gpointer known;
+  g_hash_table_iter_init(&iter, core->assign->known);
+  while (of_ends && g_hash_table_iter_next(&iter, NULL, &known))
+    oldest_ms = MIN(oldest_ms, ((const Known *)known)->known_ms);
+  for (guint i = 0; !of_ends && i < core->assign->picks->len; i++)
+    oldest_ms = MIN(oldest_ms, g_array_index(core->assign->picks, WsPick, i).planned_ms);
+  return core->now - oldest_ms;
+}
+
 gboolean
 ws_assign_is_behind(const WsCore *core)
 {
@@ -405,7 +419,7 @@
     if (a == NULL || a->state != WS_TASK_ASSIGNED
         || !ws_owns(core, ws_book_machine(core->book, a->machine)))
       continue;
-    WsPick pick = { ref->job, ref->task, a->machine };
+    WsPick pick = { ref->job, ref->task, a->machine, core->now };
     g_array_append_val(picks, pick);
   }
   g_array_set_size(fresh, 0);
--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -30,6 +30,7 @@
 typedef struct _WsGiveback WsGiveback;
 typedef struct _WsCancels WsCancels;
 typedef struct _WsReservations WsReservations;
+typedef struct _WsWriteStats WsWriteStats;
 
 typedef struct {
   gint64 heard_ms;
@@ -68,6 +69,7 @@
   WsGiveback *giveback;
   WsCancels *cancels;
   WsReservations *reservations;
+  WsWriteStats *write_stats;
   gint64 vouched_ms;   /* when this node last knew all that was confirmed to users */
   GHashTable *learned; /* by class */
   WsPeer *peers;
@@ -224,6 +226,9 @@
 gboolean ws_assign_idle(const WsCore *core);
 /* Whether assignments or ends of tasks wait to be written. */
 gboolean ws_assign_is_behind(const WsCore *core);
+/* For how long the oldest end of a task, or else the oldest assignment, has waited to be written.
+ */
+gint64 ws_assign_oldest_ms(const WsCore *core, gboolean of_ends);
 void ws_assign_pump(WsCore *core);
 void ws_assign_forget_picks(WsCore *core);
 typedef void (*WsPickFunc)(const WsJob *job, guint machine, gpointer data);
--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -1,4 +1,5 @@
 #include "core/ws-reservation.h"
+#include "core/ws-write-stats.h"
 
 #include <string.h>
 
@@ -29,6 +30,7 @@
   core->giveback = ws_giveback_new();
   core->cancels = ws_cancels_new(settings);
   core->reservations = ws_reservations_new();
+  core->write_stats = ws_write_stats_new();
   core->learned = ws_learned_new();
   core->peers = g_new0(WsPeer, settings->nodes->len);
   core->cut_ms = g_new0(gint64, MAX(settings->zones->len, 1u));
@@ -74,6 +76,7 @@
   ws_giveback_free(core->giveback);
   ws_cancels_free(core->cancels);
   ws_reservations_free(core->reservations);
+  ws_write_stats_free(core->write_stats);
   g_hash_table_unref(core->learned);
   ws_book_free(core->book);
   g_free(core->peers);
@@ -257,6 +260,7 @@
     ws_fleet_tick(core);
     ws_fleet_adopt_tick(core);
     ws_sweep_tick(core);
+    ws_write_stats_tick(core);
   }
   settle(core);
 }
--- a/src/core/ws-draft.h
+++ b/src/core/ws-draft.h
@@ -14,6 +14,7 @@
   guint job;
   guint task;
   guint machine;
+  gint64 planned_ms;
 } WsPick;
 
 typedef enum { WS_DRAFT_TAKEN, WS_DRAFT_FULL, WS_DRAFT_UNWANTED } WsDraftResult;
--- a/src/core/ws-txn.c
+++ b/src/core/ws-txn.c
@@ -1,4 +1,4 @@
-#include "core/ws-core-private.h"
+#include "core/ws-write-stats.h"
 
 #include "protocol/ws-words.h"
 
@@ -74,10 +74,10 @@
   json_array_foreach(txn->changes, i, change)
   {
     const char *key;
-    if (ws_json_string(change, "set", &key))
-      ws_book_apply(core->book, key, json_object_get(change, "value"), revision);
-    else if (ws_json_string(change, "remove", &key))
-      ws_book_apply(core->book, key, NULL, revision);
+    if (!ws_json_string(change, "set", &key) && !ws_json_string(change, "remove", &key))
+      continue;
+    ws_book_apply(core->book, key, json_object_get(change, "value"), revision);
+    ws_write_stats_add(core, key);
   }
 }
 
--- /dev/null
+++ b/src/core/ws-write-stats.c
@@ -0,0 +1,66 @@
+#include "core/ws-write-stats.h"
+
+#define INTERVAL_MS 30000
+
+static const struct {
+  const char *prefix;
+  const char *purpose;
+} PURPOSES[] = {
+  { WS_KEYS_JOB, "jobs" },       { WS_KEYS_TASKS, "tasks" },   { WS_KEYS_TEAM_USE, "team use" },
+  { WS_KEYS_LOT, "machines" },   { WS_KEYS_MARK, "marks" },    { WS_KEYS_RENT, "rentals" },
+  { WS_KEYS_MEMBER, "members" }, { WS_KEYS_MAIL, "messages" }, { WS_PREFIX, "other" },
+};
+
+struct _WsWriteStats {
+  guint counts[G_N_ELEMENTS(PURPOSES)];
+  gint64 since_ms;
+};
+
+WsWriteStats *
+ws_write_stats_new(void)
+{
+  return g_new0(WsWriteStats, 1);
+}
+
+void
+ws_write_stats_free(WsWriteStats *stats)
+{
+  g_free(stats);
+}
+
+void
+ws_write_stats_add(WsCore *core, const char *key)
+{
+  for (gsize i = 0; i < G_N_ELEMENTS(PURPOSES); i++) {
+    if (!g_str_has_prefix(key, PURPOSES[i].prefix))
+      continue;
+    core->write_stats->counts[i]++;
+    return;
+  }
+}
+
+static char *
+describe_counts(const WsWriteStats *stats)
+{
+  GString *text = g_string_new(NULL);
+  for (gsize i = 0; i < G_N_ELEMENTS(PURPOSES); i++)
+    if (stats->counts[i] > 0)
+      g_string_append_printf(text, "%s%u %s", text->len > 0 ? ", " : "", stats->counts[i],
+                             PURPOSES[i].purpose);
+  return g_string_free(text, FALSE);
+}
+
+void
+ws_write_stats_tick(WsCore *core)
+{
+  WsWriteStats *stats = core->write_stats;
+  if (core->now - stats->since_ms < INTERVAL_MS)
+    return;
+  g_autofree char *text = describe_counts(stats);
+  if (*text != '\0')
+    g_info("changes in %.0f s: %s; waiting: assignments for %.1f s, ends for %.1f s",
+           (double)(core->now - stats->since_ms) / 1000.0, text,
+           (double)ws_assign_oldest_ms(core, FALSE) / 1000.0,
+           (double)ws_assign_oldest_ms(core, TRUE) / 1000.0);
+  *stats = (WsWriteStats){ .since_ms = core->now };
+}
