Ends that finish a job are written first

Now what finishes a job goes first, the job accepted first first, in up to half of a transaction; assignments get the half after that up to 5/6; then other ends by weight. A release met twice in one transaction counts once.

--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -268,6 +268,8 @@
   WsRelease release;
   gint64 of_team_use; /* what all releases weigh whose teams share a record */
   gint64 of_chunk;    /* and all of its chunk */
+  gboolean ends_job;  /* with the others that are known */
+  gint64 accepted_ms; /* when its job was */
 } Ending;
 
 /* A record of teams' use is one change, however many tasks end, and so is a chunk of a job: ends
@@ -277,6 +279,10 @@
 by_weight(gconstpointer a, gconstpointer b)
 {
   const Ending *first = a, *second = b;
+  if (first->ends_job != second->ends_job)
+    return first->ends_job ? -1 : 1;
+  if (first->ends_job && first->accepted_ms != second->accepted_ms)
+    return first->accepted_ms < second->accepted_ms ? -1 : 1;
   if (first->of_team_use != second->of_team_use)
     return first->of_team_use > second->of_team_use ? -1 : 1;
   if (first->of_chunk != second->of_chunk)
@@ -295,11 +301,23 @@
   return sum;
 }
 
+/* Whether so many known ends leave the job with nothing to do. */
+static gboolean
+would_end(const WsJob *job, guint known, guint known_done)
+{
+  if (job->spec == NULL)
+    return FALSE;
+  return job->state == WS_JOB_ACTIVE ? job->done_count + known_done == job->tasks
+                                     : job->on_count == known;
+}
+
 static GArray *
 endings_in_order(WsCore *core)
 {
   GArray *endings = g_array_new(FALSE, FALSE, sizeof(Ending));
   g_autoptr(GHashTable) chunks = g_hash_table_new(NULL, NULL);
+  g_autoptr(GHashTable) known_of = g_hash_table_new(NULL, NULL); /* by job */
+  g_autoptr(GHashTable) done_of = g_hash_table_new(NULL, NULL);
   const WsSettings *settings = core->settings;
   g_autofree gint64 *records = g_new0(gint64, ws_team_use_groups(settings));
   GHashTableIter iter;
@@ -309,7 +327,10 @@
     const Known *known = value;
     const WsJob *job = ws_book_job(core->book, known->release.job);
     gint64 weight = LEAST_WEIGHT_MS + core->now - known->known_ms;
-    Ending ending = { .release = known->release };
+    Ending ending = { .release = known->release, .accepted_ms = job->at_ms };
+    gpointer job_key = GUINT_TO_POINTER(job->index);
+    (void)add_weight(known_of, job_key, 1);
+    (void)add_weight(done_of, job_key, known->release.done ? 1 : 0);
     g_array_append_val(endings, ending);
     if (job->team != WS_NONE)
       records[ws_team_use_group(settings, job->team)] += weight;
@@ -321,17 +342,22 @@
     if (job->team != WS_NONE)
       ending->of_team_use = records[ws_team_use_group(settings, job->team)];
     ending->of_chunk = add_weight(chunks, chunk_key(&ending->release), 0);
+    gpointer job_key = GUINT_TO_POINTER(job->index);
+    ending->ends_job = would_end(job, (guint)add_weight(known_of, job_key, 0),
+                                 (guint)add_weight(done_of, job_key, 0));
   }
   g_array_sort(endings, by_weight);
   return endings;
 }
 
 static void
-draft_releases(WsCore *core, WsDraft *draft)
+draft_releases(WsCore *core, WsDraft *draft, const GArray *endings, gboolean only_ends_of_jobs)
 {
-  g_autoptr(GArray) endings = endings_in_order(core);
   for (guint i = 0; i < endings->len; i++) {
-    const WsRelease *release = &g_array_index(endings, Ending, i).release;
+    const Ending *ending = &g_array_index(endings, Ending, i);
+    const WsRelease *release = &ending->release;
+    if (only_ends_of_jobs && !ending->ends_job)
+      break;
     if (ws_draft_release(draft, release) == WS_DRAFT_UNWANTED)
       g_hash_table_remove(core->assign->known, task_key(release->job, release->task));
   }
@@ -385,11 +411,14 @@
   g_array_set_size(assign->ending, 0);
   /* Somebody waits for a critical task; when a cut heals or a wave has passed, the ends of hundreds
      of others would fill one transaction after another before it. */
+  g_autoptr(GArray) endings = endings_in_order(core);
   draft_picks(core, draft, TRUE);
-  ws_draft_bound(draft, core->settings->state_txn_ops * 2 / 3);
+  ws_draft_bound(draft, core->settings->state_txn_ops / 2);
+  draft_releases(core, draft, endings, TRUE);
+  ws_draft_bound(draft, core->settings->state_txn_ops * 5 / 6);
   draft_picks(core, draft, FALSE);
   ws_draft_bound(draft, core->settings->state_txn_ops);
-  draft_releases(core, draft);
+  draft_releases(core, draft, endings, FALSE);
   draft_picks(core, draft, FALSE);
   if (!ws_draft_is_empty(draft)) {
     assign->busy = TRUE;
--- a/src/core/ws-draft.c
+++ b/src/core/ws-draft.c
@@ -213,6 +213,8 @@
   const WsAssignment *a = job->spec != NULL ? ws_job_assignment(job, release->task) : NULL;
   if (a == NULL || a->attempt != release->attempt)
     return WS_DRAFT_UNWANTED; /* done, or somebody else's by now */
+  if (ws_chunk_find(chunk_after(draft, job, release->task / WS_CHUNK_TASKS), release->task) == NULL)
+    return WS_DRAFT_TAKEN; /* by this very transaction: its use is given back once */
   if (!reserve(draft, job, release->task, NULL, ends_job(draft, job, release->done)))
     return WS_DRAFT_FULL;
   WsChunk *chunk = open_chunk(draft, job, release->task);
