--- a/src/core/ws-giveback.c
+++ b/src/core/ws-giveback.c
@@ -47,6 +47,8 @@
 zone_is_whole(const WsCore *core, guint zone)
 {
   const GArray *members = core->book->epoch.members;
+  if (ws_zone_cut(core, zone))
+    return FALSE;
   for (guint i = 0; i < members->len; i++) {
     guint node = g_array_index(members, WsMember, i).node;
     if (ws_book_find_zone(core->book, ws_settings_node(core->settings, node)->zone) != zone)
@@ -129,6 +131,9 @@
 {
   if (machine->marking || (machine->marked && (!now || machine->mark_now)) || !ws_store_ok(core))
     return;
+  /* Owners take a returned machine for silent until its mark is cleared. */
+  if (machine->marked && ws_fleet_gone(core, machine->name))
+    return;
   machine->marking = TRUE;
   machine->marking_ms = core->now;
   if (!ws_is_leader(core)) {
