--- a/src/core/ws-fleet.c
+++ b/src/core/ws-fleet.c
@@ -10,6 +10,10 @@
 #define CATALOG_MS 60000
 #define FIRST_NO_CAPACITY_MS 5000
 #define MOST_NO_CAPACITY_MS 40000
+/* Asking in vain costs two changes of the state service: the intent, and its end. Asking for all
+   kinds of machines takes no more than this part of the changes. */
+#define VAIN_RENTALS_PART 0.03
+#define CHANGES_A_RENTAL 2.0
 #define RETRY_MS 1500
 /* As many as the cloud gives at once. */
 #define MOST_A_RENTAL 50
@@ -91,6 +95,18 @@
   return scarce != NULL && core->now < scarce->until_ms;
 }
 
+/* How many times longer than usual the back-off is where changes are few and kinds are many. */
+static double
+backoff_factor(const WsCore *core)
+{
+  double kinds = 0.0;
+  for (guint t = 0; core->book->catalog != NULL && t < core->book->catalog->len; t++)
+    kinds += 2.0 * g_strv_length(ws_book_type(core->book, t)->zones);
+  double per_second = VAIN_RENTALS_PART * core->settings->state_write_rps;
+  double period_ms = 1000.0 * CHANGES_A_RENTAL * kinds / per_second;
+  return MAX(1.0, period_ms / MOST_NO_CAPACITY_MS);
+}
+
 static void
 note_capacity(WsCore *core, guint type, guint zone, gboolean spot, gboolean enough)
 {
@@ -104,7 +120,9 @@
     scarce = g_new0(Scarce, 1);
     g_hash_table_insert(core->fleet->scarce, key, scarce);
   }
-  scarce->backoff_ms = CLAMP(scarce->backoff_ms * 2, FIRST_NO_CAPACITY_MS, MOST_NO_CAPACITY_MS);
+  double factor = backoff_factor(core);
+  scarce->backoff_ms = CLAMP(scarce->backoff_ms * 2, (guint)(FIRST_NO_CAPACITY_MS * factor),
+                             (guint)(MOST_NO_CAPACITY_MS * factor));
   scarce->until_ms = core->now + scarce->backoff_ms;
 }
 
@@ -592,6 +610,16 @@
     g_array_unref(over);
 }
 
+/* What was returned can be rented again. */
+static void
+note_returned(WsCore *core, const char *name)
+{
+  const WsMachine *machine = ws_book_find_machine(core->book, name);
+  g_hash_table_add(core->fleet->gone, g_strdup(name));
+  if (machine != NULL && machine->type != WS_NONE && machine->zone != WS_NONE)
+    note_capacity(core, machine->type, machine->zone, machine->spot, TRUE);
+}
+
 static void
 on_returned(WsCore *core, guint status, const json_t *body, gpointer data)
 {
@@ -602,7 +630,7 @@
   if (status == 200) {
     fleet->return_backoff_ms = 0;
     for (guint i = 0; i < names->len; i++)
-      g_hash_table_add(fleet->gone, g_strdup(g_ptr_array_index(names, i)));
+      note_returned(core, g_ptr_array_index(names, i));
   } else {
     guint least = (guint)(core->properties->backoff_min_s * 1000.0);
     guint most = (guint)(core->properties->backoff_max_s * 1000.0);
