--- a/src/core/ws-ask.c
+++ b/src/core/ws-ask.c
@@ -58,28 +58,28 @@
 void
 ws_ask_release(WsCore *core, const WsJob *job, guint task, guint64 attempt, gboolean done)
 {
-  add(core, core->book->epoch.leader, "releases",
+  add(core, core->replica->epoch.leader, "releases",
       json_pack("[s, i, I, b]", job->id, (int)task, (json_int_t)attempt, done));
 }
 
 void
 ws_ask_pick(WsCore *core, const WsJob *job, guint task, const WsMachine *machine)
 {
-  add(core, core->book->epoch.leader, "picks",
+  add(core, core->replica->epoch.leader, "picks",
       json_pack("[s, i, s]", job->id, (int)task, machine->name));
 }
 
 void
 ws_ask_mark(WsCore *core, const WsMachine *machine, const char *why, gboolean now)
 {
-  add(core, core->book->epoch.leader, "marks", json_pack("[s, s, b]", machine->name, why, now));
+  add(core, core->replica->epoch.leader, "marks", json_pack("[s, s, b]", machine->name, why, now));
 }
 
 void
 ws_ask_reservation(WsCore *core, const WsJob *job, guint machine, guint tasks)
 {
-  const char *name = machine != WS_NONE ? ws_book_machine(core->book, machine)->name : "";
-  add(core, core->book->epoch.leader, "reservations",
+  const char *name = machine != WS_NONE ? ws_replica_machine(core->replica, machine)->name : "";
+  add(core, core->replica->epoch.leader, "reservations",
       json_pack("[s, i, s]", job->id, (int)tasks, name));
 }
 
@@ -96,7 +96,7 @@
 {
   const char *id = json_string_value(json_array_get(item, 0));
   json_int_t number = json_integer_value(json_array_get(item, 1));
-  WsJob *job = id != NULL ? ws_book_find_job(core->book, id) : NULL;
+  WsJob *job = id != NULL ? ws_replica_find_job(core->replica, id) : NULL;
   if (job == NULL || job->spec == NULL || number < 0 || number >= (json_int_t)job->tasks)
     return NULL;
   *task = (guint)number;
@@ -119,7 +119,7 @@
   guint task = 0;
   const WsJob *job = job_of(core, item, &task);
   const char *name = json_string_value(json_array_get(item, 2));
-  const WsMachine *machine = name != NULL ? ws_book_find_machine(core->book, name) : NULL;
+  const WsMachine *machine = name != NULL ? ws_replica_find_machine(core->replica, name) : NULL;
   if (job != NULL && machine != NULL)
     ws_assign_pick(core, job->index, task, machine->index);
 }
@@ -130,10 +130,10 @@
   const char *id = json_string_value(json_array_get(item, 0));
   json_int_t tasks = json_integer_value(json_array_get(item, 1));
   const char *name = json_string_value(json_array_get(item, 2));
-  const WsJob *job = id != NULL ? ws_book_find_job(core->book, id) : NULL;
+  const WsJob *job = id != NULL ? ws_replica_find_job(core->replica, id) : NULL;
   if (job == NULL || job->spec == NULL || name == NULL || tasks <= 0 || tasks > WS_MAX_TASKS)
     return;
-  const WsMachine *machine = ws_book_find_machine(core->book, name);
+  const WsMachine *machine = ws_replica_find_machine(core->replica, name);
   if (machine != NULL || *name == '\0')
     ws_reservations_keep(core, job, machine != NULL ? machine->index : WS_NONE, (guint)tasks);
 }
@@ -143,7 +143,7 @@
 {
   const char *name = json_string_value(json_array_get(item, 0));
   const char *why = json_string_value(json_array_get(item, 1));
-  WsMachine *machine = name != NULL ? ws_book_find_machine(core->book, name) : NULL;
+  WsMachine *machine = name != NULL ? ws_replica_find_machine(core->replica, name) : NULL;
   if (machine != NULL && why != NULL)
     ws_giveback_mark(core, machine, why, json_is_true(json_array_get(item, 2)));
 }
@@ -155,7 +155,7 @@
   WsJob *job = job_of(core, item, &task);
   WsAssignment *a = job != NULL ? ws_job_assignment(job, task) : NULL;
   if (a == NULL || a->stopping || a->attempt != (guint64)json_integer_value(json_array_get(item, 2))
-      || !ws_owns(core, ws_book_machine(core->book, a->machine)))
+      || !ws_owns(core, ws_replica_machine(core->replica, a->machine)))
     return;
   a->stopping = TRUE;
   ws_workers_halt_now(core, job, a);
@@ -175,7 +175,7 @@
 {
   guint64 epoch;
   if (!ws_json_count(message, "epoch", &epoch) || !ws_entitled(core)
-      || epoch != core->book->epoch.number)
+      || epoch != core->replica->epoch.number)
     return FALSE;
   take_list(core, message, "stops", take_stop);
   if (ws_is_leader(core)) {
@@ -201,7 +201,7 @@
 {
   const char *self = ws_settings_node(core->settings, core->settings->self)->name;
   json_t *letter;
-  while ((letter = g_queue_pop_head(&core->book->mail)) != NULL) {
+  while ((letter = g_queue_pop_head(&core->replica->mail)) != NULL) {
     const json_t *mine = json_object_get(letter, self);
     if (mine != NULL)
       (void)take_all(core, mine);
@@ -235,7 +235,7 @@
       = ws_key(WS_KEYS_MAIL, ws_settings_node(core->settings, core->settings->self)->name);
   WsTxn *txn = ws_txn_new();
   core->asks->mail_ms = core->now + MAIL_MS;
-  ws_txn_if(txn, core->book, WS_KEY_EPOCH);
+  ws_txn_if(txn, core->replica, WS_KEY_EPOCH);
   ws_txn_set(txn, key, letter);
   ws_txn_commit(core, txn, WS_FIRST_TASK, on_mailed, NULL);
 }
@@ -250,7 +250,7 @@
     json_t **out = &core->asks->out[n];
     if (*out == NULL || (!ws_mesh_reaches(core, n) && !may_mail))
       continue;
-    json_object_set_new(*out, "epoch", json_integer((json_int_t)core->book->epoch.number));
+    json_object_set_new(*out, "epoch", json_integer((json_int_t)core->replica->epoch.number));
     const WsNode *node = ws_settings_node(core->settings, n);
     if (ws_mesh_reaches(core, n)) {
       ws_call(core, "POST", node->endpoint, "/ask", g_steal_pointer(out), ASK_TIMEOUT_MS, on_asked,
--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -3,7 +3,7 @@
    A task is assigned there before it is launched, and its team's use is counted in the same
    transaction; a task is released only when ws-workers.c or ws-fleet.c knows that it is gone. The
    leader writes for everybody, one transaction at a time; the other nodes hand theirs in. */
-#include "bookkeeping/ws-team-use.h"
+#include "storage/ws-team-use.h"
 #include "core/ws-draft.h"
 
 #define GATHER_MS 50
@@ -142,7 +142,7 @@
 {
   for (guint i = 0; i < core->assign->handed_in->len; i++) {
     const WsPick *pick = &g_array_index(core->assign->handed_in, HandedIn, i).pick;
-    take(ws_book_job(core->book, pick->job), pick->machine, data);
+    take(ws_replica_job(core->replica, pick->job), pick->machine, data);
   }
 }
 
@@ -169,7 +169,7 @@
 static gboolean
 is_over(const WsCore *core, const WsRelease *release)
 {
-  const WsJob *job = ws_book_job(core->book, release->job);
+  const WsJob *job = ws_replica_job(core->replica, release->job);
   const WsAssignment *a = job->spec != NULL ? ws_job_assignment(job, release->task) : NULL;
   return a == NULL || a->attempt != release->attempt;
 }
@@ -186,7 +186,7 @@
       g_hash_table_iter_remove(&iter);
     } else if (known->asked_ms == 0 || core->now - known->asked_ms >= RELEASE_AGAIN_MS) {
       known->asked_ms = core->now;
-      ws_ask_release(core, ws_book_job(core->book, known->release.job), known->release.task,
+      ws_ask_release(core, ws_replica_job(core->replica, known->release.job), known->release.task,
                      known->release.attempt, known->release.done);
     }
   }
@@ -200,8 +200,8 @@
     const WsPick *pick = &g_array_index(assign->picks, WsPick, i);
     HandedIn handed_in = { *pick, core->now + PICK_AGAIN_MS };
     g_array_append_val(assign->handed_in, handed_in);
-    ws_ask_pick(core, ws_book_job(core->book, pick->job), pick->task,
-                ws_book_machine(core->book, pick->machine));
+    ws_ask_pick(core, ws_replica_job(core->replica, pick->job), pick->task,
+                ws_replica_machine(core->replica, pick->machine));
   }
   g_array_set_size(assign->picks, 0);
 }
@@ -212,7 +212,7 @@
   GArray *handed_in = core->assign->handed_in;
   for (guint i = handed_in->len; i-- > 0;) {
     const HandedIn *at = &g_array_index(handed_in, HandedIn, i);
-    const WsJob *job = ws_book_job(core->book, at->pick.job);
+    const WsJob *job = ws_replica_job(core->replica, at->pick.job);
     if (core->now <= at->until_ms && job->spec != NULL
         && ws_job_assignment(job, at->pick.task) == NULL)
       continue;
@@ -227,7 +227,7 @@
 tell_ended(WsCore *core)
 {
   for (guint i = 0; i < core->assign->ending->len; i++) {
-    const WsJob *job = ws_book_job(core->book, g_array_index(core->assign->ending, guint, i));
+    const WsJob *job = ws_replica_job(core->replica, g_array_index(core->assign->ending, guint, i));
     g_info("job %s is %s, %.0f s after it was accepted", job->id,
            job->state == WS_JOB_DONE ? "done" : "cancelled and gone",
            (double)(core->wall - job->at_ms) / 1000.0);
@@ -325,7 +325,7 @@
   g_hash_table_iter_init(&iter, core->assign->known);
   while (g_hash_table_iter_next(&iter, NULL, &value)) {
     const Known *known = value;
-    const WsJob *job = ws_book_job(core->book, known->release.job);
+    const WsJob *job = ws_replica_job(core->replica, known->release.job);
     gint64 weight = LEAST_WEIGHT_MS + core->now - known->known_ms;
     Ending ending = { .release = known->release, .accepted_ms = job->at_ms };
     gpointer job_key = GUINT_TO_POINTER(job->index);
@@ -338,7 +338,7 @@
   }
   for (guint i = 0; i < endings->len; i++) {
     Ending *ending = &g_array_index(endings, Ending, i);
-    const WsJob *job = ws_book_job(core->book, ending->release.job);
+    const WsJob *job = ws_replica_job(core->replica, ending->release.job);
     if (job->team != WS_NONE)
       ending->of_team_use = records[ws_team_use_group(settings, job->team)];
     ending->of_chunk = add_weight(chunks, chunk_key(&ending->release), 0);
@@ -366,7 +366,7 @@
 static gboolean
 is_critical(const WsCore *core, const WsPick *pick)
 {
-  const WsJob *job = ws_book_job(core->book, pick->job);
+  const WsJob *job = ws_replica_job(core->replica, pick->job);
   return job->spec != NULL && job->spec->priority == WS_CRITICAL;
 }
 
@@ -395,14 +395,14 @@
 static gboolean
 knows_all_before(const WsCore *core)
 {
-  return core->book->revision >= ws_book_version(core->book, WS_KEY_EPOCH);
+  return core->replica->revision >= ws_replica_version(core->replica, WS_KEY_EPOCH);
 }
 
 static void
 write_all(WsCore *core)
 {
   WsAssign *assign = core->assign;
-  if (assign->busy || core->now < assign->next_ms || core->book->catalog == NULL
+  if (assign->busy || core->now < assign->next_ms || core->replica->catalog == NULL
       || !knows_all_before(core)
       || (g_hash_table_size(assign->known) == 0 && assign->picks->len == 0)
       || !ws_store_may_write(core, WORTH_A_TXN))
@@ -439,14 +439,14 @@
 static GArray *
 take_fresh(WsCore *core)
 {
-  GArray *fresh = core->book->fresh;
+  GArray *fresh = core->replica->fresh;
   GArray *picks = g_array_new(FALSE, FALSE, sizeof(WsPick));
   for (guint i = 0; i < fresh->len; i++) {
     const WsTaskRef *ref = &g_array_index(fresh, WsTaskRef, i);
-    const WsJob *job = ws_book_job(core->book, ref->job);
+    const WsJob *job = ws_replica_job(core->replica, ref->job);
     const WsAssignment *a = job->spec != NULL ? ws_job_assignment(job, ref->task) : NULL;
     if (a == NULL || a->state != WS_TASK_ASSIGNED
-        || !ws_owns(core, ws_book_machine(core->book, a->machine)))
+        || !ws_owns(core, ws_replica_machine(core->replica, a->machine)))
       continue;
     WsPick pick = { ref->job, ref->task, a->machine, core->now };
     g_array_append_val(picks, pick);
@@ -458,19 +458,19 @@
 static void
 launch_fresh(WsCore *core)
 {
-  if (core->book->fresh->len == 0)
+  if (core->replica->fresh->len == 0)
     return;
   g_autoptr(GArray) picks = take_fresh(core);
   g_array_sort(picks, by_machine);
   guint i = 0;
   while (i < picks->len) {
     g_autoptr(GArray) tasks = g_array_new(FALSE, FALSE, sizeof(WsTaskRef));
-    WsMachine *machine = ws_book_machine(core->book, g_array_index(picks, WsPick, i).machine);
+    WsMachine *machine = ws_replica_machine(core->replica, g_array_index(picks, WsPick, i).machine);
     for (; i < picks->len && g_array_index(picks, WsPick, i).machine == machine->index; i++) {
       const WsPick *pick = &g_array_index(picks, WsPick, i);
       WsTaskRef ref = { pick->job, pick->task };
       g_array_append_val(tasks, ref);
-      g_info("task %s/%u goes to %s", ws_book_job(core->book, pick->job)->id, pick->task,
+      g_info("task %s/%u goes to %s", ws_replica_job(core->replica, pick->job)->id, pick->task,
              machine->name);
     }
     ws_workers_launch_now(core, machine, tasks);
--- a/src/core/ws-cancel.c
+++ b/src/core/ws-cancel.c
@@ -89,7 +89,7 @@
 static gboolean
 is_over(const WsCore *core, const char *id)
 {
-  const WsJob *job = ws_book_find_job(core->book, id);
+  const WsJob *job = ws_replica_find_job(core->replica, id);
   return job != NULL && job->spec == NULL && job->state != WS_JOB_ACTIVE;
 }
 
@@ -226,7 +226,7 @@
 unhalted(const WsCore *core, const WsMachine *machine, guint i, WsJob **job)
 {
   const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, i);
-  *job = ws_book_job(core->book, ref->job);
+  *job = ws_replica_job(core->replica, ref->job);
   WsAssignment *a = (*job)->spec != NULL ? ws_job_assignment(*job, ref->task) : NULL;
   return a != NULL && !a->seen_gone && ws_cancel_is_known(core, *job) ? a : NULL;
 }
@@ -262,7 +262,7 @@
 on_halted(WsCore *core, guint status, const json_t *body, gpointer data)
 {
   Halt *halt = data;
-  WsMachine *machine = ws_book_machine(core->book, halt->machine);
+  WsMachine *machine = ws_replica_machine(core->replica, halt->machine);
   core->cancels->halt_calls--;
   if (status == 0)
     halt_again(core, machine, HALT_LATER_MS);
@@ -394,13 +394,13 @@
   g_autoptr(GHashTable) seen = g_hash_table_new(NULL, NULL);
   for (guint c = 0; c < core->cancels->list->len; c++) {
     const Cancel *cancel = g_ptr_array_index(core->cancels->list, c);
-    const WsJob *job = ws_book_find_job(core->book, cancel->id);
+    const WsJob *job = ws_replica_find_job(core->replica, cancel->id);
     for (guint k = 0; job != NULL && job->spec != NULL && k < job->chunks->len; k++) {
       const WsChunk *chunk = g_ptr_array_index(job->chunks, k);
       for (guint i = 0; chunk != NULL && i < chunk->on->len; i++) {
         const WsAssignment *a = &g_array_index(chunk->on, WsAssignment, i);
         if (!a->seen_gone && g_hash_table_add(seen, GUINT_TO_POINTER(a->machine)))
-          tend_machine(core, ws_book_machine(core->book, a->machine));
+          tend_machine(core, ws_replica_machine(core->replica, a->machine));
       }
     }
   }
@@ -425,9 +425,9 @@
 ws_cancel_pump(WsCore *core)
 {
   WsCancels *cancels = core->cancels;
-  GArray *fresh = core->book->cancelled;
+  GArray *fresh = core->replica->cancelled;
   for (guint i = 0; i < fresh->len; i++) {
-    const WsJob *job = ws_book_job(core->book, g_array_index(fresh, guint, i));
+    const WsJob *job = ws_replica_job(core->replica, g_array_index(fresh, guint, i));
     gint64 age_ms = CLAMP(core->wall - job->cancelled_ms, 0, core->now);
     learn(core, job->id, core->now - age_ms, core->settings->self);
   }
--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -1,7 +1,7 @@
 /* What the parts of the core share. */
 #pragma once
 
-#include "bookkeeping/ws-book.h"
+#include "storage/ws-replica.h"
 #include "core/ws-core.h"
 #include "transport/ws-rate.h"
 
@@ -53,7 +53,7 @@
 struct _WsCore {
   const WsSettings *settings;
   const WsProperties *properties;
-  WsBook *book;
+  WsReplica *replica;
   guint64 incarnation;
   gint64 now;
   gint64 wall;
@@ -127,7 +127,7 @@
 
 /* ws-txn.c */
 WsTxn *ws_txn_new(void);
-void ws_txn_if(WsTxn *txn, const WsBook *book, const char *key);
+void ws_txn_if(WsTxn *txn, const WsReplica *replica, const char *key);
 void ws_txn_if_version(WsTxn *txn, const char *key, guint64 version);
 void ws_txn_set(WsTxn *txn, const char *key, json_t *value /* taken */);
 void ws_txn_set_leased(WsTxn *txn, const char *key, json_t *value /* taken */, guint64 lease);
@@ -291,10 +291,10 @@
                        const WsSlot *slot);
 void ws_preempt(WsCore *core, const WsJob *job, WsMachine *machine, WsSlot *slot);
 /* Whether the type, zone and kind of the machine are allowed. */
-gboolean ws_plan_allowed(const WsBook *book, const WsSubmission *spec, guint zone,
+gboolean ws_plan_allowed(const WsReplica *replica, const WsSubmission *spec, guint zone,
                          const WsMachine *machine);
 /* Processors of the smallest allowed type that has room for one task. */
-gint64 ws_smallest_room(const WsBook *book, const WsSubmission *spec);
+gint64 ws_smallest_room(const WsReplica *replica, const WsSubmission *spec);
 gboolean ws_type_allowed(const WsSubmission *spec, const WsType *type);
 /* Whether the job could start on the machine if so much more of it were free. */
 typedef gboolean (*WsPlaceFunc)(const WsMachine *machine, const WsAmount *freed, gpointer data);
--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -19,7 +19,7 @@
   core->settings = settings;
   core->properties = properties;
   core->incarnation = incarnation;
-  core->book = ws_book_new(settings);
+  core->replica = ws_replica_new(settings);
   core->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
   core->store = ws_store_new(settings);
   core->members = ws_members_new();
@@ -78,7 +78,7 @@
   ws_reservations_free(core->reservations);
   ws_write_stats_free(core->write_stats);
   g_hash_table_unref(core->learned);
-  ws_book_free(core->book);
+  ws_replica_free(core->replica);
   g_free(core->peers);
   g_free(core->cut_ms);
   g_free(core->sure_cut_ms);
@@ -158,13 +158,13 @@
 ws_entitled(const WsCore *core)
 {
   return ws_store_loaded(core) && !core->is_dazed
-         && ws_epoch_has(&core->book->epoch, core->settings->self, core->incarnation);
+         && ws_epoch_has(&core->replica->epoch, core->settings->self, core->incarnation);
 }
 
 gboolean
 ws_is_leader(const WsCore *core)
 {
-  return ws_entitled(core) && core->book->epoch.leader == core->settings->self;
+  return ws_entitled(core) && core->replica->epoch.leader == core->settings->self;
 }
 
 gboolean
@@ -184,8 +184,8 @@
   g_info("this node stood still for %.1f s", (double)gap_ms / 1000.0);
   core->is_dazed = TRUE;
   core->epoch_ms = now_ms;
-  for (guint i = 0; i < core->book->machines->len; i++) {
-    WsMachine *machine = ws_book_machine(core->book, i);
+  for (guint i = 0; i < core->replica->machines->len; i++) {
+    WsMachine *machine = ws_replica_machine(core->replica, i);
     machine->owned_ms = now_ms;
     machine->empty_ms = 0;
     machine->sparse_ms = 0;
@@ -206,9 +206,9 @@
 static void
 notice_epoch(WsCore *core)
 {
-  if (core->epoch_seen == core->book->epoch.number)
+  if (core->epoch_seen == core->replica->epoch.number)
     return;
-  core->epoch_seen = core->book->epoch.number;
+  core->epoch_seen = core->replica->epoch.number;
   core->epoch_ms = core->now;
   core->plan_due = TRUE;
   core->wants_epoch = FALSE;
@@ -216,8 +216,8 @@
   ws_ask_forget(core);
   ws_reservations_clear(core);
   ws_mesh_new_epoch(core);
-  for (guint i = 0; i < core->book->machines->len; i++) {
-    WsMachine *machine = ws_book_machine(core->book, i);
+  for (guint i = 0; i < core->replica->machines->len; i++) {
+    WsMachine *machine = ws_replica_machine(core->replica, i);
     machine->redirected_ms = 0;
     machine->status_failed = 0;
     machine->unmet_ms = 0;
@@ -226,9 +226,9 @@
     machine->owner_seen = machine->owner;
   }
   g_info("epoch %" G_GUINT64_FORMAT ": %u members, leader %s", core->epoch_seen,
-         core->book->epoch.members->len,
-         core->book->epoch.leader != WS_NONE
-             ? ws_settings_node(core->settings, core->book->epoch.leader)->name
+         core->replica->epoch.members->len,
+         core->replica->epoch.leader != WS_NONE
+             ? ws_settings_node(core->settings, core->replica->epoch.leader)->name
              : "none");
 }
 
@@ -270,7 +270,7 @@
 static gboolean
 is_ready(const WsCore *core)
 {
-  return ws_store_loaded(core) && !core->is_dazed && core->book->catalog != NULL
+  return ws_store_loaded(core) && !core->is_dazed && core->replica->catalog != NULL
          && !ws_mesh_alone_refused(core) && !ws_mesh_cut_off(core);
 }
 
--- a/src/core/ws-demand.c
+++ b/src/core/ws-demand.c
@@ -46,10 +46,10 @@
 static void
 add_running(WsDemand *demand, const WsMachine *machine)
 {
-  const WsBook *book = demand->core->book;
+  const WsReplica *replica = demand->core->replica;
   WsAmount soon = { 0 };
   for (guint i = 0; i < machine->tasks->len; i++) {
-    const WsJob *job = ws_book_job(book, g_array_index(machine->tasks, WsTaskRef, i).job);
+    const WsJob *job = ws_replica_job(replica, g_array_index(machine->tasks, WsTaskRef, i).job);
     if (job->spec->kind == WS_KIND_ARRAY)
       ws_amount_add(&soon, &job->spec->need, 1);
   }
@@ -64,12 +64,14 @@
 static void
 add_rents(WsDemand *demand)
 {
-  const WsBook *book = demand->core->book;
-  for (guint i = 0; i < book->rents->len; i++) {
-    const WsRent *rent = g_ptr_array_index(book->rents, i);
-    guint type = ws_book_find_type(book, rent->type), zone = ws_book_find_zone(book, rent->zone);
+  const WsReplica *replica = demand->core->replica;
+  for (guint i = 0; i < replica->rents->len; i++) {
+    const WsRent *rent = g_ptr_array_index(replica->rents, i);
+    guint type = ws_replica_find_type(replica, rent->type),
+          zone = ws_replica_find_zone(replica, rent->zone);
     for (guint n = 0; n < rent->count && type != WS_NONE && zone != WS_NONE; n++)
-      add_virtual(demand, type, zone, rent->spot, &ws_book_type(book, type)->room, FALSE)->on_order
+      add_virtual(demand, type, zone, rent->spot, &ws_replica_type(replica, type)->room, FALSE)
+          ->on_order
           = TRUE;
   }
 }
@@ -78,19 +80,20 @@
 is_booting(const WsCore *core, const WsMachine *machine)
 {
   double age_s = (double)(core->wall - machine->at_ms) / 1000.0;
-  return machine->heard_ms == 0 && age_s < 1.6 * ws_book_type(core->book, machine->type)->boot_s;
+  return machine->heard_ms == 0
+         && age_s < 1.6 * ws_replica_type(core->replica, machine->type)->boot_s;
 }
 
 WsDemand *
 ws_demand_new(WsCore *core)
 {
-  const WsBook *book = core->book;
+  const WsReplica *replica = core->replica;
   WsDemand *demand = g_new0(WsDemand, 1);
   demand->core = core;
   demand->machines = g_array_new(FALSE, FALSE, sizeof(Virtual));
   demand->by_zone = g_new0(guint, core->settings->zones->len);
-  for (guint i = 0; i < book->machines->len; i++) {
-    const WsMachine *machine = ws_book_machine(book, i);
+  for (guint i = 0; i < replica->machines->len; i++) {
+    const WsMachine *machine = ws_replica_machine(replica, i);
     if (!machine->stored || machine->type == WS_NONE || machine->zone == WS_NONE)
       continue;
     demand->by_zone[machine->zone]++;
@@ -98,7 +101,7 @@
       continue; /* nobody hears of a machine that comes up behind a cut */
     if (is_booting(core, machine))
       add_virtual(demand, machine->type, machine->zone, machine->spot,
-                  &ws_book_type(book, machine->type)->room, FALSE);
+                  &ws_replica_type(replica, machine->type)->room, FALSE);
     else if (ws_machine_up(core, machine))
       add_running(demand, machine);
   }
@@ -111,10 +114,11 @@
 slack_s(const WsDemand *demand, const WsJob *job)
 {
   const WsCore *core = demand->core;
-  double allowed_s = ws_job_allowed_s(core->book, job);
+  double allowed_s = ws_job_allowed_s(core->replica, job);
   double begin_s = ws_settings_begin_within(core->settings, job->spec->class_name);
-  double used_s = (double)(core->wall - job->at_ms) / 1000.0 + ws_book_type(core->book, 0)->boot_s;
-  double end_s = 1.2 * ws_learn_estimate_s(core, job) + ws_job_fetch_s(core->book, job);
+  double used_s
+      = (double)(core->wall - job->at_ms) / 1000.0 + ws_replica_type(core->replica, 0)->boot_s;
+  double end_s = 1.2 * ws_learn_estimate_s(core, job) + ws_job_fetch_s(core->replica, job);
   double part = job->spec->deadline_s >= 0.0 ? USED_SLACK : USED_CLASS_SLACK;
   double spare_s = allowed_s >= 0.0 ? part * (allowed_s - used_s - end_s) : DEFAULT_SLACK_S;
   if (begin_s >= 0.0)
@@ -128,7 +132,7 @@
 {
   if (job->spec->priority != WS_CRITICAL)
     return tasks;
-  double boot_s = ws_book_type(demand->core->book, 0)->boot_s;
+  double boot_s = ws_replica_type(demand->core->replica, 0)->boot_s;
   double length = (boot_s - SHORT_BOOT_S) / (LONG_BOOT_S - SHORT_BOOT_S);
   return tasks + (guint)(tasks * LONG_BOOT_EXTRA * CLAMP(length, 0.0, 1.0));
 }
@@ -169,15 +173,15 @@
 put_in(WsDemand *demand, const WsJob *job, const WsAmount *need, guint tasks)
 {
   gboolean waits = job->spec->kind == WS_KIND_ARRAY && may_wait(demand, job);
-  gint64 smallest = ws_smallest_room(demand->core->book, job->spec);
+  gint64 smallest = ws_smallest_room(demand->core->replica, job->spec);
   guint placed = 0;
   for (guint i = 0; i < demand->machines->len; i++) {
     Virtual *machine = &g_array_index(demand->machines, Virtual, i);
     if ((machine->spot && !job->spec->spot) || (machine->is_running && !waits)
         || !zone_fits(job, machine->zone)
         || (machine->is_running
-            && ws_book_type(demand->core->book, machine->type)->room.cpus > smallest)
-        || !ws_type_allowed(job->spec, ws_book_type(demand->core->book, machine->type)))
+            && ws_replica_type(demand->core->replica, machine->type)->room.cpus > smallest)
+        || !ws_type_allowed(job->spec, ws_replica_type(demand->core->replica, machine->type)))
       continue;
     for (; placed < tasks && ws_amount_fits(need, &machine->room); placed++)
       ws_amount_add(&machine->room, need, -1);
@@ -192,9 +196,9 @@
 pick_zone(const WsDemand *demand, const WsJob *job, guint type, gboolean spot)
 {
   guint best = WS_NONE;
-  char **zones = ws_book_type(demand->core->book, type)->zones;
+  char **zones = ws_replica_type(demand->core->replica, type)->zones;
   for (; *zones != NULL; zones++) {
-    guint zone = ws_book_find_zone(demand->core->book, *zones);
+    guint zone = ws_replica_find_zone(demand->core->replica, *zones);
     if (zone == WS_NONE || !zone_fits(job, zone) || ws_zone_cut(demand->core, zone)
         || ws_fleet_no_capacity(demand->core, type, zone, spot))
       continue;
@@ -207,21 +211,22 @@
 static gboolean
 want_new(WsDemand *demand, const WsJob *job, gboolean spot, const WsAmount *need)
 {
-  const WsBook *book = demand->core->book;
+  const WsReplica *replica = demand->core->replica;
   guint best = WS_NONE, best_zone = WS_NONE;
-  for (guint t = 0; t < book->catalog->len; t++) {
-    const WsType *type = ws_book_type(book, t);
+  for (guint t = 0; t < replica->catalog->len; t++) {
+    const WsType *type = ws_replica_type(replica, t);
     if (!ws_type_allowed(job->spec, type) || !ws_amount_fits(&job->spec->need, &type->room))
       continue;
     guint zone = pick_zone(demand, job, t, spot);
-    if (zone == WS_NONE || (best != WS_NONE && type->price >= ws_book_type(book, best)->price))
+    if (zone == WS_NONE
+        || (best != WS_NONE && type->price >= ws_replica_type(replica, best)->price))
       continue;
     best = t;
     best_zone = zone;
   }
   if (best == WS_NONE)
     return FALSE;
-  WsAmount room = ws_book_type(book, best)->room;
+  WsAmount room = ws_replica_type(replica, best)->room;
   ws_amount_add(&room, need, -1);
   add_virtual(demand, best, best_zone, spot, &room, TRUE);
   demand->by_zone[best_zone]++;
@@ -266,17 +271,17 @@
 static guint
 count_places(const WsCore *core, const WsAmount *need, const WsMachine *without, guint enough)
 {
-  const WsBook *book = core->book;
+  const WsReplica *replica = core->replica;
   guint places = 0;
-  for (guint i = 0; i < book->machines->len && places < enough; i++) {
-    const WsMachine *machine = ws_book_machine(book, i);
+  for (guint i = 0; i < replica->machines->len && places < enough; i++) {
+    const WsMachine *machine = ws_replica_machine(replica, i);
     if (machine == without || !machine->stored || machine->marked || machine->spot
         || machine->type == WS_NONE || machine->zone == WS_NONE
         || !(is_booting(core, machine) || ws_machine_up(core, machine)))
       continue;
-    WsAmount room = ws_book_type(book, machine->type)->room;
+    WsAmount room = ws_replica_type(replica, machine->type)->room;
     for (guint k = 0; k < machine->tasks->len; k++) {
-      const WsJob *job = ws_book_job(book, g_array_index(machine->tasks, WsTaskRef, k).job);
+      const WsJob *job = ws_replica_job(replica, g_array_index(machine->tasks, WsTaskRef, k).job);
       if (job->spec->kind == WS_KIND_SERVICE)
         ws_amount_add(&room, &job->spec->need, -1);
     }
@@ -288,11 +293,11 @@
 
 /* A critical job that stands for the next one: the largest open one. */
 static const WsJob *
-typical_critical(const WsBook *book)
+typical_critical(const WsReplica *replica)
 {
   const WsJob *largest = NULL;
-  for (guint i = 0; i < book->active->len; i++) {
-    const WsJob *job = g_ptr_array_index(book->active, i);
+  for (guint i = 0; i < replica->active->len; i++) {
+    const WsJob *job = g_ptr_array_index(replica->active, i);
     if (job->spec->priority == WS_CRITICAL && job->state == WS_JOB_ACTIVE
         && (largest == NULL || job->spec->need.gpus > largest->spec->need.gpus))
       largest = job;
@@ -303,7 +308,7 @@
 gboolean
 ws_spare_without(const WsCore *core, const WsMachine *machine)
 {
-  const WsJob *job = typical_critical(core->book);
+  const WsJob *job = typical_critical(core->replica);
   if (job == NULL || core->properties->spare_tasks == 0)
     return TRUE;
   return count_places(core, &job->spec->need, machine, core->properties->spare_tasks)
@@ -315,7 +320,7 @@
 add_spare(WsDemand *demand)
 {
   const WsCore *core = demand->core;
-  const WsJob *job = typical_critical(core->book);
+  const WsJob *job = typical_critical(core->replica);
   if (job == NULL)
     return;
   guint places = count_places(core, &job->spec->need, NULL, core->properties->spare_tasks);
--- a/src/core/ws-draft.c
+++ b/src/core/ws-draft.c
@@ -4,7 +4,7 @@
    the jobs, and the marks of the machines: one that is being given back gets nothing new. */
 #include "core/ws-draft.h"
 
-#include "bookkeeping/ws-team-use.h"
+#include "storage/ws-team-use.h"
 #include "core/ws-reservation.h"
 
 /* The state service takes 64 KiB; the rest is for the job's own records and for conditions. */
@@ -50,7 +50,7 @@
   WsDraft *draft = g_new0(WsDraft, 1);
   draft->core = core;
   draft->works = g_ptr_array_new_with_free_func(work_free);
-  draft->use = g_memdup2(core->book->team_use, sizeof(WsAmount) * MAX(teams, 1u));
+  draft->use = g_memdup2(core->replica->team_use, sizeof(WsAmount) * MAX(teams, 1u));
   draft->touched = g_new0(gboolean, ws_team_use_groups(core->settings));
   draft->room = g_hash_table_new_full(NULL, NULL, NULL, g_free);
   draft->joined = g_hash_table_new(NULL, NULL);
@@ -209,7 +209,7 @@
 WsDraftResult
 ws_draft_release(WsDraft *draft, const WsRelease *release)
 {
-  const WsJob *job = ws_book_job(draft->core->book, release->job);
+  const WsJob *job = ws_replica_job(draft->core->replica, release->job);
   const WsAssignment *a = job->spec != NULL ? ws_job_assignment(job, release->task) : NULL;
   if (a == NULL || a->attempt != release->attempt)
     return WS_DRAFT_UNWANTED; /* done, or somebody else's by now */
@@ -236,12 +236,12 @@
 static void
 count_zones(const WsDraft *draft, const WsJob *job, guint *counts)
 {
-  const WsBook *book = draft->core->book;
+  const WsReplica *replica = draft->core->replica;
   for (guint c = 0; c < ws_job_chunk_count(job); c++) {
     const WsChunk *chunk = chunk_after(draft, job, c);
     for (guint i = 0; chunk != NULL && i < chunk->on->len; i++) {
       const WsAssignment *a = &g_array_index(chunk->on, WsAssignment, i);
-      guint zone = ws_book_machine(book, a->machine)->zone;
+      guint zone = ws_replica_machine(replica, a->machine)->zone;
       if (zone != WS_NONE)
         counts[zone]++;
     }
@@ -251,7 +251,7 @@
 static gboolean
 machine_has_room(WsDraft *draft, const WsMachine *machine, const WsJob *job)
 {
-  WsAmount room = ws_book_type(draft->core->book, machine->type)->room;
+  WsAmount room = ws_replica_type(draft->core->replica, machine->type)->room;
   ws_amount_add(&room, &machine->used, -1);
   ws_amount_add(&room, taken(draft, machine->index), -1);
   return ws_amount_fits(&job->spec->need, &room);
@@ -263,7 +263,7 @@
 {
   if (ws_reservations_is_empty(draft->core))
     return TRUE;
-  WsAmount left = ws_book_type(draft->core->book, machine->type)->room;
+  WsAmount left = ws_replica_type(draft->core->replica, machine->type)->room;
   WsAmount use = draft->use[job->team];
   ws_amount_add(&left, &machine->used, -1);
   ws_amount_add(&left, taken(draft, machine->index), -1);
@@ -288,7 +288,7 @@
 static gboolean
 still_wanted(WsDraft *draft, const WsJob *job, const WsPick *pick)
 {
-  const WsMachine *machine = ws_book_machine(draft->core->book, pick->machine);
+  const WsMachine *machine = ws_replica_machine(draft->core->replica, pick->machine);
   return job->state == WS_JOB_ACTIVE && job->spec != NULL && job->team != WS_NONE
          && pick->task < job->tasks
          && !ws_job_task_done(job, pick->task)
@@ -296,7 +296,7 @@
          && ws_chunk_find(chunk_after(draft, job, pick->task / WS_CHUNK_TASKS), pick->task) == NULL
          && ws_job_assignment(job, pick->task) == NULL && !ws_job_is_broken_gang(job)
          && machine->stored && !machine->marked && !machine->marking
-         && ws_plan_allowed(draft->core->book, job->spec, job->zone, machine)
+         && ws_plan_allowed(draft->core->replica, job->spec, job->zone, machine)
          && machine_has_room(draft, machine, job)
          && ws_team_has_room(draft->core->settings, job->team, &draft->use[job->team],
                              &job->spec->need)
@@ -306,10 +306,11 @@
 WsDraftResult
 ws_draft_pick(WsDraft *draft, const WsPick *pick)
 {
-  const WsJob *job = ws_book_job(draft->core->book, pick->job);
+  const WsJob *job = ws_replica_job(draft->core->replica, pick->job);
   if (!still_wanted(draft, job, pick))
     return WS_DRAFT_UNWANTED;
-  if (!reserve(draft, job, pick->task, ws_book_machine(draft->core->book, pick->machine), FALSE))
+  if (!reserve(draft, job, pick->task, ws_replica_machine(draft->core->replica, pick->machine),
+               FALSE))
     return WS_DRAFT_FULL;
   WsChunk *chunk = open_chunk(draft, job, pick->task);
   WsAssignment assignment = { .task = pick->task, .machine = pick->machine };
@@ -320,7 +321,8 @@
   ws_chunk_add(chunk, &assignment);
   ws_amount_add(taken(draft, pick->machine), &job->spec->need, 1);
   g_hash_table_add(draft->joined, GUINT_TO_POINTER(pick->machine));
-  g_hash_table_add(draft->lots, (gpointer)ws_book_machine(draft->core->book, pick->machine)->lot);
+  g_hash_table_add(draft->lots,
+                   (gpointer)ws_replica_machine(draft->core->replica, pick->machine)->lot);
   use_team(draft, job, 1);
   ws_reservations_use(draft->core, job, pick->machine);
   return WS_DRAFT_TAKEN;
@@ -349,12 +351,12 @@
 condition_on_job(const WsDraft *draft, WsTxn *txn, const WsJob *job)
 {
   g_autofree char *key = ws_key_job(job->id);
-  ws_txn_if(txn, draft->core->book, key);
+  ws_txn_if(txn, draft->core->replica, key);
   for (guint c = 0; c < ws_job_chunk_count(job); c++) {
     if (!all_chunks_matter(job) && find_work(draft, job->index, c) == NULL)
       continue;
     g_autofree char *chunk = ws_key_chunk(job->id, c);
-    ws_txn_if(txn, draft->core->book, chunk);
+    ws_txn_if(txn, draft->core->replica, chunk);
   }
 }
 
@@ -369,7 +371,7 @@
     if (work->job != job->index)
       continue;
     g_autofree char *key = ws_key_chunk(job->id, work->index);
-    ws_txn_set(txn, key, ws_chunk_encode(work->chunk, draft->core->book));
+    ws_txn_set(txn, key, ws_chunk_encode(work->chunk, draft->core->replica));
   }
 }
 
@@ -383,7 +385,7 @@
     if (!draft->touched[group])
       continue;
     g_autofree char *key = ws_team_use_key(group);
-    ws_txn_if(txn, draft->core->book, key);
+    ws_txn_if(txn, draft->core->replica, key);
     ws_txn_set(txn, key, ws_team_use_encode(settings, group, draft->use));
   }
 }
@@ -395,11 +397,11 @@
   WsTxn *txn = ws_txn_new();
   GHashTableIter iter;
   gpointer machine, lot;
-  ws_txn_if(txn, core->book, WS_KEY_EPOCH);
+  ws_txn_if(txn, core->replica, WS_KEY_EPOCH);
   g_hash_table_iter_init(&iter, draft->joined);
   while (g_hash_table_iter_next(&iter, &machine, NULL)) {
     g_autofree char *mark
-        = ws_key(WS_KEYS_MARK, ws_book_machine(core->book, GPOINTER_TO_UINT(machine))->name);
+        = ws_key(WS_KEYS_MARK, ws_replica_machine(core->replica, GPOINTER_TO_UINT(machine))->name);
     ws_txn_if_version(txn, mark, 0);
   }
   /* Carried out late, after the machine was marked and returned, its mark is absent once more: but
@@ -407,7 +409,7 @@
   g_hash_table_iter_init(&iter, draft->lots);
   while (g_hash_table_iter_next(&iter, &lot, NULL)) {
     g_autofree char *key = ws_key(WS_KEYS_LOT, lot);
-    ws_txn_if(txn, core->book, key);
+    ws_txn_if(txn, core->replica, key);
   }
   for (guint i = 0; i < draft->works->len; i++) {
     const Work *work = g_ptr_array_index(draft->works, i);
@@ -415,7 +417,7 @@
     for (guint k = 0; k < i; k++)
       first = first && ((Work *)g_ptr_array_index(draft->works, k))->job != work->job;
     if (first)
-      write_job(draft, txn, ws_book_job(core->book, work->job), ending);
+      write_job(draft, txn, ws_replica_job(core->replica, work->job), ending);
   }
   write_team_use(draft, txn);
   return txn;
--- a/src/core/ws-fleet.c
+++ b/src/core/ws-fleet.c
@@ -76,7 +76,7 @@
 gboolean
 ws_fleet_gone(const WsCore *core, const char *name)
 {
-  const WsMachine *machine = ws_book_find_machine(core->book, name);
+  const WsMachine *machine = ws_replica_find_machine(core->replica, name);
   return (machine != NULL && machine->gone) || g_hash_table_contains(core->fleet->gone, name);
 }
 
@@ -100,8 +100,8 @@
 backoff_factor(const WsCore *core)
 {
   double kinds = 0.0;
-  for (guint t = 0; core->book->catalog != NULL && t < core->book->catalog->len; t++)
-    kinds += 2.0 * g_strv_length(ws_book_type(core->book, t)->zones);
+  for (guint t = 0; core->replica->catalog != NULL && t < core->replica->catalog->len; t++)
+    kinds += 2.0 * g_strv_length(ws_replica_type(core->replica, t)->zones);
   double per_second = VAIN_RENTALS_PART * core->settings->state_write_rps;
   double period_ms = 1000.0 * CHANGES_A_RENTAL * kinds / per_second;
   return MAX(1.0, period_ms / MOST_NO_CAPACITY_MS);
@@ -133,7 +133,7 @@
 {
   g_autoptr(GArray) machines = data;
   for (guint i = 0; i < machines->len; i++) {
-    WsMachine *machine = ws_book_machine(core->book, g_array_index(machines, guint, i));
+    WsMachine *machine = ws_replica_machine(core->replica, g_array_index(machines, guint, i));
     machine->marking = FALSE;
     if (result == WS_TXN_OK)
       g_info("machine %s wasn't expected; it is used or given back", machine->name);
@@ -166,15 +166,15 @@
   const char *zone = g_ptr_array_index(core->settings->zones, first->zone);
   WsLot *lot = g_new0(WsLot, 1);
   lot->name
-      = g_strdup_printf("a-%" G_GUINT64_FORMAT "-%u-%" G_GUINT64_FORMAT, core->book->epoch.number,
-                        core->settings->self, ++core->fleet->adopted);
+      = g_strdup_printf("a-%" G_GUINT64_FORMAT "-%u-%" G_GUINT64_FORMAT,
+                        core->replica->epoch.number, core->settings->self, ++core->fleet->adopted);
   lot->type = g_strdup(first->type_name);
   lot->zone = g_strdup(zone);
   lot->spot = first->spot;
   lot->at_ms = first->at_ms;
   lot->machines = g_array_new(FALSE, FALSE, sizeof(guint));
-  for (guint i = first->index; i < core->book->machines->len; i++) {
-    WsMachine *machine = ws_book_machine(core->book, i);
+  for (guint i = first->index; i < core->replica->machines->len; i++) {
+    WsMachine *machine = ws_replica_machine(core->replica, i);
     if (!machine->adopt || machine->zone != first->zone || !belongs(lot, machine)
         || lot->machines->len >= MOST_A_RENTAL)
       continue;
@@ -194,9 +194,9 @@
     return;
   WsTxn *txn = ws_txn_new();
   GArray *machines = g_array_new(FALSE, FALSE, sizeof(guint));
-  ws_txn_if(txn, core->book, WS_KEY_EPOCH);
-  for (guint i = 0; i < core->book->machines->len; i++) {
-    WsMachine *machine = ws_book_machine(core->book, i);
+  ws_txn_if(txn, core->replica, WS_KEY_EPOCH);
+  for (guint i = 0; i < core->replica->machines->len; i++) {
+    WsMachine *machine = ws_replica_machine(core->replica, i);
     if (machine->stored || ws_fleet_gone(core, machine->name))
       machine->adopt = FALSE;
     if (!machine->adopt || ws_txn_ops(txn) >= core->settings->state_txn_ops)
@@ -204,7 +204,7 @@
     WsLot *lot = gather_lot(core, machine, machines);
     g_autofree char *key = ws_key(WS_KEYS_LOT, lot->name);
     ws_txn_if_version(txn, key, 0);
-    ws_txn_set(txn, key, ws_lot_encode(lot, core->book));
+    ws_txn_set(txn, key, ws_lot_encode(lot, core->replica));
     ws_lot_free(lot);
   }
   if (machines->len > 0) {
@@ -240,7 +240,7 @@
   }
   g_ptr_array_unref(catalog);
   WsTxn *txn = ws_txn_new();
-  ws_txn_if(txn, core->book, WS_KEY_EPOCH);
+  ws_txn_if(txn, core->replica, WS_KEY_EPOCH);
   ws_txn_set(txn, WS_KEY_CATALOG, json_incref((json_t *)body));
   ws_txn_commit(core, txn, WS_FIRST_TASK, on_catalog_kept, NULL);
 }
@@ -271,8 +271,8 @@
 static gboolean
 has_unsent(const WsCore *core)
 {
-  for (guint i = 0; i < core->book->rents->len; i++) {
-    const WsRent *rent = g_ptr_array_index(core->book->rents, i);
+  for (guint i = 0; i < core->replica->rents->len; i++) {
+    const WsRent *rent = g_ptr_array_index(core->replica->rents, i);
     if (!g_hash_table_contains(core->fleet->renting, rent->request))
       return TRUE;
   }
@@ -284,9 +284,9 @@
 {
   WsFleet *fleet = core->fleet;
   g_autofree char *request = g_strdup_printf("r-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT,
-                                             core->book->epoch.number, ++fleet->requests);
+                                             core->replica->epoch.number, ++fleet->requests);
   g_autofree char *key = ws_key(WS_KEYS_RENT, request);
-  WsRent rent = { .type = ws_book_type(core->book, type)->name,
+  WsRent rent = { .type = ws_replica_type(core->replica, type)->name,
                   .zone = g_ptr_array_index(core->settings->zones, zone),
                   .spot = spot,
                   .count = machines };
@@ -304,7 +304,7 @@
     return;
   if (fleet->intent == NULL) {
     fleet->intent = ws_txn_new();
-    ws_txn_if(fleet->intent, core->book, WS_KEY_EPOCH);
+    ws_txn_if(fleet->intent, core->replica, WS_KEY_EPOCH);
   }
   for (guint left = machines; left > 0 && ws_txn_ops(fleet->intent) < core->settings->state_txn_ops;
        left -= MIN(left, MOST_A_RENTAL))
@@ -323,8 +323,8 @@
 static WsRent *
 find_rent(const WsCore *core, const char *request)
 {
-  for (guint i = 0; i < core->book->rents->len; i++) {
-    WsRent *rent = g_ptr_array_index(core->book->rents, i);
+  for (guint i = 0; i < core->replica->rents->len; i++) {
+    WsRent *rent = g_ptr_array_index(core->replica->rents, i);
     if (strcmp(rent->request, request) == 0)
       return rent;
   }
@@ -359,7 +359,7 @@
   g_autoptr(GArray) machines = g_array_new(FALSE, FALSE, sizeof(guint));
   for (guint i = 0; names != NULL && i < names->len; i++) {
     const char *name = g_ptr_array_index(names, i);
-    guint machine = ws_book_get_machine(core->book, name)->index;
+    guint machine = ws_replica_get_machine(core->replica, name)->index;
     if (!ws_fleet_gone(core, name))
       g_array_append_val(machines, machine);
   }
@@ -369,12 +369,12 @@
                 .at_ms = core->wall,
                 .machines = machines };
   WsTxn *txn = ws_txn_new();
-  ws_txn_if(txn, core->book, WS_KEY_EPOCH);
+  ws_txn_if(txn, core->replica, WS_KEY_EPOCH);
   /* Carried out late, after the lot has shrunk, it would bring returned machines back. */
-  ws_txn_if(txn, core->book, key);
+  ws_txn_if(txn, core->replica, key);
   ws_txn_remove(txn, key);
   if (machines->len > 0)
-    ws_txn_set(txn, lot_key, ws_lot_encode(&lot, core->book));
+    ws_txn_set(txn, lot_key, ws_lot_encode(&lot, core->replica));
   ws_txn_commit(core, txn, WS_FIRST_TASK, on_rent_closed, g_strdup(rent->request));
 }
 
@@ -392,9 +392,9 @@
     g_hash_table_remove(core->fleet->renting, request);
     return;
   }
-  guint zone = ws_book_find_zone(core->book, rent->zone);
+  guint zone = ws_replica_find_zone(core->replica, rent->zone);
   guint count = names != NULL ? names->len : 0;
-  note_capacity(core, ws_book_find_type(core->book, rent->type), zone, rent->spot,
+  note_capacity(core, ws_replica_find_type(core->replica, rent->type), zone, rent->spot,
                 count >= rent->count);
   g_info("the cloud rented %u of %u %s machines in %s", count, rent->count,
          rent->spot ? "spot" : "ordinary", rent->zone);
@@ -422,7 +422,7 @@
 {
   if (ws_fleet_gone(core, listed->id))
     return;
-  WsMachine *machine = ws_book_get_machine(core->book, listed->id);
+  WsMachine *machine = ws_replica_get_machine(core->replica, listed->id);
   if (!machine->stored) {
     /* A list may be old, also older than the one before: a machine that was returned by an earlier
        leader would be taken for a new one. */
@@ -430,7 +430,7 @@
       machine->listed_ms = core->now;
     if (core->now - machine->listed_ms < (gint64)(core->settings->list_lag_s * 3000.0))
       return;
-    ws_book_describe_machine(core->book, machine, listed->type, listed->zone, listed->spot);
+    ws_replica_describe_machine(core->replica, machine, listed->type, listed->zone, listed->spot);
     ws_fleet_adopt(core, machine, core->wall - (gint64)(listed->age_s * 1000.0));
     return;
   }
@@ -481,7 +481,7 @@
   g_autoptr(GArray) machines = data;
   core->fleet->clearing = FALSE;
   for (guint i = 0; i < machines->len; i++) {
-    WsMachine *machine = ws_book_machine(core->book, g_array_index(machines, guint, i));
+    WsMachine *machine = ws_replica_machine(core->replica, g_array_index(machines, guint, i));
     machine->marking = FALSE;
     if (result == WS_TXN_OK)
       g_info("machine %s is returned and its mark cleared", machine->name);
@@ -512,9 +512,9 @@
     return;
   WsLot smaller = *lot;
   smaller.machines = left;
-  ws_txn_if(txn, core->book, key);
+  ws_txn_if(txn, core->replica, key);
   if (left->len > 0)
-    ws_txn_set(txn, key, ws_lot_encode(&smaller, core->book));
+    ws_txn_set(txn, key, ws_lot_encode(&smaller, core->replica));
   else
     ws_txn_remove(txn, key);
 }
@@ -524,8 +524,8 @@
 lots_of(const WsCore *core, const GArray *machines)
 {
   guint count = 0;
-  for (guint i = 0; i < core->book->lots->len; i++) {
-    const WsLot *lot = g_ptr_array_index(core->book->lots, i);
+  for (guint i = 0; i < core->replica->lots->len; i++) {
+    const WsLot *lot = g_ptr_array_index(core->replica->lots, i);
     gboolean any = FALSE;
     for (guint k = 0; k < lot->machines->len && !any; k++)
       any = is_in(machines, g_array_index(lot->machines, guint, k));
@@ -542,16 +542,16 @@
          && machines->len + lots_of(core, machines) > core->settings->state_txn_ops)
     g_array_set_size(machines, machines->len - 1);
   WsTxn *txn = ws_txn_new();
-  ws_txn_if(txn, core->book, WS_KEY_EPOCH);
+  ws_txn_if(txn, core->replica, WS_KEY_EPOCH);
   for (guint i = 0; i < machines->len; i++) {
-    WsMachine *machine = ws_book_machine(core->book, g_array_index(machines, guint, i));
+    WsMachine *machine = ws_replica_machine(core->replica, g_array_index(machines, guint, i));
     g_autofree char *mark = ws_key(WS_KEYS_MARK, machine->name);
     machine->marking = TRUE;
     machine->marking_ms = core->now;
     ws_txn_remove(txn, mark);
   }
-  for (guint i = 0; i < core->book->lots->len; i++)
-    shrink_lot(core, txn, g_ptr_array_index(core->book->lots, i), machines);
+  for (guint i = 0; i < core->replica->lots->len; i++)
+    shrink_lot(core, txn, g_ptr_array_index(core->replica->lots, i), machines);
   core->fleet->clearing = TRUE;
   ws_txn_commit(core, txn, WS_FIRST_REST, on_cleared, machines);
 }
@@ -562,7 +562,7 @@
 {
   for (guint i = 0; i < machine->tasks->len; i++) {
     const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, i);
-    WsJob *job = ws_book_job(core->book, ref->job);
+    WsJob *job = ws_replica_job(core->replica, ref->job);
     const WsAssignment *a = ws_job_assignment(job, ref->task);
     if (a != NULL)
       ws_assign_release(core, job, a, FALSE);
@@ -576,7 +576,7 @@
 knows_what_is_on(const WsCore *core, const WsMachine *machine)
 {
   g_autofree char *key = ws_key(WS_KEYS_MARK, machine->name);
-  return core->book->revision >= ws_book_version(core->book, key);
+  return core->replica->revision >= ws_replica_version(core->replica, key);
 }
 
 /* Whatever is on record for a machine that no lot names any more, and that hasn't been heard for as
@@ -593,8 +593,8 @@
 keep_marks(WsCore *core)
 {
   GArray *over = g_array_new(FALSE, FALSE, sizeof(guint));
-  for (guint i = 0; i < core->book->machines->len; i++) {
-    WsMachine *machine = ws_book_machine(core->book, i);
+  for (guint i = 0; i < core->replica->machines->len; i++) {
+    WsMachine *machine = ws_replica_machine(core->replica, i);
     if (is_lost(core, machine))
       release_all(core, machine);
     if (!machine->marked || machine->marking || !ws_fleet_gone(core, machine->name)
@@ -614,7 +614,7 @@
 static void
 note_returned(WsCore *core, const char *name)
 {
-  const WsMachine *machine = ws_book_find_machine(core->book, name);
+  const WsMachine *machine = ws_replica_find_machine(core->replica, name);
   g_hash_table_add(core->fleet->gone, g_strdup(name));
   if (machine != NULL && machine->type != WS_NONE && machine->zone != WS_NONE)
     note_capacity(core, machine->type, machine->zone, machine->spot, TRUE);
@@ -676,7 +676,7 @@
   gpointer name;
   g_hash_table_iter_init(&iter, core->fleet->unmarked);
   while (g_hash_table_iter_next(&iter, &name, NULL)) {
-    WsMachine *machine = ws_book_find_machine(core->book, name);
+    WsMachine *machine = ws_replica_find_machine(core->replica, name);
     if (machine == NULL || machine->gone)
       g_hash_table_iter_remove(&iter);
     else if (!ws_fleet_gone(core, name) && names->len < MOST_A_RETURN)
@@ -692,8 +692,8 @@
 keep_returns(WsCore *core)
 {
   GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
-  for (guint i = 0; i < core->book->machines->len; i++) {
-    const WsMachine *machine = ws_book_machine(core->book, i);
+  for (guint i = 0; i < core->replica->machines->len; i++) {
+    const WsMachine *machine = ws_replica_machine(core->replica, i);
     if (machine->marked && !ws_fleet_gone(core, machine->name)
         && (machine->mark_now || (machine->tasks->len == 0 && knows_what_is_on(core, machine)))
         && names->len < MOST_A_RETURN)
@@ -708,13 +708,13 @@
 keep_boots(WsCore *core)
 {
   gint64 patience_ms = (gint64)(core->settings->lease_s * 1000.0);
-  for (guint i = 0; i < core->book->machines->len; i++) {
-    WsMachine *machine = ws_book_machine(core->book, i);
+  for (guint i = 0; i < core->replica->machines->len; i++) {
+    WsMachine *machine = ws_replica_machine(core->replica, i);
     if (!machine->stored || machine->marked || machine->heard_ms > 0 || machine->type == WS_NONE
         || machine->tasks->len > 0 || core->now - core->epoch_ms < patience_ms
         || ws_zone_cut(core, machine->zone))
       continue;
-    double boot_s = ws_book_type(core->book, machine->type)->boot_s;
+    double boot_s = ws_replica_type(core->replica, machine->type)->boot_s;
     if ((double)(core->wall - machine->at_ms) / 1000.0 > BOOT_PATIENCE * boot_s + 5.0)
       ws_giveback_mark(core, machine, "never up", TRUE);
   }
@@ -729,9 +729,9 @@
   keep_marks(core);
   keep_returns(core);
   keep_catalog(core);
-  for (guint i = 0; i < core->book->rents->len; i++)
-    send_rent(core, g_ptr_array_index(core->book->rents, i));
+  for (guint i = 0; i < core->replica->rents->len; i++)
+    send_rent(core, g_ptr_array_index(core->replica->rents, i));
   keep_list(core);
-  if (core->book->catalog != NULL)
+  if (core->replica->catalog != NULL)
     keep_boots(core);
 }
--- a/src/core/ws-giveback.c
+++ b/src/core/ws-giveback.c
@@ -16,7 +16,7 @@
   for (guint i = 0; i < core->properties->budgets->len; i++) {
     const WsBudget *budget = g_ptr_array_index(core->properties->budgets, i);
     if (g_strcmp0(budget->type, machine->type_name) == 0
-        && ws_book_find_zone(core->book, budget->zone) == machine->zone)
+        && ws_replica_find_zone(core->replica, budget->zone) == machine->zone)
       return budget;
   }
   return NULL;
@@ -30,8 +30,8 @@
   guint total = 0, unavailable = 0;
   if (budget == NULL)
     return TRUE;
-  for (guint i = 0; i < core->book->machines->len; i++) {
-    const WsMachine *other = ws_book_machine(core->book, i);
+  for (guint i = 0; i < core->replica->machines->len; i++) {
+    const WsMachine *other = ws_replica_machine(core->replica, i);
     if (!other->stored || other == machine || other->zone != machine->zone
         || g_strcmp0(other->type_name, machine->type_name) != 0)
       continue;
@@ -46,12 +46,12 @@
 static gboolean
 zone_is_whole(const WsCore *core, guint zone)
 {
-  const GArray *members = core->book->epoch.members;
+  const GArray *members = core->replica->epoch.members;
   if (ws_zone_cut(core, zone))
     return FALSE;
   for (guint i = 0; i < members->len; i++) {
     guint node = g_array_index(members, WsMember, i).node;
-    if (ws_book_find_zone(core->book, ws_settings_node(core->settings, node)->zone) != zone)
+    if (ws_replica_find_zone(core->replica, ws_settings_node(core->settings, node)->zone) != zone)
       continue;
     for (guint k = 0; k < members->len; k++) {
       guint other = g_array_index(members, WsMember, k).node;
@@ -111,7 +111,7 @@
   GArray *writing = core->giveback->writing;
   for (guint i = 0; i < writing->len; i++) {
     const Marking *marking = &g_array_index(writing, Marking, i);
-    WsMachine *machine = ws_book_machine(core->book, marking->machine);
+    WsMachine *machine = ws_replica_machine(core->replica, marking->machine);
     machine->marking = FALSE;
     if (result == WS_TXN_OK)
       g_info("machine %s (%s, %s, %u tasks) is marked: %s", machine->name,
@@ -151,10 +151,10 @@
   if (giveback->wanted->len == 0 || giveback->writing->len > 0)
     return;
   WsTxn *txn = ws_txn_new();
-  ws_txn_if(txn, core->book, WS_KEY_EPOCH);
+  ws_txn_if(txn, core->replica, WS_KEY_EPOCH);
   while (giveback->wanted->len > 0 && ws_txn_ops(txn) < core->settings->state_txn_ops) {
     Marking marking = g_array_index(giveback->wanted, Marking, 0);
-    WsMachine *machine = ws_book_machine(core->book, marking.machine);
+    WsMachine *machine = ws_replica_machine(core->replica, marking.machine);
     /* Two owners may have elected at once what the budget allows only one of. */
     if (!machine->stored || !ws_is_leader(core)
         || (!marking.now && strcmp(marking.why, "notice") != 0 && !budget_allows(core, machine))) {
@@ -163,7 +163,7 @@
       continue;
     }
     g_autofree char *key = ws_key(WS_KEYS_MARK, machine->name);
-    ws_txn_if(txn, core->book, key);
+    ws_txn_if(txn, core->replica, key);
     ws_txn_set(txn, key, ws_mark_encode(marking.why, marking.now));
     marking.why = g_strdup(marking.why);
     g_array_append_val(giveback->writing, marking);
@@ -236,8 +236,8 @@
 void
 ws_giveback_tick(WsCore *core)
 {
-  for (guint i = 0; i < core->book->machines->len; i++) {
-    WsMachine *machine = ws_book_machine(core->book, i);
+  for (guint i = 0; i < core->replica->machines->len; i++) {
+    WsMachine *machine = ws_replica_machine(core->replica, i);
     /* Nothing came of it. Also on machines that this node no longer owns: one that had asked for a
        mark and then led refused everybody else's marks of that machine, and it was never returned.
      */
--- a/src/core/ws-learn.c
+++ b/src/core/ws-learn.c
@@ -24,7 +24,7 @@
 void
 ws_learn_done(WsCore *core, const WsJob *job, const WsAssignment *a)
 {
-  if (job->spec->estimate_s <= 0.0 || core->book->catalog == NULL)
+  if (job->spec->estimate_s <= 0.0 || core->replica->catalog == NULL)
     return;
   Learned *learned = g_hash_table_lookup(core->learned, job->spec->class_name);
   if (learned == NULL) {
@@ -33,7 +33,7 @@
   }
   double passed_s = (double)(core->wall - a->at_ms) / 1000.0;
   learned->tasks++;
-  learned->ran_s += MAX(passed_s - ON_THE_WAY_S - 0.5 * ws_job_fetch_s(core->book, job), 0.0);
+  learned->ran_s += MAX(passed_s - ON_THE_WAY_S - 0.5 * ws_job_fetch_s(core->replica, job), 0.0);
   learned->estimated_s += job->spec->estimate_s;
 }
 
--- a/src/core/ws-members.c
+++ b/src/core/ws-members.c
@@ -131,8 +131,8 @@
 {
   if (!ws_store_loaded(core))
     return;
-  for (guint i = 0; i < core->book->members->len; i++) {
-    const WsMember *member = &g_array_index(core->book->members, WsMember, i);
+  for (guint i = 0; i < core->replica->members->len; i++) {
+    const WsMember *member = &g_array_index(core->replica->members, WsMember, i);
     if (member->node == core->settings->self && member->incarnation == core->incarnation)
       return;
   }
@@ -156,7 +156,7 @@
     WsTxn *txn = ws_txn_new();
     g_autofree char *key
         = ws_key(WS_KEYS_MEMBER, ws_settings_node(core->settings, core->settings->self)->name);
-    ws_txn_if(txn, core->book, key);
+    ws_txn_if(txn, core->replica, key);
     ws_txn_set_leased(txn, key, identity(core, FALSE), members->lease);
     ws_txn_commit(core, txn, WS_FIRST_LEASE, on_listed, NULL);
   } else {
@@ -168,8 +168,8 @@
 static gboolean
 holds_leader_key(const WsCore *core)
 {
-  return core->book->leader_node == core->settings->self
-         && core->book->leader_incarnation == core->incarnation;
+  return core->replica->leader_node == core->settings->self
+         && core->replica->leader_incarnation == core->incarnation;
 }
 
 static void
@@ -191,11 +191,11 @@
   WsMembers *members = core->members;
   if (!members->is_listed || members->electing || holds_leader_key(core))
     return;
-  if (core->book->leader_node != WS_NONE && core->book->leader_node != core->settings->self)
+  if (core->replica->leader_node != WS_NONE && core->replica->leader_node != core->settings->self)
     return;
   members->electing = TRUE;
   WsTxn *txn = ws_txn_new();
-  ws_txn_if(txn, core->book, WS_KEY_LEADER);
+  ws_txn_if(txn, core->replica, WS_KEY_LEADER);
   ws_txn_set_leased(txn, WS_KEY_LEADER, identity(core, TRUE), members->lease);
   ws_txn_commit(core, txn, WS_FIRST_LEASE, on_elected, NULL);
 }
@@ -222,18 +222,18 @@
 keep_epoch(WsCore *core)
 {
   WsMembers *members = core->members;
-  const WsEpoch *epoch = &core->book->epoch;
+  const WsEpoch *epoch = &core->replica->epoch;
   if (!holds_leader_key(core) || members->writing_epoch || core->now < members->epoch_next_ms
-      || core->book->members->len == 0)
+      || core->replica->members->len == 0)
     return;
   if (epoch->number > 0 && epoch->leader == core->settings->self
-      && ws_epoch_same_members(epoch, core->book->members) && !forced(core))
+      && ws_epoch_same_members(epoch, core->replica->members) && !forced(core))
     return;
   members->writing_epoch = TRUE;
-  WsEpoch next = { epoch->number + 1, core->settings->self, core->book->members };
+  WsEpoch next = { epoch->number + 1, core->settings->self, core->replica->members };
   WsTxn *txn = ws_txn_new();
-  ws_txn_if(txn, core->book, WS_KEY_EPOCH);
-  ws_txn_if(txn, core->book, WS_KEY_LEADER);
+  ws_txn_if(txn, core->replica, WS_KEY_EPOCH);
+  ws_txn_if(txn, core->replica, WS_KEY_LEADER);
   ws_txn_set(txn, WS_KEY_EPOCH, ws_epoch_encode(&next, core->settings));
   ws_txn_commit(core, txn, WS_FIRST_LEASE, on_epoch, NULL);
 }
--- a/src/core/ws-merge.c
+++ b/src/core/ws-merge.c
@@ -22,13 +22,13 @@
 static gboolean
 is_quiet(const WsCore *core)
 {
-  for (guint i = 0; i < core->book->active->len; i++) {
-    const WsJob *job = g_ptr_array_index(core->book->active, i);
+  for (guint i = 0; i < core->replica->active->len; i++) {
+    const WsJob *job = g_ptr_array_index(core->replica->active, i);
     if (job->state == WS_JOB_ACTIVE && job->on_count + job->done_count < job->tasks)
       return FALSE;
   }
-  for (guint i = 0; i < core->book->machines->len; i++) {
-    const WsMachine *machine = ws_book_machine(core->book, i);
+  for (guint i = 0; i < core->replica->machines->len; i++) {
+    const WsMachine *machine = ws_replica_machine(core->replica, i);
     if (machine->stored && (machine->marked || machine->marking))
       return FALSE;
   }
@@ -41,7 +41,7 @@
 {
   guint zones = core->settings->zones->len;
   g_autofree guint *counts = g_new0(guint, zones);
-  ws_job_count_zones(core->book, job, counts);
+  ws_job_count_zones(core->replica, job, counts);
   if (counts[from] > 0)
     counts[from]--;
   return ws_zone_allowed(job, counts, zones, to);
@@ -54,9 +54,9 @@
   if (target == machine || !target->stored || target->marked || batch->closing[target->index]
       || target->notice_ms != 0 || target->tasks->len == 0
       || !ws_machine_has_image(target, job->image) || !ws_machine_up(core, target)
-      || !ws_plan_allowed(core->book, job->spec, job->zone, target))
+      || !ws_plan_allowed(core->replica, job->spec, job->zone, target))
     return FALSE;
-  WsAmount room = ws_book_type(core->book, target->type)->room;
+  WsAmount room = ws_replica_type(core->replica, target->type)->room;
   ws_amount_add(&room, &target->used, -1);
   ws_amount_add(&room, &batch->taken[target->index], -1);
   return ws_amount_fits(&job->spec->need, &room)
@@ -71,7 +71,7 @@
   const WsAmount *moved = &batch->taken[machine->index];
   for (guint i = 0; i < machine->tasks->len; i++) {
     const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, i);
-    const WsJob *job = ws_book_job(core->book, ref->job);
+    const WsJob *job = ws_replica_job(core->replica, ref->job);
     const WsAssignment *a = ws_job_assignment(job, ref->task);
     if (job->spec->kind != WS_KIND_SERVICE || a == NULL || a->state != WS_TASK_RUNNING
         || g_hash_table_contains(batch->jobs, GUINT_TO_POINTER(job->index)))
@@ -83,8 +83,8 @@
 static const WsMachine *
 find_target(const WsCore *core, const Batch *batch, const WsMachine *machine, const WsJob *job)
 {
-  for (guint m = 0; m < core->book->machines->len; m++) {
-    const WsMachine *target = ws_book_machine(core->book, m);
+  for (guint m = 0; m < core->replica->machines->len; m++) {
+    const WsMachine *target = ws_replica_machine(core->replica, m);
     if (is_target(core, batch, machine, target, job))
       return target;
   }
@@ -97,7 +97,7 @@
 {
   for (guint i = 0; i < machine->tasks->len; i++) {
     const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, i);
-    const WsJob *job = ws_book_job(core->book, ref->job);
+    const WsJob *job = ws_replica_job(core->replica, ref->job);
     const WsMachine *target = find_target(core, batch, machine, job);
     if (target == NULL)
       return FALSE;
@@ -120,7 +120,7 @@
 static gboolean
 is_sparse(const WsCore *core, const WsMachine *machine)
 {
-  const WsAmount *room = &ws_book_type(core->book, machine->type)->room;
+  const WsAmount *room = &ws_replica_type(core->replica, machine->type)->room;
   return machine->stored && machine->type != WS_NONE && !machine->marked && !machine->spot
          && ws_machine_up(core, machine) && 2 * machine->used.cpus <= room->cpus
          && 2 * machine->used.gpus <= room->gpus;
@@ -142,11 +142,11 @@
 static void
 merge_some(WsCore *core, Batch *batch)
 {
-  guint count = core->book->machines->len, stored = 0, looked = 0;
+  guint count = core->replica->machines->len, stored = 0, looked = 0;
   for (guint i = 0; i < count; i++)
-    stored += ws_book_machine(core->book, i)->stored ? 1 : 0;
+    stored += ws_replica_machine(core->replica, i)->stored ? 1 : 0;
   for (guint i = 0; i < count; i++) {
-    WsMachine *machine = ws_book_machine(core->book, i);
+    WsMachine *machine = ws_replica_machine(core->replica, i);
     if (!machine->stored || machine->type == WS_NONE || !ws_owns(core, machine)
         || !is_due(core, machine) || looked >= MOST_LOOKS || !may_close(core, batch, machine)
         || batch->machines > stored / MACHINES_A_MERGE)
@@ -165,7 +165,7 @@
 static gboolean
 is_our_turn(const WsCore *core)
 {
-  const GArray *members = core->book->epoch.members;
+  const GArray *members = core->replica->epoch.members;
   if (members->len == 0 || core->wall % TURN_MS >= TURN_MS / 2)
     return FALSE;
   guint turn = (guint)(core->wall / TURN_MS % members->len);
@@ -175,9 +175,9 @@
 void
 ws_merge_tick(WsCore *core)
 {
-  if (core->book->catalog == NULL || !is_our_turn(core) || !is_quiet(core))
+  if (core->replica->catalog == NULL || !is_our_turn(core) || !is_quiet(core))
     return;
-  guint count = MAX(core->book->machines->len, 1u);
+  guint count = MAX(core->replica->machines->len, 1u);
   Batch batch
       = { g_new0(WsAmount, count), g_new0(gboolean, count), g_hash_table_new(NULL, NULL), 0 };
   merge_some(core, &batch);
--- a/src/core/ws-mesh.c
+++ b/src/core/ws-mesh.c
@@ -110,9 +110,9 @@
 {
   json_t *images = json_array();
   for (guint i = 0; i < machine->images->len; i++)
-    json_array_append_new(
-        images,
-        json_string(ws_names_get(&core->book->images, g_array_index(machine->images, guint, i))));
+    json_array_append_new(images,
+                          json_string(ws_names_get(&core->replica->images,
+                                                   g_array_index(machine->images, guint, i))));
   return json_pack("{s:s, s:b, s:s, s:b, s:o}", "name", machine->name, "up",
                    machine->said & SAID_UP, "endpoint",
                    machine->endpoint != NULL ? machine->endpoint : "", "notice",
@@ -142,8 +142,8 @@
   for (guint n = 0; n < core->settings->nodes->len; n++)
     if (ws_mesh_reaches(core, n))
       reaches |= 1u << n;
-  for (guint i = 0; i < core->book->machines->len; i++) {
-    WsMachine *machine = ws_book_machine(core->book, i);
+  for (guint i = 0; i < core->replica->machines->len; i++) {
+    WsMachine *machine = ws_replica_machine(core->replica, i);
     if (!machine->stored || !ws_owns(core, machine))
       continue;
     note_news(core, machine);
@@ -153,7 +153,7 @@
   return json_pack(
       "{s:s, s:I, s:b, s:i, s:b, s:b, s:I, s:I, s:I, s:I, s:b, s:i, s:o}", "node",
       ws_settings_node(core->settings, core->settings->self)->name, "epoch",
-      (json_int_t)core->book->epoch.number, "store", ws_store_loaded(core) && ws_store_ok(core),
+      (json_int_t)core->replica->epoch.number, "store", ws_store_loaded(core) && ws_store_ok(core),
       "reaches", (int)reaches, "wants_epoch", core->wants_epoch, "unheard", core->unheard, "base",
       (json_int_t)peer->acked, "rev", (json_int_t)core->gossip_rev, "ack", (json_int_t)peer->has,
       "incarnation", (json_int_t)core->incarnation, "loaded", ws_store_loaded(core), "untold",
@@ -170,7 +170,7 @@
   {
     if (!json_is_string(item))
       continue;
-    guint image = ws_names_intern(&core->book->images, json_string_value(item));
+    guint image = ws_names_intern(&core->replica->images, json_string_value(item));
     g_array_append_val(machine->images, image);
   }
 }
@@ -184,7 +184,7 @@
   if (!ws_json_string(item, "name", &name) || !ws_json_bool(item, "up", &up)
       || !ws_json_string(item, "endpoint", &endpoint) || !ws_json_bool(item, "notice", &notice))
     return;
-  WsMachine *machine = ws_book_find_machine(core->book, name);
+  WsMachine *machine = ws_replica_find_machine(core->replica, name);
   if (machine == NULL || ws_owns(core, machine))
     return;
   machine->peer_up = up;
@@ -208,15 +208,15 @@
   if (!ws_json_count(message, "base", &base) || !ws_json_count(message, "rev", &rev)
       || !ws_json_count(message, "ack", &peer->acked))
     return;
-  for (guint m = 0; base == 0 && m < core->book->machines->len; m++)
-    if (ws_book_machine(core->book, m)->owner == node)
-      ws_book_machine(core->book, m)->peer_up = FALSE;
+  for (guint m = 0; base == 0 && m < core->replica->machines->len; m++)
+    if (ws_replica_machine(core->replica, m)->owner == node)
+      ws_replica_machine(core->replica, m)->peer_up = FALSE;
   if (base == 0 || base == peer->has) {
     json_array_foreach(json_object_get(message, "machines"), i, item) take_machine(core, item);
     peer->has = rev;
   }
-  for (guint m = 0; m < core->book->machines->len; m++) {
-    WsMachine *machine = ws_book_machine(core->book, m);
+  for (guint m = 0; m < core->replica->machines->len; m++) {
+    WsMachine *machine = ws_replica_machine(core->replica, m);
     if (machine->owner == node && machine->peer_up)
       machine->heard_ms = core->now;
   }
@@ -251,7 +251,7 @@
   peer->store_ok = store;
   peer->unheard = unheard;
   peer->reaches = (guint)reaches;
-  if (epoch != core->book->epoch.number || epoch != core->epoch_seen)
+  if (epoch != core->replica->epoch.number || epoch != core->epoch_seen)
     return;
   if (wants_epoch && ws_is_leader(core))
     core->wants_epoch = TRUE;
@@ -332,7 +332,7 @@
   add_halts(core, report, commands);
   if (ws_entitled(core) && ws_may_renew(core))
     ws_answer(core, request, 200,
-              ws_commands_answer(core->book->epoch.number, g_steal_pointer(&commands)), 0);
+              ws_commands_answer(core->replica->epoch.number, g_steal_pointer(&commands)), 0);
   else
     ws_answer_later(core, request, 1);
   json_decref(commands);
@@ -362,7 +362,7 @@
 send_relay(WsCore *core, Relay *relay)
 {
   json_t *message
-      = json_pack("{s:I, s:s, s:s}", "epoch", (json_int_t)core->book->epoch.number, "owner",
+      = json_pack("{s:I, s:s, s:s}", "epoch", (json_int_t)core->replica->epoch.number, "owner",
                   ws_settings_node(core->settings, relay->owner)->name, "report", relay->report);
   core->peers[relay->owner].relays++;
   ws_call(core, "POST", ws_settings_node(core->settings, relay->via)->endpoint, "/relay", message,
@@ -401,7 +401,7 @@
   g_autoptr(WsReport) report = ws_report_parse(message, &reason);
   if (report == NULL)
     ws_answer_reason(core, request, 400, reason);
-  else if (report->token > core->book->epoch.number || !ws_may_renew(core))
+  else if (report->token > core->replica->epoch.number || !ws_may_renew(core))
     ws_answer_later(core, request, 1);
   else
     ws_answer(core, request, 200, ws_workers_process(core, report), 0);
@@ -418,7 +418,7 @@
     return;
   }
   guint node = ws_settings_find_node(core->settings, owner);
-  if (!ws_entitled(core) || epoch != core->book->epoch.number || node == WS_NONE) {
+  if (!ws_entitled(core) || epoch != core->replica->epoch.number || node == WS_NONE) {
     ws_answer_later(core, request, 1);
   } else if (node == core->settings->self) {
     take_relayed_report(core, text, request);
--- a/src/core/ws-order.c
+++ b/src/core/ws-order.c
@@ -49,7 +49,7 @@
 foresee(const WsCore *core, WsWaiting *waiting)
 {
   const WsJob *job = waiting->job;
-  double within_s = ws_job_allowed_s(core->book, job);
+  double within_s = ws_job_allowed_s(core->replica, job);
   guint left = job->tasks - job->done_count;
   double waited_s = (double)(core->wall - job->at_ms) / 1000.0;
   double end_s = waited_s + HOPE * shortest_s(core, job, left);
@@ -62,10 +62,10 @@
 static GArray *
 open_jobs(const WsCore *core)
 {
-  const WsBook *book = core->book;
+  const WsReplica *replica = core->replica;
   GArray *jobs = g_array_new(FALSE, FALSE, sizeof(WsWaiting));
-  for (guint i = 0; i < book->active->len; i++) {
-    WsJob *job = g_ptr_array_index(book->active, i);
+  for (guint i = 0; i < replica->active->len; i++) {
+    WsJob *job = g_ptr_array_index(replica->active, i);
     if (job->state != WS_JOB_ACTIVE || ws_cancel_is_known(core, job) || job->team == WS_NONE)
       continue;
     WsWaiting waiting = { .job = job };
--- a/src/core/ws-place.c
+++ b/src/core/ws-place.c
@@ -57,15 +57,15 @@
 static void
 look_at(WsRoomMap *map, const WsMachine *machine)
 {
-  const WsBook *book = map->core->book;
+  const WsReplica *replica = map->core->replica;
   WsSlot *slot = &map->slots[machine->index];
   gboolean has_array = FALSE, is_freed = FALSE;
   slot->usable = TRUE;
-  slot->free = ws_book_type(book, machine->type)->room;
+  slot->free = ws_replica_type(replica, machine->type)->room;
   ws_amount_add(&slot->free, &machine->used, -1);
   for (guint k = 0; k < machine->tasks->len; k++) {
     const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, k);
-    const WsJob *job = ws_book_job(book, ref->job);
+    const WsJob *job = ws_replica_job(replica, ref->job);
     const WsAssignment *a = ws_job_assignment(job, ref->task);
     has_array = has_array || job->spec->kind == WS_KIND_ARRAY;
     slot->has_service = slot->has_service || job->spec->kind == WS_KIND_SERVICE;
@@ -83,9 +83,9 @@
 static void
 look_at_victims(WsRoomMap *map)
 {
-  const WsBook *book = map->core->book;
-  for (guint i = 0; i < book->active->len; i++) {
-    const WsJob *job = g_ptr_array_index(book->active, i);
+  const WsReplica *replica = map->core->replica;
+  for (guint i = 0; i < replica->active->len; i++) {
+    const WsJob *job = g_ptr_array_index(replica->active, i);
     if (job->on_count == 0 || job->spec->kind != WS_KIND_ARRAY)
       continue;
     map->lowest = MAX(map->lowest, (guint)job->spec->priority);
@@ -98,23 +98,23 @@
 void
 ws_room_map_init(WsRoomMap *map, WsCore *core, const WsAmount *least)
 {
-  const WsBook *book = core->book;
+  const WsReplica *replica = core->replica;
   *map = (WsRoomMap){ .core = core, .least = *least, .looks = MOST_LOOKS };
-  map->slots = g_new0(WsSlot, MAX(book->machines->len, 1u));
+  map->slots = g_new0(WsSlot, MAX(replica->machines->len, 1u));
   map->open = g_array_new(FALSE, FALSE, sizeof(guint));
   map->coming = g_array_new(FALSE, FALSE, sizeof(guint));
   map->busy = g_array_new(FALSE, FALSE, sizeof(guint));
-  for (guint i = 0; i < book->machines->len; i++) {
-    const WsMachine *machine = ws_book_machine(book, i);
+  for (guint i = 0; i < replica->machines->len; i++) {
+    const WsMachine *machine = ws_replica_machine(replica, i);
     if (is_usable(core, machine))
       look_at(map, machine);
   }
   ws_assign_each_handed_in(core, take_handed_in, map);
-  for (guint i = 0; i < book->machines->len; i++) {
+  for (guint i = 0; i < replica->machines->len; i++) {
     if (map->slots[i].usable && ws_amount_fits(least, &map->slots[i].free))
       g_array_append_val(map->open, i);
   }
-  map->steps = book->machines->len;
+  map->steps = replica->machines->len;
   look_at_victims(map);
 }
 
@@ -132,9 +132,9 @@
 static double
 worth(const WsPlaces *places, const WsMachine *machine)
 {
-  const WsBook *book = places->map->core->book;
+  const WsReplica *replica = places->map->core->replica;
   const WsJob *job = places->job;
-  const WsAmount *room = &ws_book_type(book, machine->type)->room;
+  const WsAmount *room = &ws_replica_type(replica, machine->type)->room;
   const WsSlot *slot = &places->map->slots[machine->index];
   gboolean is_service = job->spec->kind == WS_KIND_SERVICE;
   double value = ws_machine_has_image(machine, job->image) ? IMAGE_THERE : 0.0;
@@ -150,7 +150,7 @@
     value += PACKED_CPUS * (1.0 - (double)slot->free.cpus / (double)room->cpus);
   for (guint i = 0; i < machine->tasks->len; i++) {
     const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, i);
-    const WsJob *other = ws_book_job(book, ref->job);
+    const WsJob *other = ws_replica_job(replica, ref->job);
     const WsAssignment *a = ws_job_assignment(other, ref->task);
     if (is_service && other == job)
       value -= SAME_MACHINE;
@@ -162,20 +162,20 @@
 
 /* The machine may be used by the home of the job. */
 static gboolean
-in_part(const WsBook *book, const WsJob *job, const WsMachine *machine)
+in_part(const WsReplica *replica, const WsJob *job, const WsMachine *machine)
 {
-  return job->home == WS_NONE || !ws_epoch_has_node(&book->epoch, job->home)
+  return job->home == WS_NONE || !ws_epoch_has_node(&replica->epoch, job->home)
          || machine->owner == job->home;
 }
 
 static gboolean
 is_eligible(const WsPlaces *places, const WsMachine *machine)
 {
-  const WsBook *book = places->map->core->book;
+  const WsReplica *replica = places->map->core->replica;
   const WsJob *job = places->job;
   return places->map->slots[machine->index].usable
-         && ws_plan_allowed(book, job->spec, job->zone, machine)
-         && machine->last_bad_job != job->index && in_part(book, job, machine);
+         && ws_plan_allowed(replica, job->spec, job->zone, machine)
+         && machine->last_bad_job != job->index && in_part(replica, job, machine);
 }
 
 static gboolean
@@ -195,19 +195,19 @@
 static gboolean
 can_wait_for_boot(const WsCore *core, const WsJob *job)
 {
-  const WsBook *book = core->book;
-  double allowed_s = ws_job_allowed_s(book, job);
+  const WsReplica *replica = core->replica;
+  double allowed_s = ws_job_allowed_s(replica, job);
   double left_s = allowed_s - (double)(core->wall - job->at_ms) / 1000.0
-                  - ws_learn_estimate_s(core, job) - ws_job_fetch_s(book, job);
+                  - ws_learn_estimate_s(core, job) - ws_job_fetch_s(replica, job);
   if (allowed_s < 0.0)
     return FALSE;
-  for (guint t = 0; t < book->catalog->len; t++) {
-    const WsType *type = ws_book_type(book, t);
+  for (guint t = 0; t < replica->catalog->len; t++) {
+    const WsType *type = ws_replica_type(replica, t);
     if (!ws_type_allowed(job->spec, type) || !ws_amount_fits(&job->spec->need, &type->room)
         || left_s < BOOT_PATIENCE * type->boot_s)
       continue;
     for (char **zone = type->zones; *zone != NULL; zone++) {
-      guint z = ws_book_find_zone(book, *zone);
+      guint z = ws_replica_find_zone(replica, *zone);
       if (z != WS_NONE && (job->spec->zone == NULL || job->zone == z)
           && (!ws_fleet_no_capacity(core, t, z, FALSE)
               || (job->spec->spot && !ws_fleet_no_capacity(core, t, z, TRUE))))
@@ -218,11 +218,11 @@
 }
 
 gint64
-ws_smallest_room(const WsBook *book, const WsSubmission *spec)
+ws_smallest_room(const WsReplica *replica, const WsSubmission *spec)
 {
   gint64 smallest = G_MAXINT64;
-  for (guint t = 0; t < book->catalog->len; t++) {
-    const WsType *type = ws_book_type(book, t);
+  for (guint t = 0; t < replica->catalog->len; t++) {
+    const WsType *type = ws_replica_type(replica, t);
     if (ws_type_allowed(spec, type) && ws_amount_fits(&spec->need, &type->room))
       smallest = MIN(smallest, type->room.cpus);
   }
@@ -306,7 +306,8 @@
     drop_full(map);
   const GArray *machines = machines_of(map, kind);
   for (guint i = 0; i < machines->len; i++)
-    consider(places, kind, ws_book_machine(map->core->book, g_array_index(machines, guint, i)));
+    consider(places, kind,
+             ws_replica_machine(map->core->replica, g_array_index(machines, guint, i)));
   map->steps += machines->len;
   g_array_sort(places->kinds[kind], by_value);
 }
@@ -318,7 +319,7 @@
   *places = (WsPlaces){ .map = map,
                         .job = job,
                         .counts = counts,
-                        .smallest = ws_smallest_room(map->core->book, job->spec) };
+                        .smallest = ws_smallest_room(map->core->replica, job->spec) };
   return places;
 }
 
@@ -344,7 +345,7 @@
   double most = 0.0;
   for (guint i = 0; i < places->kinds[kind]->len && seen < zones; i++) {
     Candidate *candidate = &g_array_index(places->kinds[kind], Candidate, i);
-    guint zone = ws_book_machine(core->book, candidate->machine)->zone;
+    guint zone = ws_replica_machine(core->replica, candidate->machine)->zone;
     if (candidate->spent || seen_zone[zone])
       continue;
     if (!fits(places, kind, candidate->machine)) {
@@ -392,7 +393,7 @@
 ws_places_peek(WsPlaces *places, WsRoom kind)
 {
   const Candidate *best = find_best(places, kind);
-  return best != NULL ? ws_book_machine(places->map->core->book, best->machine) : NULL;
+  return best != NULL ? ws_replica_machine(places->map->core->replica, best->machine) : NULL;
 }
 
 WsMachine *
@@ -401,7 +402,7 @@
   Candidate *best = find_best(places, kind);
   if (best == NULL)
     return NULL;
-  WsMachine *machine = ws_book_machine(places->map->core->book, best->machine);
+  WsMachine *machine = ws_replica_machine(places->map->core->replica, best->machine);
   best->spent = kind >= WS_ROOM_TAKEN || places->job->spec->kind == WS_KIND_SERVICE;
   ws_amount_add(&places->map->slots[best->machine].free, &places->job->spec->need, -1);
   places->counts[machine->zone]++;
--- a/src/core/ws-plan.c
+++ b/src/core/ws-plan.c
@@ -53,10 +53,11 @@
 }
 
 gboolean
-ws_plan_allowed(const WsBook *book, const WsSubmission *spec, guint zone, const WsMachine *machine)
+ws_plan_allowed(const WsReplica *replica, const WsSubmission *spec, guint zone,
+                const WsMachine *machine)
 {
   return machine->type != WS_NONE && machine->zone != WS_NONE
-         && ws_type_allowed(spec, ws_book_type(book, machine->type))
+         && ws_type_allowed(spec, ws_replica_type(replica, machine->type))
          && (spec->zone == NULL || zone == machine->zone) && (spec->spot || !machine->spot);
 }
 
@@ -72,10 +73,11 @@
 
 /* The node that carries out the placement of the job. */
 static guint
-acting_node(const WsBook *book, const WsJob *job)
+acting_node(const WsReplica *replica, const WsJob *job)
 {
-  return job->home != WS_NONE && ws_epoch_has_node(&book->epoch, job->home) ? job->home
-                                                                            : book->epoch.leader;
+  return job->home != WS_NONE && ws_epoch_has_node(&replica->epoch, job->home)
+             ? job->home
+             : replica->epoch.leader;
 }
 
 /* What stops on another node's machine is asked for again until it has stopped. */
@@ -86,7 +88,7 @@
     return;
   for (guint i = 0; i < machine->tasks->len; i++) {
     const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, i);
-    const WsJob *victim = ws_book_job(core->book, ref->job);
+    const WsJob *victim = ws_replica_job(core->replica, ref->job);
     WsAssignment *a = ws_job_assignment(victim, ref->task);
     if (a == NULL || !a->stopping
         || (a->stop_asked_ms > 0 && core->now - a->stop_asked_ms < STOP_AGAIN_MS))
@@ -153,7 +155,7 @@
   WsTeamRoom room = ws_preempt_in_team(core, job, &run->use[job->team], place != NULL, makes_place,
                                        places, machines);
   if (place == NULL && machines->len > 0) /* the first one that stops leaves the place */
-    place = ws_book_machine(core->book, g_array_index(machines, guint, 0));
+    place = ws_replica_machine(core->replica, g_array_index(machines, guint, 0));
   if (room == WS_TEAM_ROOM_COMES)
     ws_reservations_keep(core, job, WS_NONE, 1);
   if (room == WS_TEAM_ROOM_COMES && place != NULL)
@@ -161,7 +163,7 @@
   if (room == WS_TEAM_NO_PLACE && run->demand != NULL)
     ws_demand_add(run->demand, job, 1);
   for (guint i = 0; i < machines->len; i++) {
-    const WsMachine *machine = ws_book_machine(core->book, g_array_index(machines, guint, i));
+    const WsMachine *machine = ws_replica_machine(core->replica, g_array_index(machines, guint, i));
     g_info("job %s needs its team's limit: a less urgent task on %s stops", job->id, machine->name);
     ask_stops(core, machine);
   }
@@ -174,7 +176,8 @@
 static gboolean
 waits_for_image(const Run *run, const WsJob *job)
 {
-  return job->spec->priority == WS_CRITICAL && ws_job_fetch_s(run->core->book, job) >= LONG_FETCH_S;
+  return job->spec->priority == WS_CRITICAL
+         && ws_job_fetch_s(run->core->replica, job) >= LONG_FETCH_S;
 }
 
 static gboolean
@@ -257,7 +260,7 @@
 place_gang(Run *run, WsJob *job, const GArray *tasks, guint *counts)
 {
   WsCore *core = run->core;
-  guint slots = MAX(core->book->machines->len, 1u);
+  guint slots = MAX(core->replica->machines->len, 1u);
   g_autofree WsSlot *before = g_memdup2(run->map.slots, sizeof(WsSlot) * slots);
   g_autoptr(WsPlaces) places = ws_places_new(&run->map, job, counts);
   if (tasks->len == 0 || ws_job_is_broken_gang(job))
@@ -310,7 +313,7 @@
       = waiting_tasks(core, job, job->spec->kind == WS_KIND_GANG ? job->tasks : most);
   if (tasks->len == 0)
     return 0;
-  ws_job_count_zones(core->book, job, counts);
+  ws_job_count_zones(core->replica, job, counts);
   if (job->spec->kind == WS_KIND_GANG)
     place_gang(run, job, tasks, counts);
   else
@@ -334,14 +337,14 @@
   if (core->plan->spilling)
     return;
   WsTxn *txn = ws_txn_new();
-  ws_txn_if(txn, core->book, WS_KEY_EPOCH);
-  for (guint i = 0; i < core->book->active->len && ws_txn_ops(txn) < 4; i++) {
-    const WsJob *job = g_ptr_array_index(core->book->active, i);
+  ws_txn_if(txn, core->replica, WS_KEY_EPOCH);
+  for (guint i = 0; i < core->replica->active->len && ws_txn_ops(txn) < 4; i++) {
+    const WsJob *job = g_ptr_array_index(core->replica->active, i);
     if (job->state != WS_JOB_ACTIVE || job->home != core->settings->self || job->unplaced_ms == 0
         || core->now - job->unplaced_ms < SPILL_MS)
       continue;
     g_autofree char *key = ws_key_job(job->id);
-    ws_txn_if(txn, core->book, key);
+    ws_txn_if(txn, core->replica, key);
     ws_txn_set(txn, key, ws_job_encode(job, WS_JOB_ACTIVE, ""));
     g_info("job %s doesn't fit here: it goes to the leader", job->id);
   }
@@ -356,10 +359,10 @@
 static gboolean
 has_work(const WsCore *core)
 {
-  for (guint i = 0; i < core->book->active->len; i++) {
-    const WsJob *job = g_ptr_array_index(core->book->active, i);
+  for (guint i = 0; i < core->replica->active->len; i++) {
+    const WsJob *job = g_ptr_array_index(core->replica->active, i);
     if (job->state == WS_JOB_ACTIVE && job->done_count + job->on_count < job->tasks
-        && acting_node(core->book, job) == core->settings->self)
+        && acting_node(core->replica, job) == core->settings->self)
       return TRUE;
   }
   return FALSE;
@@ -371,14 +374,14 @@
 {
   for (guint i = 0; i < run->map.coming->len; i++)
     ask_stops(run->core,
-              ws_book_machine(run->core->book, g_array_index(run->map.coming, guint, i)));
+              ws_replica_machine(run->core->replica, g_array_index(run->map.coming, guint, i)));
 }
 
 static gboolean
 is_for_us(const WsCore *core, const WsJob *job)
 {
   return job->done_count + job->on_count < job->tasks && core->now >= job->retry_ms
-         && acting_node(core->book, job) == core->settings->self;
+         && acting_node(core->replica, job) == core->settings->self;
 }
 
 /* What every waiting task takes at least. */
@@ -404,7 +407,8 @@
   g_autoptr(GArray) jobs = ws_order_jobs(core);
   WsAmount least = least_needed(core, jobs);
   ws_room_map_init(&run.map, core, &least);
-  run.use = g_memdup2(core->book->team_use, sizeof(WsAmount) * MAX(core->settings->teams->len, 1u));
+  run.use
+      = g_memdup2(core->replica->team_use, sizeof(WsAmount) * MAX(core->settings->teams->len, 1u));
   run.reserved = g_hash_table_new(NULL, NULL);
   run.demand = ws_is_leader(core) ? ws_demand_new(core) : NULL;
   guint left = TASKS_A_PLAN;
@@ -432,7 +436,7 @@
 {
   if (core->now < core->plan->next_ms || !ws_entitled(core)
       || (!core->plan_due && core->now < core->plan->next_ms + UNASKED_MS)
-      || core->book->catalog == NULL || !ws_assign_idle(core) || !ws_store_ok(core))
+      || core->replica->catalog == NULL || !ws_assign_idle(core) || !ws_store_ok(core))
     return;
   core->plan_due = FALSE;
   core->plan->next_ms = core->now + PAUSE_MS;
@@ -445,15 +449,15 @@
 guint
 ws_plan_home(WsCore *core, const WsSubmission *spec)
 {
-  if (!ws_entitled(core) || core->book->catalog == NULL || spec->spread || spec->one_zone)
+  if (!ws_entitled(core) || core->replica->catalog == NULL || spec->spread || spec->one_zone)
     return WS_NONE;
   WsRoomMap map;
   ws_room_map_init(&map, core, &spec->need);
   g_autofree gint64 *places = g_new0(gint64, core->settings->nodes->len);
-  guint zone = ws_book_find_zone(core->book, spec->zone);
+  guint zone = ws_replica_find_zone(core->replica, spec->zone);
   for (guint i = 0; i < map.open->len; i++) {
-    const WsMachine *machine = ws_book_machine(core->book, g_array_index(map.open, guint, i));
-    if (!ws_plan_allowed(core->book, spec, zone, machine))
+    const WsMachine *machine = ws_replica_machine(core->replica, g_array_index(map.open, guint, i));
+    if (!ws_plan_allowed(core->replica, spec, zone, machine))
       continue;
     for (WsAmount room = map.slots[machine->index].free; ws_amount_fits(&spec->need, &room);
          ws_amount_add(&room, &spec->need, -1))
--- a/src/core/ws-preempt.c
+++ b/src/core/ws-preempt.c
@@ -8,7 +8,7 @@
 beyond_guarantee(const WsCore *core, const WsJob *victim)
 {
   const WsTeamSettings *team = g_ptr_array_index(core->settings->teams, victim->team);
-  WsAmount use = core->book->team_use[victim->team];
+  WsAmount use = core->replica->team_use[victim->team];
   ws_amount_add(&use, &victim->spec->need, -1);
   return (team->guarantee.gpus > 0 && use.gpus >= team->guarantee.gpus)
          || (team->guarantee.cpus > 0 && use.cpus >= team->guarantee.cpus)
@@ -80,7 +80,7 @@
   WsAssignment *best = NULL;
   for (guint i = 0; i < machine->tasks->len; i++) {
     const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, i);
-    WsJob *victim = ws_book_job(core->book, ref->job);
+    WsJob *victim = ws_replica_job(core->replica, ref->job);
     WsAssignment *a = ws_job_assignment(victim, ref->task);
     if (a == NULL || a->stopping || a->at_ms >= younger_than_ms
         || !ws_preempt_allowed(core, job, victim) || !is_worth(core, job, victim, a))
@@ -169,7 +169,7 @@
 {
   for (guint i = 0; i < victims->len; i++) {
     TeamVictim victim = g_array_index(victims, TeamVictim, i);
-    const WsMachine *machine = ws_book_machine(core->book, victim.assignment->machine);
+    const WsMachine *machine = ws_replica_machine(core->replica, victim.assignment->machine);
     if (!makes_place(machine, &victim.job->spec->need, data))
       continue;
     g_array_remove_index(victims, i);
@@ -200,7 +200,7 @@
     const TeamVictim *victim = &g_array_index(victims, TeamVictim, i);
     victim->assignment->stopping = TRUE;
     g_array_append_val(machines, victim->assignment->machine);
-    if (ws_owns(core, ws_book_machine(core->book, victim->assignment->machine)))
+    if (ws_owns(core, ws_replica_machine(core->replica, victim->assignment->machine)))
       ws_workers_halt_now(core, victim->job, victim->assignment);
   }
 }
@@ -211,8 +211,8 @@
 {
   g_autoptr(GArray) victims = g_array_new(FALSE, FALSE, sizeof(TeamVictim));
   WsAmount coming = { 0 }, left = *use;
-  for (guint i = 0; i < core->book->active->len; i++) {
-    WsJob *candidate = g_ptr_array_index(core->book->active, i);
+  for (guint i = 0; i < core->replica->active->len; i++) {
+    WsJob *candidate = g_ptr_array_index(core->replica->active, i);
     if (candidate->team == job->team && candidate->spec != NULL)
       add_team_victims(core, job, candidate, victims, &coming);
   }
--- a/src/core/ws-reservation.c
+++ b/src/core/ws-reservation.c
@@ -102,7 +102,7 @@
 counted_tasks(const WsCore *core, const WsReservation *entry, const WsJob *other,
               guint other_tasks_on)
 {
-  const WsJob *job = ws_book_job(core->book, entry->job);
+  const WsJob *job = ws_replica_job(core->replica, entry->job);
   if (core->now >= entry->until_ms || job == other || job->state != WS_JOB_ACTIVE
       || job->spec == NULL || ws_cancel_is_known(core, job)
       || !ws_preempt_outranks(core, job, other, other_tasks_on))
@@ -123,7 +123,7 @@
     guint tasks = counted_tasks(core, entry, job, tasks_on);
     if (tasks == 0)
       continue;
-    const WsJob *urgent = ws_book_job(core->book, entry->job);
+    const WsJob *urgent = ws_replica_job(core->replica, entry->job);
     if (entry->machine == machine)
       ws_amount_add(&reserved_on_machine, &urgent->spec->need, tasks);
     else if (entry->machine == WS_NONE && urgent->team == job->team)
--- a/src/core/ws-silence.c
+++ b/src/core/ws-silence.c
@@ -93,7 +93,7 @@
 static void
 on_status(WsCore *core, guint status, const json_t *body, gpointer data)
 {
-  WsMachine *machine = ws_book_machine(core->book, GPOINTER_TO_UINT(data));
+  WsMachine *machine = ws_replica_machine(core->replica, GPOINTER_TO_UINT(data));
   g_autofree char *reason = NULL;
   g_autoptr(WsReport) report = status == 200 ? ws_report_parse(body, &reason) : NULL;
   core->status_calls--;
@@ -105,7 +105,7 @@
     return;
   }
   /* It is there and reports to somebody else, maybe to a node whose epoch is over. */
-  if (report->token < core->book->epoch.number)
+  if (report->token < core->replica->epoch.number)
     ws_workers_raise(core, machine);
 }
 
@@ -113,7 +113,7 @@
 zone_has_node(const WsCore *core, guint zone)
 {
   for (guint n = 0; n < core->settings->nodes->len; n++)
-    if (ws_book_find_zone(core->book, ws_settings_node(core->settings, n)->zone) == zone)
+    if (ws_replica_find_zone(core->replica, ws_settings_node(core->settings, n)->zone) == zone)
       return TRUE;
   return FALSE;
 }
@@ -124,7 +124,7 @@
 {
   gint64 since_ms = 0;
   for (guint n = 0; n < core->settings->nodes->len; n++) {
-    if (ws_book_find_zone(core->book, ws_settings_node(core->settings, n)->zone) != zone)
+    if (ws_replica_find_zone(core->replica, ws_settings_node(core->settings, n)->zone) != zone)
       continue;
     if (ws_mesh_reaches(core, n))
       return 0;
@@ -164,11 +164,11 @@
   if (out_ms > 0 && (double)out_ms < core->settings->lease_s * 1000.0)
     return TRUE;
   for (guint n = 0; n < core->settings->nodes->len; n++)
-    if (ws_book_find_zone(core->book, ws_settings_node(core->settings, n)->zone) == zone
-        && ws_epoch_has_node(&core->book->epoch, n) && !ws_mesh_reaches(core, n))
+    if (ws_replica_find_zone(core->replica, ws_settings_node(core->settings, n)->zone) == zone
+        && ws_epoch_has_node(&core->replica->epoch, n) && !ws_mesh_reaches(core, n))
       return TRUE;
-  for (guint i = 0; i < core->book->machines->len; i++) {
-    const WsMachine *machine = ws_book_machine(core->book, i);
+  for (guint i = 0; i < core->replica->machines->len; i++) {
+    const WsMachine *machine = ws_replica_machine(core->replica, i);
     if (machine->zone != zone || !machine->stored || machine->marked || silent_since(machine) == 0)
       continue;
     all++;
@@ -184,8 +184,8 @@
 is_interruption(const WsCore *core)
 {
   guint silent = 0, all = 0;
-  for (guint i = 0; i < core->book->machines->len; i++) {
-    const WsMachine *machine = ws_book_machine(core->book, i);
+  for (guint i = 0; i < core->replica->machines->len; i++) {
+    const WsMachine *machine = ws_replica_machine(core->replica, i);
     if (machine->spot || !machine->stored || silent_since(machine) == 0
         || (machine->marked && g_strcmp0(machine->mark_why, "silent") != 0)
         || is_or_was_cut(core, machine->zone))
@@ -207,8 +207,8 @@
   gboolean has_node = zone_has_node(core, zone);
   gint64 out_ms = out_of_reach_ms(core, zone);
   guint silent = 0, all = 0;
-  for (guint i = 0; (out_ms > 0 || !has_node) && i < core->book->machines->len; i++) {
-    const WsMachine *machine = ws_book_machine(core->book, i);
+  for (guint i = 0; (out_ms > 0 || !has_node) && i < core->replica->machines->len; i++) {
+    const WsMachine *machine = ws_replica_machine(core->replica, i);
     if (machine->zone != zone || !machine->stored || machine->marked || silent_since(machine) == 0
         || (has_node && !ws_owns(core, machine)))
       continue;
@@ -248,7 +248,7 @@
 {
   for (guint i = 0; i < machine->tasks->len; i++)
     if (ws_cancel_is_known(
-            core, ws_book_job(core->book, g_array_index(machine->tasks, WsTaskRef, i).job)))
+            core, ws_replica_job(core->replica, g_array_index(machine->tasks, WsTaskRef, i).job)))
       return TRUE;
   return FALSE;
 }
@@ -298,15 +298,15 @@
 watch_all_deaf(WsCore *core)
 {
   guint deaf = 0, all = 0;
-  for (guint i = 0; i < core->book->machines->len; i++) {
-    const WsMachine *machine = ws_book_machine(core->book, i);
+  for (guint i = 0; i < core->replica->machines->len; i++) {
+    const WsMachine *machine = ws_replica_machine(core->replica, i);
     if (!machine->stored || machine->marked || !ws_owns(core, machine))
       continue;
     all++;
     deaf += ws_machine_deaf(core, machine) ? 1 : 0;
   }
-  for (guint i = 0; deaf > 0 && i < core->book->machines->len; i++) {
-    WsMachine *machine = ws_book_machine(core->book, i);
+  for (guint i = 0; deaf > 0 && i < core->replica->machines->len; i++) {
+    WsMachine *machine = ws_replica_machine(core->replica, i);
     if (machine->stored && ws_owns(core, machine) && !machine->mark_now)
       watch_deaf(core, machine, deaf, all);
   }
@@ -318,8 +318,8 @@
 find_unheard(WsCore *core)
 {
   guint own = 0;
-  for (guint i = 0; i < core->book->machines->len; i++) {
-    const WsMachine *machine = ws_book_machine(core->book, i);
+  for (guint i = 0; i < core->replica->machines->len; i++) {
+    const WsMachine *machine = ws_replica_machine(core->replica, i);
     own += machine->stored && machine->heard_ms > 0 && ws_owns(core, machine) ? 1 : 0;
   }
   double usual_ms = UNHEARD_REPORTS * core->settings->report_s * 1000.0 / MAX(own, 1u);
@@ -335,13 +335,13 @@
 void
 ws_silence_tick(WsCore *core)
 {
-  guint count = core->book->machines->len;
+  guint count = core->replica->machines->len;
   Cuts cuts = { 0 };
   find_unheard(core);
   for (guint z = 0; z < core->settings->zones->len; z++)
     find_zone_cut(core, z);
   for (guint i = 0; i < count; i++) {
-    WsMachine *machine = ws_book_machine(core->book, (core->status_next + i) % count);
+    WsMachine *machine = ws_replica_machine(core->replica, (core->status_next + i) % count);
     if (!machine->stored || !ws_owns(core, machine))
       continue;
     /* A machine that isn't heard doesn't learn a higher token either. */
--- a/src/core/ws-store.c
+++ b/src/core/ws-store.c
@@ -202,7 +202,7 @@
   GArray *waiting = core->store->waiting;
   for (guint i = waiting->len; i-- > 0;) {
     Read read = g_array_index(waiting, Read, i);
-    gboolean is_reached = read.revision <= core->book->revision;
+    gboolean is_reached = read.revision <= core->replica->revision;
     if (!is_reached && core->now - read.asked_ms <= GIVE_UP_MS)
       continue;
     if (is_reached)
@@ -268,13 +268,13 @@
 finish_load(WsCore *core)
 {
   WsStore *store = core->store;
-  ws_book_forget_missing(core->book, store->load_keys, store->load_revision);
-  ws_book_advance(core->book, store->load_revision);
+  ws_replica_forget_missing(core->replica, store->load_keys, store->load_revision);
+  ws_replica_advance(core->replica, store->load_revision);
   store->loading = FALSE;
   store->loaded = TRUE;
   core->plan_due = TRUE;
   g_info("state read: revision %" G_GUINT64_FORMAT ", %u jobs open, %u machines",
-         store->load_revision, core->book->active->len, core->book->machines->len);
+         store->load_revision, core->replica->active->len, core->replica->machines->len);
 }
 
 static void
@@ -300,7 +300,7 @@
     guint64 version;
     if (!ws_json_string(item, "k", &key) || !ws_json_count(item, W_VERSION, &version))
       continue;
-    ws_book_apply(core->book, key, json_object_get(item, "value"), version);
+    ws_replica_apply(core->replica, key, json_object_get(item, "value"), version);
     g_hash_table_add(store->load_keys, g_strdup(key));
     g_free(store->load_last);
     store->load_last = g_strdup(key);
@@ -340,9 +340,9 @@
   if (!ws_json_count(event, W_VERSION, &version))
     return;
   if (ws_json_string(event, "set", &key))
-    ws_book_apply(core->book, key, json_object_get(event, "value"), version);
+    ws_replica_apply(core->replica, key, json_object_get(event, "value"), version);
   else if (ws_json_string(event, "remove", &key))
-    ws_book_apply(core->book, key, NULL, version);
+    ws_replica_apply(core->replica, key, NULL, version);
   core->plan_due = TRUE;
 }
 
@@ -365,7 +365,7 @@
   size_t i;
   const json_t *event;
   json_array_foreach(json_object_get(body, "log"), i, event) apply_event(core, event);
-  ws_book_advance(core->book, revision);
+  ws_replica_advance(core->replica, revision);
   finish_reached(core);
 }
 
@@ -396,7 +396,7 @@
   store->watch_opened_ms = core->now;
   g_autofree char *path
       = g_strdup_printf("/follow?starts=" WS_PREFIX "&from=%" G_GUINT64_FORMAT "&wait_ms=%d",
-                        core->book->revision, LONG_WAIT_MS);
+                        core->replica->revision, LONG_WAIT_MS);
   ws_store_call(core, WS_FIRST_READ, "GET", path, NULL, 0, LONG_WAIT_MS + 2000, on_watch, NULL);
 }
 
--- a/src/core/ws-sweep.c
+++ b/src/core/ws-sweep.c
@@ -14,13 +14,13 @@
 
 /* Whether the key is a record of tasks of a job that has ended. */
 static gboolean
-is_left_over(const WsBook *book, const char *key)
+is_left_over(const WsReplica *replica, const char *key)
 {
   if (!g_str_has_prefix(key, WS_KEYS_TASKS))
     return FALSE;
   const char *name = key + strlen(WS_KEYS_TASKS);
   g_autofree char *id = g_strndup(name, strcspn(name, "/"));
-  const WsJob *job = ws_book_find_job(book, id);
+  const WsJob *job = ws_replica_find_job(replica, id);
   return job != NULL && job->spec == NULL;
 }
 
@@ -38,9 +38,9 @@
   guint count = 0;
   GHashTableIter iter;
   gpointer key, value;
-  g_hash_table_iter_init(&iter, core->book->versions);
+  g_hash_table_iter_init(&iter, core->replica->versions);
   while (g_hash_table_iter_next(&iter, &key, &value)) {
-    if (!((const WsKeyVersion *)value)->present || !is_left_over(core->book, key))
+    if (!((const WsKeyVersion *)value)->present || !is_left_over(core->replica, key))
       continue;
     count++;
     if (ws_txn_ops(txn) < core->settings->state_txn_ops)
@@ -55,7 +55,7 @@
   if (!ws_is_leader(core) || core->now < core->sweep_ms || !ws_store_ok(core))
     return;
   WsTxn *txn = ws_txn_new();
-  ws_txn_if(txn, core->book, WS_KEY_EPOCH);
+  ws_txn_if(txn, core->replica, WS_KEY_EPOCH);
   guint count = add_left_over(core, txn);
   gboolean may_write = count > MOST_LEFT
                        || (!ws_assign_is_behind(core)
--- a/src/core/ws-txn.c
+++ b/src/core/ws-txn.c
@@ -36,9 +36,9 @@
 }
 
 void
-ws_txn_if(WsTxn *txn, const WsBook *book, const char *key)
+ws_txn_if(WsTxn *txn, const WsReplica *replica, const char *key)
 {
-  ws_txn_if_version(txn, key, ws_book_version(book, key));
+  ws_txn_if_version(txn, key, ws_replica_version(replica, key));
 }
 
 void
@@ -76,7 +76,7 @@
     const char *key;
     if (!ws_json_string(change, "set", &key) && !ws_json_string(change, "remove", &key))
       continue;
-    ws_book_apply(core->book, key, json_object_get(change, "value"), revision);
+    ws_replica_apply(core->replica, key, json_object_get(change, "value"), revision);
     ws_write_stats_add(core, key);
   }
 }
--- a/src/core/ws-users.c
+++ b/src/core/ws-users.c
@@ -81,7 +81,7 @@
 static void
 decide_from_current(WsCore *core, Visit *visit)
 {
-  const WsJob *job = ws_book_find_job(core->book, visit->id);
+  const WsJob *job = ws_replica_find_job(core->replica, visit->id);
   if (job != NULL && job->state != WS_JOB_ACTIVE)
     decide(core, visit);
   else
@@ -131,8 +131,8 @@
 static gboolean
 fits_a_type(const WsCore *core, const WsSubmission *spec)
 {
-  for (guint t = 0; t < core->book->catalog->len; t++) {
-    const WsType *type = ws_book_type(core->book, t);
+  for (guint t = 0; t < core->replica->catalog->len; t++) {
+    const WsType *type = ws_replica_type(core->replica, t);
     if (ws_type_allowed(spec, type) && ws_amount_fits(&spec->need, &type->room))
       return TRUE;
   }
@@ -143,10 +143,10 @@
 static const char *
 never_runs(const WsCore *core, const WsSubmission *spec)
 {
-  guint team = ws_book_find_team(core->book, spec->team);
+  guint team = ws_replica_find_team(core->replica, spec->team);
   if (team == WS_NONE)
     return "unknown team";
-  if (spec->zone != NULL && ws_book_find_zone(core->book, spec->zone) == WS_NONE)
+  if (spec->zone != NULL && ws_replica_find_zone(core->replica, spec->zone) == WS_NONE)
     return "unknown zone";
   if (!fits_a_type(core, spec))
     return "a task fits no allowed machine type";
@@ -171,12 +171,12 @@
 static void
 decide_submission(WsCore *core, Visit *visit)
 {
-  const WsJob *job = ws_book_find_job(core->book, visit->id);
+  const WsJob *job = ws_replica_find_job(core->replica, visit->id);
   if (job != NULL) {
     end_with_state(core, visit, 200, job);
     return;
   }
-  if (core->book->catalog == NULL) {
+  if (core->replica->catalog == NULL) {
     end_later(core, visit);
     return;
   }
@@ -199,7 +199,7 @@
     end_later(core, visit);
     return;
   }
-  WsJob *job = ws_book_find_job(core->book, visit->id);
+  WsJob *job = ws_replica_find_job(core->replica, visit->id);
   g_info("job %s cancelled", visit->id);
   end_with_state(core, visit, 200, job);
 }
@@ -213,9 +213,10 @@
   g_autofree char *key = ws_key_job(job->id);
   g_autofree char *chunk = ws_key_chunk(job->id, 0);
   cancelled.cancelled_ms = core->wall;
-  gboolean untouched = ws_job_chunk_count(job) == 1 && ws_book_version(core->book, chunk) == 0;
+  gboolean untouched
+      = ws_job_chunk_count(job) == 1 && ws_replica_version(core->replica, chunk) == 0;
   WsTxn *txn = ws_txn_new();
-  ws_txn_if(txn, core->book, key);
+  ws_txn_if(txn, core->replica, key);
   if (untouched)
     ws_txn_if_version(txn, chunk, 0);
   ws_txn_set(txn, key,
@@ -227,7 +228,7 @@
 static void
 decide(WsCore *core, Visit *visit)
 {
-  const WsJob *job = ws_book_find_job(core->book, visit->id);
+  const WsJob *job = ws_replica_find_job(core->replica, visit->id);
   if (visit->ask == ASK_SUBMIT)
     decide_submission(core, visit);
   else if (job == NULL)
@@ -241,7 +242,7 @@
 static void
 visit(WsCore *core, Ask ask, const char *id, WsSubmission *spec, gpointer request)
 {
-  const WsJob *job = ws_book_find_job(core->book, id);
+  const WsJob *job = ws_replica_find_job(core->replica, id);
   gboolean is_final = job != NULL && job->state != WS_JOB_ACTIVE;
   if (!ws_store_loaded(core) || (!is_final && !ws_store_ok(core))) {
     ws_answer_later(core, request, 2);
--- a/src/core/ws-workers.c
+++ b/src/core/ws-workers.c
@@ -20,7 +20,7 @@
 static guint64
 token(const WsCore *core)
 {
-  return core->book->epoch.number;
+  return core->replica->epoch.number;
 }
 
 /* Direct commands. */
@@ -36,7 +36,7 @@
 on_direct(WsCore *core, guint status, const json_t *body, gpointer data)
 {
   Direct *direct = data;
-  WsMachine *machine = ws_book_machine(core->book, direct->machine);
+  WsMachine *machine = ws_replica_machine(core->replica, direct->machine);
   core->direct_calls--;
   /* Without an answer the launch may still be carried out minutes later, so the doubt stays until
      the worker has seen a higher token or begun a new session. */
@@ -87,7 +87,7 @@
 any_critical(const WsCore *core, const GArray *tasks)
 {
   for (guint i = 0; i < tasks->len; i++) {
-    const WsJob *job = ws_book_job(core->book, g_array_index(tasks, WsTaskRef, i).job);
+    const WsJob *job = ws_replica_job(core->replica, g_array_index(tasks, WsTaskRef, i).job);
     if (job->spec != NULL && job->spec->priority == WS_CRITICAL)
       return TRUE;
   }
@@ -103,7 +103,7 @@
   json_t *commands = json_array();
   for (guint i = 0; i < tasks->len; i++) {
     const WsTaskRef *ref = &g_array_index(tasks, WsTaskRef, i);
-    const WsJob *job = ws_book_job(core->book, ref->job);
+    const WsJob *job = ws_replica_job(core->replica, ref->job);
     WsAssignment *a = ws_job_assignment(job, ref->task);
     if (a == NULL || job->state != WS_JOB_ACTIVE || ws_cancel_is_known(core, job))
       continue;
@@ -126,7 +126,7 @@
 void
 ws_workers_halt_now(WsCore *core, WsJob *job, WsAssignment *a)
 {
-  WsMachine *machine = ws_book_machine(core->book, a->machine);
+  WsMachine *machine = ws_replica_machine(core->replica, a->machine);
   if (!can_send_direct(core, machine))
     return;
   json_t *commands = json_array();
@@ -187,7 +187,7 @@
 static WsAssignment *
 matching(WsCore *core, const WsMachine *machine, const WsReportTask *task, WsJob **job)
 {
-  *job = ws_book_find_job(core->book, task->job);
+  *job = ws_replica_find_job(core->replica, task->job);
   if (*job == NULL || (*job)->spec == NULL || task->task >= (*job)->tasks)
     return NULL;
   WsAssignment *a = ws_job_assignment(*job, task->task);
@@ -223,7 +223,7 @@
   machine->doubts = 0; /* a direct launch names its session, so an old one is refused */
   for (guint i = 0; i < machine->tasks->len; i++) {
     const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, i);
-    WsAssignment *a = ws_job_assignment(ws_book_job(core->book, ref->job), ref->task);
+    WsAssignment *a = ws_job_assignment(ws_replica_job(core->replica, ref->job), ref->task);
     if (a == NULL)
       continue;
     a->state = WS_TASK_ASSIGNED;
@@ -350,12 +350,12 @@
 static void
 command_all(Answer *answer)
 {
-  WsBook *book = answer->core->book;
+  WsReplica *replica = answer->core->replica;
   for (guint i = 0; i < answer->report->tasks->len; i++)
     command_present(answer, &g_array_index(answer->report->tasks, WsReportTask, i));
   for (guint i = 0; i < answer->machine->tasks->len; i++) {
     const WsTaskRef *ref = &g_array_index(answer->machine->tasks, WsTaskRef, i);
-    WsJob *job = ws_book_job(book, ref->job);
+    WsJob *job = ws_replica_job(replica, ref->job);
     WsAssignment *a = ws_job_assignment(job, ref->task);
     if (a != NULL && a->machine == answer->machine->index && !is_reported(answer, job, a))
       command_absent(answer, job, a);
@@ -379,8 +379,8 @@
 json_t *
 ws_workers_process(WsCore *core, const WsReport *report)
 {
-  WsMachine *machine = ws_book_get_machine(core->book, report->machine);
-  ws_book_describe_machine(core->book, machine, report->type, report->zone, report->spot);
+  WsMachine *machine = ws_replica_get_machine(core->replica, report->machine);
+  ws_replica_describe_machine(core->replica, machine, report->type, report->zone, report->spot);
   Answer answer = { .core = core,
                     .machine = machine,
                     .report = report,
@@ -414,7 +414,8 @@
     return FALSE;
   for (guint n = 0; n < core->settings->nodes->len; n++)
     if (n != owner && machine->zone != WS_NONE
-        && ws_book_find_zone(core->book, ws_settings_node(core->settings, n)->zone) == machine->zone
+        && ws_replica_find_zone(core->replica, ws_settings_node(core->settings, n)->zone)
+               == machine->zone
         && !ws_mesh_sees(core, n, owner))
       return FALSE;
   return TRUE;
@@ -464,7 +465,7 @@
   const WsNode *self = ws_settings_node(core->settings, core->settings->self);
   if (!ws_mesh_cut_off(core))
     return FALSE;
-  if (machine->zone != ws_book_find_zone(core->book, self->zone))
+  if (machine->zone != ws_replica_find_zone(core->replica, self->zone))
     core->seen_from_outside = TRUE;
   gint64 since_ms = core->now - machine->turned_ms;
   if (!core->seen_from_outside
@@ -493,8 +494,8 @@
     ws_answer_later(core, request, 1);
     return;
   }
-  WsMachine *machine = ws_book_get_machine(core->book, report->machine);
-  ws_book_describe_machine(core->book, machine, report->type, report->zone, report->spot);
+  WsMachine *machine = ws_replica_get_machine(core->replica, report->machine);
+  ws_replica_describe_machine(core->replica, machine, report->type, report->zone, report->spot);
   if (sends_away(core, machine)) {
     ws_answer_later(core, request, 1);
     return;
--- a/src/bookkeeping/ws-keys.c
+++ b/src/storage/ws-keys.c
@@ -1,4 +1,4 @@
-#include "bookkeeping/ws-keys.h"
+#include "storage/ws-keys.h"
 
 char *
 ws_key(const char *prefix, const char *name)
--- a/src/bookkeeping/ws-records.c
+++ b/src/storage/ws-records.c
@@ -1,16 +1,16 @@
-/* The records of the state service: how each is written, and what it changes in the book. */
-#include "bookkeeping/ws-team-use.h"
+/* The records of the state service: how each is written, and what it changes in the replica. */
+#include "storage/ws-team-use.h"
 
 #include <string.h>
 
 json_t *
-ws_chunk_encode(const WsChunk *chunk, const WsBook *book)
+ws_chunk_encode(const WsChunk *chunk, const WsReplica *replica)
 {
   json_t *on = json_array();
   for (guint i = 0; i < chunk->on->len; i++) {
     const WsAssignment *a = &g_array_index(chunk->on, WsAssignment, i);
     json_array_append_new(on, json_pack("[i, s, I, I]", (int)a->task,
-                                        ws_book_machine(book, a->machine)->name,
+                                        ws_replica_machine(replica, a->machine)->name,
                                         (json_int_t)a->attempt, (json_int_t)a->at_ms));
   }
   char hex[2 * sizeof chunk->done + 1];
@@ -36,7 +36,7 @@
 }
 
 static WsChunk *
-decode_chunk(WsBook *book, const json_t *value)
+decode_chunk(WsReplica *replica, const json_t *value)
 {
   WsChunk *chunk = ws_chunk_copy(NULL);
   const char *hex = "";
@@ -54,7 +54,7 @@
     assignment.task = (guint)json_integer_value(json_array_get(item, 0));
     assignment.attempt = (guint64)json_integer_value(json_array_get(item, 2));
     assignment.at_ms = json_integer_value(json_array_get(item, 3));
-    assignment.machine = ws_book_get_machine(book, machine)->index;
+    assignment.machine = ws_replica_get_machine(replica, machine)->index;
     ws_chunk_add(chunk, &assignment);
   }
   if (good)
@@ -64,23 +64,23 @@
 }
 
 static void
-apply_chunk(WsBook *book, const char *name, const json_t *value)
+apply_chunk(WsReplica *replica, const char *name, const json_t *value)
 {
   const char *slash = strrchr(name, '/');
   if (slash == NULL)
     return;
   g_autofree char *id = g_strndup(name, (gsize)(slash - name));
-  WsJob *job = ws_book_find_job(book, id);
+  WsJob *job = ws_replica_find_job(replica, id);
   guint64 index;
   if (job == NULL || job->spec == NULL
       || !g_ascii_string_to_unsigned(slash + 1, 10, 0, ws_job_chunk_count(job) - 1, &index, NULL))
     return;
-  WsChunk *chunk = value != NULL ? decode_chunk(book, value) : NULL;
+  WsChunk *chunk = value != NULL ? decode_chunk(replica, value) : NULL;
   if (value != NULL && chunk == NULL) {
     g_warning("record of tasks %s is damaged", name);
     return;
   }
-  ws_book_replace_chunk(book, job, (guint)index, chunk);
+  ws_replica_replace_chunk(replica, job, (guint)index, chunk);
 }
 
 static const char *const JOB_STATES[] = { "active", "done", "cancelled" };
@@ -117,16 +117,16 @@
 }
 
 static void
-apply_job(WsBook *book, const char *id, const json_t *value)
+apply_job(WsReplica *replica, const char *id, const json_t *value)
 {
   WsJobState state;
   if (value == NULL || !decode_job_state(value, &state)) {
     g_warning("record of job %s is %s", id, value == NULL ? "removed" : "damaged");
     return;
   }
-  WsJob *job = ws_book_find_job(book, id);
+  WsJob *job = ws_replica_find_job(replica, id);
   if (job == NULL)
-    job = ws_book_add_job(book, id);
+    job = ws_replica_add_job(replica, id);
   gboolean is_cancelled = state == WS_JOB_CANCELLED && job->state != state;
   job->state = state;
   const json_t *spec = json_object_get(value, "spec");
@@ -134,7 +134,7 @@
   if (spec == NULL) {
     guint64 tasks = job->tasks;
     if (job->spec != NULL)
-      ws_book_shrink_job(book, job);
+      ws_replica_shrink_job(replica, job);
     (void)ws_json_count(value, "n", &tasks);
     job->tasks = (guint)tasks;
     return;
@@ -146,14 +146,14 @@
   job->at_ms = (gint64)at;
   job->cancelled_ms = (gint64)cancelled;
   if (is_cancelled)
-    g_array_append_val(book->cancelled, job->index);
-  job->home = ws_settings_find_node(book->settings, home);
+    g_array_append_val(replica->cancelled, job->index);
+  job->home = ws_settings_find_node(replica->settings, home);
   if (job->spec != NULL)
     return;
   g_autofree char *reason = NULL;
   WsSubmission *parsed = ws_submission_parse(spec, &reason);
   if (parsed != NULL)
-    ws_book_describe_job(book, job, parsed);
+    ws_replica_describe_job(replica, job, parsed);
   else
     g_warning("record of job %s: %s", id, reason);
 }
@@ -167,18 +167,19 @@
 }
 
 json_t *
-ws_lot_encode(const WsLot *lot, const WsBook *book)
+ws_lot_encode(const WsLot *lot, const WsReplica *replica)
 {
   json_t *names = json_array();
   for (guint i = 0; i < lot->machines->len; i++)
     json_array_append_new(
-        names, json_string(ws_book_machine(book, g_array_index(lot->machines, guint, i))->name));
+        names,
+        json_string(ws_replica_machine(replica, g_array_index(lot->machines, guint, i))->name));
   return json_pack("{s:s, s:s, s:b, s:I, s:o}", "type", lot->type, "zone", lot->zone, "spot",
                    lot->spot, "at", (json_int_t)lot->at_ms, "names", names);
 }
 
 static WsLot *
-decode_lot(WsBook *book, const char *name, const json_t *value)
+decode_lot(WsReplica *replica, const char *name, const json_t *value)
 {
   const char *type, *zone;
   gboolean spot;
@@ -195,9 +196,9 @@
   lot->machines = g_array_new(FALSE, FALSE, sizeof(guint));
   json_array_foreach(json_object_get(value, "names"), i, item) if (json_is_string(item))
   {
-    WsMachine *machine = ws_book_get_machine(book, json_string_value(item));
+    WsMachine *machine = ws_replica_get_machine(replica, json_string_value(item));
     g_array_append_val(lot->machines, machine->index);
-    ws_book_describe_machine(book, machine, type, zone, spot);
+    ws_replica_describe_machine(replica, machine, type, zone, spot);
     machine->stored = TRUE;
     machine->lots++;
     machine->lot = g_intern_string(name);
@@ -207,10 +208,10 @@
 }
 
 static void
-end_lot(WsBook *book, const WsLot *lot)
+end_lot(WsReplica *replica, const WsLot *lot)
 {
   for (guint i = 0; i < lot->machines->len; i++) {
-    WsMachine *machine = ws_book_machine(book, g_array_index(lot->machines, guint, i));
+    WsMachine *machine = ws_replica_machine(replica, g_array_index(lot->machines, guint, i));
     machine->lots--;
     if (machine->lots > 0)
       continue;
@@ -221,30 +222,30 @@
 
 /* The new lot counts before the old one ends, so that who is in both is not gone meanwhile. */
 static void
-apply_lot(WsBook *book, const char *name, const json_t *value)
+apply_lot(WsReplica *replica, const char *name, const json_t *value)
 {
-  WsLot *lot = value != NULL ? decode_lot(book, name, value) : NULL;
+  WsLot *lot = value != NULL ? decode_lot(replica, name, value) : NULL;
   if (value != NULL && lot == NULL)
     return;
-  for (guint i = 0; i < book->lots->len; i++) {
-    const WsLot *old = g_ptr_array_index(book->lots, i);
+  for (guint i = 0; i < replica->lots->len; i++) {
+    const WsLot *old = g_ptr_array_index(replica->lots, i);
     if (strcmp(old->name, name) != 0)
       continue;
-    end_lot(book, old);
-    g_ptr_array_remove_index_fast(book->lots, i);
+    end_lot(replica, old);
+    g_ptr_array_remove_index_fast(replica->lots, i);
     break;
   }
   if (lot != NULL)
-    g_ptr_array_add(book->lots, lot);
+    g_ptr_array_add(replica->lots, lot);
 }
 
 /* Whoever it is for reads it; see ws-ask.c. */
 static void
-apply_mail(WsBook *book, const char *name, const json_t *value)
+apply_mail(WsReplica *replica, const char *name, const json_t *value)
 {
   (void)name;
   if (value != NULL)
-    g_queue_push_tail(&book->mail, json_incref((json_t *)value));
+    g_queue_push_tail(&replica->mail, json_incref((json_t *)value));
 }
 
 json_t *
@@ -254,9 +255,9 @@
 }
 
 static void
-apply_mark(WsBook *book, const char *name, const json_t *value)
+apply_mark(WsReplica *replica, const char *name, const json_t *value)
 {
-  WsMachine *machine = ws_book_get_machine(book, name);
+  WsMachine *machine = ws_replica_get_machine(replica, name);
   const char *why = "";
   machine->marked = value != NULL;
   machine->mark_now = FALSE;
@@ -277,12 +278,12 @@
 }
 
 static void
-apply_rent(WsBook *book, const char *request, const json_t *value)
+apply_rent(WsReplica *replica, const char *request, const json_t *value)
 {
-  for (guint i = 0; i < book->rents->len; i++) {
-    const WsRent *rent = g_ptr_array_index(book->rents, i);
+  for (guint i = 0; i < replica->rents->len; i++) {
+    const WsRent *rent = g_ptr_array_index(replica->rents, i);
     if (strcmp(rent->request, request) == 0) {
-      g_ptr_array_remove_index(book->rents, i);
+      g_ptr_array_remove_index(replica->rents, i);
       break;
     }
   }
@@ -298,39 +299,39 @@
   }
   WsRent *rent = g_new0(WsRent, 1);
   *rent = (WsRent){ g_strdup(request), g_strdup(type), g_strdup(zone), spot, (guint)count };
-  g_ptr_array_add(book->rents, rent);
+  g_ptr_array_add(replica->rents, rent);
 }
 
 static void
-apply_member(WsBook *book, const char *name, const json_t *value)
+apply_member(WsReplica *replica, const char *name, const json_t *value)
 {
-  guint node = ws_settings_find_node(book->settings, name);
+  guint node = ws_settings_find_node(replica->settings, name);
   guint i = 0;
-  while (i < book->members->len && g_array_index(book->members, WsMember, i).node < node)
+  while (i < replica->members->len && g_array_index(replica->members, WsMember, i).node < node)
     i++;
-  if (i < book->members->len && g_array_index(book->members, WsMember, i).node == node)
-    g_array_remove_index(book->members, i);
+  if (i < replica->members->len && g_array_index(replica->members, WsMember, i).node == node)
+    g_array_remove_index(replica->members, i);
   WsMember member = { node, 0 };
   if (node != WS_NONE && value != NULL && ws_json_count(value, "incarnation", &member.incarnation))
-    g_array_insert_val(book->members, i, member);
+    g_array_insert_val(replica->members, i, member);
 }
 
 static void
-apply_leader(WsBook *book, const json_t *value)
+apply_leader(WsReplica *replica, const json_t *value)
 {
   const char *name = NULL;
-  book->leader_incarnation = 0;
+  replica->leader_incarnation = 0;
   (void)ws_json_string(value, "node", &name);
-  (void)ws_json_count(value, "incarnation", &book->leader_incarnation);
-  book->leader_node = ws_settings_find_node(book->settings, name);
+  (void)ws_json_count(value, "incarnation", &replica->leader_incarnation);
+  replica->leader_node = ws_settings_find_node(replica->settings, name);
 }
 
 static void
-apply_value(WsBook *book, const char *key, const json_t *value)
+apply_value(WsReplica *replica, const char *key, const json_t *value)
 {
   static const struct {
     const char *prefix;
-    void (*apply)(WsBook *, const char *, const json_t *);
+    void (*apply)(WsReplica *, const char *, const json_t *);
   } KINDS[] = { { WS_KEYS_JOB, apply_job },
                 { WS_KEYS_TASKS, apply_chunk },
                 { WS_KEYS_TEAM, ws_team_use_apply_single },
@@ -341,62 +342,62 @@
                 { WS_KEYS_MEMBER, apply_member },
                 { WS_KEYS_MAIL, apply_mail } };
   if (strcmp(key, WS_KEY_EPOCH) == 0) {
-    if (value == NULL || !ws_epoch_parse(&book->epoch, value, book->settings))
+    if (value == NULL || !ws_epoch_parse(&replica->epoch, value, replica->settings))
       g_warning("the epoch's record is missing or damaged");
-    for (guint i = 0; i < book->machines->len; i++) {
-      WsMachine *machine = ws_book_machine(book, i);
-      machine->owner = ws_epoch_owner(&book->epoch, machine->name, book->settings);
+    for (guint i = 0; i < replica->machines->len; i++) {
+      WsMachine *machine = ws_replica_machine(replica, i);
+      machine->owner = ws_epoch_owner(&replica->epoch, machine->name, replica->settings);
     }
     return;
   }
   if (strcmp(key, WS_KEY_LEADER) == 0) {
-    apply_leader(book, value);
+    apply_leader(replica, value);
     return;
   }
   if (strcmp(key, WS_KEY_CATALOG) == 0) {
     GPtrArray *catalog = ws_catalog_parse(value);
     if (catalog != NULL)
-      ws_book_set_catalog(book, catalog);
+      ws_replica_set_catalog(replica, catalog);
     return;
   }
   for (gsize i = 0; i < G_N_ELEMENTS(KINDS); i++)
     if (g_str_has_prefix(key, KINDS[i].prefix))
-      KINDS[i].apply(book, key + strlen(KINDS[i].prefix), value);
+      KINDS[i].apply(replica, key + strlen(KINDS[i].prefix), value);
 }
 
 static void
-note_removed(WsBook *book, const char *key, guint64 version)
+note_removed(WsReplica *replica, const char *key, guint64 version)
 {
   WsRemoved *removed = g_new0(WsRemoved, 1);
   *removed = (WsRemoved){ g_strdup(key), version };
-  g_queue_push_tail(&book->removed, removed);
+  g_queue_push_tail(&replica->removed, removed);
 }
 
 gboolean
-ws_book_apply(WsBook *book, const char *key, const json_t *value, guint64 version)
+ws_replica_apply(WsReplica *replica, const char *key, const json_t *value, guint64 version)
 {
-  WsKeyVersion *known = g_hash_table_lookup(book->versions, key);
+  WsKeyVersion *known = g_hash_table_lookup(replica->versions, key);
   if (known != NULL && known->version >= version)
     return FALSE;
   if (known == NULL) {
     known = g_new0(WsKeyVersion, 1);
-    g_hash_table_insert(book->versions, g_strdup(key), known);
+    g_hash_table_insert(replica->versions, g_strdup(key), known);
   }
   if (value == NULL)
-    note_removed(book, key, version);
+    note_removed(replica, key, version);
   known->version = version;
   known->present = value != NULL;
-  apply_value(book, key, value);
+  apply_value(replica, key, value);
   return TRUE;
 }
 
 void
-ws_book_forget_missing(WsBook *book, GHashTable *read, guint64 revision)
+ws_replica_forget_missing(WsReplica *replica, GHashTable *read, guint64 revision)
 {
   g_autoptr(GPtrArray) gone = g_ptr_array_new_with_free_func(g_free);
   GHashTableIter iter;
   gpointer key, value;
-  g_hash_table_iter_init(&iter, book->versions);
+  g_hash_table_iter_init(&iter, replica->versions);
   while (g_hash_table_iter_next(&iter, &key, &value)) {
     const WsKeyVersion *known = value;
     if (known->present && known->version <= revision && !g_hash_table_contains(read, key))
@@ -404,27 +405,27 @@
   }
   for (guint i = 0; i < gone->len; i++) {
     const char *name = g_ptr_array_index(gone, i);
-    WsKeyVersion *known = g_hash_table_lookup(book->versions, name);
+    WsKeyVersion *known = g_hash_table_lookup(replica->versions, name);
     known->present = FALSE;
-    note_removed(book, name, known->version);
-    apply_value(book, name, NULL);
+    note_removed(replica, name, known->version);
+    apply_value(replica, name, NULL);
   }
 }
 
 /* A removed key is remembered only until the watch has passed its removal: from then on no older
    value of it can come. */
 void
-ws_book_advance(WsBook *book, guint64 revision)
+ws_replica_advance(WsReplica *replica, guint64 revision)
 {
-  if (revision <= book->revision)
+  if (revision <= replica->revision)
     return;
-  book->revision = revision;
+  replica->revision = revision;
   WsRemoved *removed;
-  while ((removed = g_queue_peek_head(&book->removed)) != NULL && removed->version <= revision) {
-    const WsKeyVersion *known = g_hash_table_lookup(book->versions, removed->key);
+  while ((removed = g_queue_peek_head(&replica->removed)) != NULL && removed->version <= revision) {
+    const WsKeyVersion *known = g_hash_table_lookup(replica->versions, removed->key);
     if (known != NULL && !known->present && known->version <= revision)
-      g_hash_table_remove(book->versions, removed->key);
+      g_hash_table_remove(replica->versions, removed->key);
     g_free(removed->key);
-    g_free(g_queue_pop_head(&book->removed));
+    g_free(g_queue_pop_head(&replica->removed));
   }
 }
--- a/src/bookkeeping/ws-book.c
+++ b/src/storage/ws-replica.c
@@ -1,4 +1,4 @@
-#include "bookkeeping/ws-book.h"
+#include "storage/ws-replica.h"
 
 #include <string.h>
 
@@ -59,100 +59,100 @@
   g_free(data);
 }
 
-WsBook *
-ws_book_new(const WsSettings *settings)
-{
-  WsBook *book = g_new0(WsBook, 1);
-  book->settings = settings;
-  book->versions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-  ws_epoch_init(&book->epoch);
-  book->leader_node = WS_NONE;
-  book->members = g_array_new(FALSE, FALSE, sizeof(WsMember));
-  book->jobs = g_ptr_array_new_with_free_func(job_free);
-  book->job_index = g_hash_table_new(g_str_hash, g_str_equal);
-  book->active = g_ptr_array_new();
-  book->machines = g_ptr_array_new_with_free_func(machine_free);
-  book->machine_index = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-  book->rents = g_ptr_array_new_with_free_func(rent_free);
-  book->lots = g_ptr_array_new_with_free_func((GDestroyNotify)ws_lot_free);
-  g_queue_init(&book->mail);
-  book->fresh = g_array_new(FALSE, FALSE, sizeof(WsTaskRef));
-  book->cancelled = g_array_new(FALSE, FALSE, sizeof(guint));
-  g_queue_init(&book->removed);
-  book->team_use = g_new0(WsAmount, MAX(settings->teams->len, 1u));
-  book->team_is_recorded = g_new0(gboolean, MAX(settings->teams->len, 1u));
-  ws_names_init(&book->images);
-  return book;
+WsReplica *
+ws_replica_new(const WsSettings *settings)
+{
+  WsReplica *replica = g_new0(WsReplica, 1);
+  replica->settings = settings;
+  replica->versions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  ws_epoch_init(&replica->epoch);
+  replica->leader_node = WS_NONE;
+  replica->members = g_array_new(FALSE, FALSE, sizeof(WsMember));
+  replica->jobs = g_ptr_array_new_with_free_func(job_free);
+  replica->job_index = g_hash_table_new(g_str_hash, g_str_equal);
+  replica->active = g_ptr_array_new();
+  replica->machines = g_ptr_array_new_with_free_func(machine_free);
+  replica->machine_index = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+  replica->rents = g_ptr_array_new_with_free_func(rent_free);
+  replica->lots = g_ptr_array_new_with_free_func((GDestroyNotify)ws_lot_free);
+  g_queue_init(&replica->mail);
+  replica->fresh = g_array_new(FALSE, FALSE, sizeof(WsTaskRef));
+  replica->cancelled = g_array_new(FALSE, FALSE, sizeof(guint));
+  g_queue_init(&replica->removed);
+  replica->team_use = g_new0(WsAmount, MAX(settings->teams->len, 1u));
+  replica->team_is_recorded = g_new0(gboolean, MAX(settings->teams->len, 1u));
+  ws_names_init(&replica->images);
+  return replica;
 }
 
 void
-ws_book_free(WsBook *book)
-{
-  g_hash_table_unref(book->versions);
-  g_queue_clear_full(&book->removed, removed_free);
-  g_array_unref(book->fresh);
-  g_array_unref(book->cancelled);
-  ws_epoch_clear(&book->epoch);
-  g_array_unref(book->members);
-  g_ptr_array_unref(book->active);
-  g_hash_table_unref(book->job_index);
-  g_ptr_array_unref(book->jobs);
-  g_ptr_array_unref(book->machines);
-  g_hash_table_unref(book->machine_index);
-  g_ptr_array_unref(book->rents);
-  g_ptr_array_unref(book->lots);
-  g_queue_clear_full(&book->mail, mail_free);
-  g_free(book->team_use);
-  g_free(book->team_is_recorded);
-  ws_names_clear(&book->images);
-  if (book->catalog != NULL)
-    g_ptr_array_unref(book->catalog);
-  g_free(book);
+ws_replica_free(WsReplica *replica)
+{
+  g_hash_table_unref(replica->versions);
+  g_queue_clear_full(&replica->removed, removed_free);
+  g_array_unref(replica->fresh);
+  g_array_unref(replica->cancelled);
+  ws_epoch_clear(&replica->epoch);
+  g_array_unref(replica->members);
+  g_ptr_array_unref(replica->active);
+  g_hash_table_unref(replica->job_index);
+  g_ptr_array_unref(replica->jobs);
+  g_ptr_array_unref(replica->machines);
+  g_hash_table_unref(replica->machine_index);
+  g_ptr_array_unref(replica->rents);
+  g_ptr_array_unref(replica->lots);
+  g_queue_clear_full(&replica->mail, mail_free);
+  g_free(replica->team_use);
+  g_free(replica->team_is_recorded);
+  ws_names_clear(&replica->images);
+  if (replica->catalog != NULL)
+    g_ptr_array_unref(replica->catalog);
+  g_free(replica);
 }
 
 WsJob *
-ws_book_job(const WsBook *book, guint index)
+ws_replica_job(const WsReplica *replica, guint index)
 {
-  return g_ptr_array_index(book->jobs, index);
+  return g_ptr_array_index(replica->jobs, index);
 }
 
 WsJob *
-ws_book_find_job(const WsBook *book, const char *id)
+ws_replica_find_job(const WsReplica *replica, const char *id)
 {
-  return g_hash_table_lookup(book->job_index, id);
+  return g_hash_table_lookup(replica->job_index, id);
 }
 
 WsMachine *
-ws_book_machine(const WsBook *book, guint index)
+ws_replica_machine(const WsReplica *replica, guint index)
 {
-  return g_ptr_array_index(book->machines, index);
+  return g_ptr_array_index(replica->machines, index);
 }
 
 WsMachine *
-ws_book_find_machine(const WsBook *book, const char *name)
+ws_replica_find_machine(const WsReplica *replica, const char *name)
 {
-  return g_hash_table_lookup(book->machine_index, name);
+  return g_hash_table_lookup(replica->machine_index, name);
 }
 
 WsMachine *
-ws_book_get_machine(WsBook *book, const char *name)
+ws_replica_get_machine(WsReplica *replica, const char *name)
 {
-  WsMachine *machine = ws_book_find_machine(book, name);
+  WsMachine *machine = ws_replica_find_machine(replica, name);
   if (machine != NULL)
     return machine;
   machine = g_new0(WsMachine, 1);
   char *copy = g_strdup(name);
   machine->name = copy;
-  machine->index = book->machines->len;
+  machine->index = replica->machines->len;
   machine->type = WS_NONE;
   machine->zone = WS_NONE;
   machine->last_bad_job = WS_NONE;
   machine->owner_seen = WS_NONE;
   machine->tasks = g_array_new(FALSE, FALSE, sizeof(WsTaskRef));
   machine->images = g_array_new(FALSE, FALSE, sizeof(guint));
-  g_ptr_array_add(book->machines, machine);
-  g_hash_table_insert(book->machine_index, copy, machine);
-  machine->owner = ws_epoch_owner(&book->epoch, copy, book->settings);
+  g_ptr_array_add(replica->machines, machine);
+  g_hash_table_insert(replica->machine_index, copy, machine);
+  machine->owner = ws_epoch_owner(&replica->epoch, copy, replica->settings);
   return machine;
 }
 
@@ -166,59 +166,59 @@
 }
 
 guint
-ws_book_find_type(const WsBook *book, const char *name)
+ws_replica_find_type(const WsReplica *replica, const char *name)
 {
-  for (guint t = 0; book->catalog != NULL && name != NULL && t < book->catalog->len; t++)
-    if (strcmp(ws_book_type(book, t)->name, name) == 0)
+  for (guint t = 0; replica->catalog != NULL && name != NULL && t < replica->catalog->len; t++)
+    if (strcmp(ws_replica_type(replica, t)->name, name) == 0)
       return t;
   return WS_NONE;
 }
 
 void
-ws_book_describe_machine(WsBook *book, WsMachine *machine, const char *type, const char *zone,
-                         gboolean spot)
+ws_replica_describe_machine(WsReplica *replica, WsMachine *machine, const char *type,
+                            const char *zone, gboolean spot)
 {
   if (g_strcmp0(machine->type_name, type) != 0) {
     g_free(machine->type_name);
     machine->type_name = g_strdup(type);
   }
-  machine->type = ws_book_find_type(book, type);
-  machine->zone = ws_book_find_zone(book, zone);
+  machine->type = ws_replica_find_type(replica, type);
+  machine->zone = ws_replica_find_zone(replica, zone);
   machine->spot = spot;
 }
 
 void
-ws_book_set_catalog(WsBook *book, GPtrArray *catalog)
-{
-  if (book->catalog != NULL)
-    g_ptr_array_unref(book->catalog);
-  book->catalog = catalog;
-  for (guint i = 0; i < book->machines->len; i++) {
-    WsMachine *machine = ws_book_machine(book, i);
-    machine->type = ws_book_find_type(book, machine->type_name);
+ws_replica_set_catalog(WsReplica *replica, GPtrArray *catalog)
+{
+  if (replica->catalog != NULL)
+    g_ptr_array_unref(replica->catalog);
+  replica->catalog = catalog;
+  for (guint i = 0; i < replica->machines->len; i++) {
+    WsMachine *machine = ws_replica_machine(replica, i);
+    machine->type = ws_replica_find_type(replica, machine->type_name);
   }
 }
 
 const WsType *
-ws_book_type(const WsBook *book, guint type)
+ws_replica_type(const WsReplica *replica, guint type)
 {
-  return g_ptr_array_index(book->catalog, type);
+  return g_ptr_array_index(replica->catalog, type);
 }
 
 guint
-ws_book_find_team(const WsBook *book, const char *name)
+ws_replica_find_team(const WsReplica *replica, const char *name)
 {
-  for (guint t = 0; t < book->settings->teams->len; t++)
-    if (strcmp(((WsTeamSettings *)g_ptr_array_index(book->settings->teams, t))->name, name) == 0)
+  for (guint t = 0; t < replica->settings->teams->len; t++)
+    if (strcmp(((WsTeamSettings *)g_ptr_array_index(replica->settings->teams, t))->name, name) == 0)
       return t;
   return WS_NONE;
 }
 
 guint
-ws_book_find_zone(const WsBook *book, const char *name)
+ws_replica_find_zone(const WsReplica *replica, const char *name)
 {
-  for (guint z = 0; name != NULL && z < book->settings->zones->len; z++)
-    if (strcmp(g_ptr_array_index(book->settings->zones, z), name) == 0)
+  for (guint z = 0; name != NULL && z < replica->settings->zones->len; z++)
+    if (strcmp(g_ptr_array_index(replica->settings->zones, z), name) == 0)
       return z;
   return WS_NONE;
 }
@@ -297,12 +297,13 @@
 }
 
 void
-ws_job_count_zones(const WsBook *book, const WsJob *job, guint *counts)
+ws_job_count_zones(const WsReplica *replica, const WsJob *job, guint *counts)
 {
   for (guint c = 0; c < job->chunks->len; c++) {
     const WsChunk *chunk = g_ptr_array_index(job->chunks, c);
     for (guint i = 0; chunk != NULL && i < chunk->on->len; i++) {
-      guint zone = ws_book_machine(book, g_array_index(chunk->on, WsAssignment, i).machine)->zone;
+      guint zone
+          = ws_replica_machine(replica, g_array_index(chunk->on, WsAssignment, i).machine)->zone;
       if (zone != WS_NONE)
         counts[zone]++;
     }
@@ -310,17 +311,17 @@
 }
 
 double
-ws_job_allowed_s(const WsBook *book, const WsJob *job)
+ws_job_allowed_s(const WsReplica *replica, const WsJob *job)
 {
   return job->spec->deadline_s >= 0.0
              ? job->spec->deadline_s
-             : ws_settings_finish_within(book->settings, job->spec->class_name);
+             : ws_settings_finish_within(replica->settings, job->spec->class_name);
 }
 
 double
-ws_job_fetch_s(const WsBook *book, const WsJob *job)
+ws_job_fetch_s(const WsReplica *replica, const WsJob *job)
 {
-  return job->spec->image_gb / MAX(ws_book_type(book, 0)->fetch_gb_per_s, 0.01);
+  return job->spec->image_gb / MAX(ws_replica_type(replica, 0)->fetch_gb_per_s, 0.01);
 }
 
 gboolean
@@ -344,9 +345,9 @@
 }
 
 static void
-link_assignment(WsBook *book, WsJob *job, const WsAssignment *assignment)
+link_assignment(WsReplica *replica, WsJob *job, const WsAssignment *assignment)
 {
-  WsMachine *machine = ws_book_machine(book, assignment->machine);
+  WsMachine *machine = ws_replica_machine(replica, assignment->machine);
   WsTaskRef ref = { job->index, assignment->task };
   g_array_append_val(machine->tasks, ref);
   ws_amount_add(&machine->used, &job->spec->need, 1);
@@ -354,9 +355,9 @@
 }
 
 static void
-unlink_assignment(WsBook *book, WsJob *job, const WsAssignment *assignment)
+unlink_assignment(WsReplica *replica, WsJob *job, const WsAssignment *assignment)
 {
-  WsMachine *machine = ws_book_machine(book, assignment->machine);
+  WsMachine *machine = ws_replica_machine(replica, assignment->machine);
   for (guint i = 0; i < machine->tasks->len; i++) {
     const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, i);
     if (ref->job == job->index && ref->task == assignment->task) {
@@ -368,13 +369,13 @@
 }
 
 static void
-unlink_chunk(WsBook *book, WsJob *job, guint index)
+unlink_chunk(WsReplica *replica, WsJob *job, guint index)
 {
   WsChunk *old = index < job->chunks->len ? g_ptr_array_index(job->chunks, index) : NULL;
   if (old == NULL)
     return;
   for (guint i = 0; i < old->on->len; i++)
-    unlink_assignment(book, job, &g_array_index(old->on, WsAssignment, i));
+    unlink_assignment(replica, job, &g_array_index(old->on, WsAssignment, i));
   job->on_count -= old->on->len;
   job->done_count -= old->done_count;
 }
@@ -382,7 +383,7 @@
 /* What a node knows beyond the record survives a new version of the record; what wasn't there is
    kept for whoever launches. */
 static void
-keep_soft(WsBook *book, const WsJob *job, WsChunk *chunk, const WsChunk *old)
+keep_soft(WsReplica *replica, const WsJob *job, WsChunk *chunk, const WsChunk *old)
 {
   for (guint i = 0; i < chunk->on->len; i++) {
     WsAssignment *fresh = &g_array_index(chunk->on, WsAssignment, i);
@@ -392,22 +393,22 @@
       continue;
     }
     WsTaskRef ref = { job->index, fresh->task };
-    g_array_append_val(book->fresh, ref);
-    ws_book_machine(book, fresh->machine)->sparse_ms = 0; /* its hold begins anew */
+    g_array_append_val(replica->fresh, ref);
+    ws_replica_machine(replica, fresh->machine)->sparse_ms = 0; /* its hold begins anew */
   }
 }
 
 void
-ws_book_replace_chunk(WsBook *book, WsJob *job, guint index, WsChunk *chunk)
+ws_replica_replace_chunk(WsReplica *replica, WsJob *job, guint index, WsChunk *chunk)
 {
   if (job->chunks->len <= index)
     g_ptr_array_set_size(job->chunks, (gint)index + 1);
-  unlink_chunk(book, job, index);
+  unlink_chunk(replica, job, index);
   WsChunk *old = g_ptr_array_index(job->chunks, index);
   if (chunk != NULL) {
-    keep_soft(book, job, chunk, old);
+    keep_soft(replica, job, chunk, old);
     for (guint i = 0; i < chunk->on->len; i++)
-      link_assignment(book, job, &g_array_index(chunk->on, WsAssignment, i));
+      link_assignment(replica, job, &g_array_index(chunk->on, WsAssignment, i));
     job->on_count += chunk->on->len;
     job->done_count += chunk->done_count;
   }
@@ -416,43 +417,43 @@
 }
 
 WsJob *
-ws_book_add_job(WsBook *book, const char *id)
+ws_replica_add_job(WsReplica *replica, const char *id)
 {
   WsJob *job = g_new0(WsJob, 1);
-  job->index = book->jobs->len;
+  job->index = replica->jobs->len;
   job->id = g_strdup(id);
   job->chunks = g_ptr_array_new();
   job->home = WS_NONE;
-  g_ptr_array_add(book->jobs, job);
-  g_hash_table_insert(book->job_index, job->id, job);
+  g_ptr_array_add(replica->jobs, job);
+  g_hash_table_insert(replica->job_index, job->id, job);
   return job;
 }
 
 void
-ws_book_shrink_job(WsBook *book, WsJob *job)
+ws_replica_shrink_job(WsReplica *replica, WsJob *job)
 {
   for (guint i = 0; i < job->chunks->len; i++)
-    ws_book_replace_chunk(book, job, i, NULL);
+    ws_replica_replace_chunk(replica, job, i, NULL);
   g_ptr_array_set_size(job->chunks, 0);
-  g_ptr_array_remove(book->active, job);
+  g_ptr_array_remove(replica->active, job);
   ws_submission_free(job->spec);
   job->spec = NULL;
 }
 
 void
-ws_book_describe_job(WsBook *book, WsJob *job, WsSubmission *spec)
+ws_replica_describe_job(WsReplica *replica, WsJob *job, WsSubmission *spec)
 {
   job->spec = spec;
   job->tasks = spec->tasks;
-  job->team = ws_book_find_team(book, spec->team);
-  job->image = ws_names_intern(&book->images, spec->image);
-  job->zone = ws_book_find_zone(book, spec->zone);
-  g_ptr_array_add(book->active, job);
+  job->team = ws_replica_find_team(replica, spec->team);
+  job->image = ws_names_intern(&replica->images, spec->image);
+  job->zone = ws_replica_find_zone(replica, spec->zone);
+  g_ptr_array_add(replica->active, job);
 }
 
 guint64
-ws_book_version(const WsBook *book, const char *key)
+ws_replica_version(const WsReplica *replica, const char *key)
 {
-  const WsKeyVersion *known = g_hash_table_lookup(book->versions, key);
+  const WsKeyVersion *known = g_hash_table_lookup(replica->versions, key);
   return known != NULL && known->present ? known->version : 0;
 }
--- a/src/bookkeeping/ws-book.h
+++ b/src/storage/ws-replica.h
@@ -1,11 +1,11 @@
 /* The replica of the stored state, with the soft facts that a node adds to it.
 
-   Everything durable comes in through ws_book_apply: one key, one value, one version. An older
+   Everything durable comes in through ws_replica_apply: one key, one value, one version. An older
    version of a key never replaces a newer one, so a node's own writes may be applied as soon as
    they are answered and the watch may repeat them later. */
 #pragma once
 
-#include "bookkeeping/ws-keys.h"
+#include "storage/ws-keys.h"
 #include "coordination/ws-epoch.h"
 #include "protocol/ws-cloud.h"
 #include "protocol/ws-report.h"
@@ -173,50 +173,52 @@
   gboolean *team_is_recorded; /* its use comes from the record that it belongs to */
   WsNames images;
   GPtrArray *catalog; /* of WsType, NULL: not known yet */
-} WsBook;
+} WsReplica;
 
-WsBook *ws_book_new(const WsSettings *settings);
-void ws_book_free(WsBook *book);
+WsReplica *ws_replica_new(const WsSettings *settings);
+void ws_replica_free(WsReplica *replica);
 /* value NULL: removed. Returns whether anything changed. */
-gboolean ws_book_apply(WsBook *book, const char *key, const json_t *value, guint64 version);
+gboolean ws_replica_apply(WsReplica *replica, const char *key, const json_t *value,
+                          guint64 version);
 /* Forgets what is not among the keys that were read with the revision. */
-void ws_book_forget_missing(WsBook *book, GHashTable *read, guint64 revision);
+void ws_replica_forget_missing(WsReplica *replica, GHashTable *read, guint64 revision);
 /* The version for a condition: 0 if the key does not exist. */
-guint64 ws_book_version(const WsBook *book, const char *key);
-void ws_book_advance(WsBook *book, guint64 revision);
-void ws_book_set_catalog(WsBook *book, GPtrArray *catalog);
-
-WsJob *ws_book_job(const WsBook *book, guint index);
-WsJob *ws_book_find_job(const WsBook *book, const char *id);
-WsMachine *ws_book_machine(const WsBook *book, guint index);
-WsMachine *ws_book_find_machine(const WsBook *book, const char *name);
-WsMachine *ws_book_get_machine(WsBook *book, const char *name); /* made if missing */
-void ws_book_describe_machine(WsBook *book, WsMachine *machine, const char *type, const char *zone,
-                              gboolean spot);
+guint64 ws_replica_version(const WsReplica *replica, const char *key);
+void ws_replica_advance(WsReplica *replica, guint64 revision);
+void ws_replica_set_catalog(WsReplica *replica, GPtrArray *catalog);
+
+WsJob *ws_replica_job(const WsReplica *replica, guint index);
+WsJob *ws_replica_find_job(const WsReplica *replica, const char *id);
+WsMachine *ws_replica_machine(const WsReplica *replica, guint index);
+WsMachine *ws_replica_find_machine(const WsReplica *replica, const char *name);
+WsMachine *ws_replica_get_machine(WsReplica *replica, const char *name); /* made if missing */
+void ws_replica_describe_machine(WsReplica *replica, WsMachine *machine, const char *type,
+                                 const char *zone, gboolean spot);
 /* What records change; see ws-records.c. */
-WsJob *ws_book_add_job(WsBook *book, const char *id);
-void ws_book_describe_job(WsBook *book, WsJob *job, WsSubmission *spec /* taken */);
-void ws_book_shrink_job(WsBook *book, WsJob *job);
-void ws_book_replace_chunk(WsBook *book, WsJob *job, guint index, WsChunk *chunk /* taken */);
+WsJob *ws_replica_add_job(WsReplica *replica, const char *id);
+void ws_replica_describe_job(WsReplica *replica, WsJob *job, WsSubmission *spec /* taken */);
+void ws_replica_shrink_job(WsReplica *replica, WsJob *job);
+void ws_replica_replace_chunk(WsReplica *replica, WsJob *job, guint index,
+                              WsChunk *chunk /* taken */);
 
 gboolean ws_machine_has_image(const WsMachine *machine, guint image);
-const WsType *ws_book_type(const WsBook *book, guint type);
-guint ws_book_find_type(const WsBook *book, const char *name);
-guint ws_book_find_team(const WsBook *book, const char *name);
-guint ws_book_find_zone(const WsBook *book, const char *name);
+const WsType *ws_replica_type(const WsReplica *replica, guint type);
+guint ws_replica_find_type(const WsReplica *replica, const char *name);
+guint ws_replica_find_team(const WsReplica *replica, const char *name);
+guint ws_replica_find_zone(const WsReplica *replica, const char *name);
 
 WsChunk *ws_job_chunk(const WsJob *job, guint task);
 WsAssignment *ws_job_assignment(const WsJob *job, guint task);
 /* How long the job may take in all, by its deadline or its class; negative: nothing is said. */
-double ws_job_allowed_s(const WsBook *book, const WsJob *job);
+double ws_job_allowed_s(const WsReplica *replica, const WsJob *job);
 /* How long its image takes to fetch; the catalog must be known. */
-double ws_job_fetch_s(const WsBook *book, const WsJob *job);
+double ws_job_fetch_s(const WsReplica *replica, const WsJob *job);
 /* A gang of which a task has ended early: the others stop too, and all start again together. The
    tasks of a gang share the attempt number, which rises when one of them ends early. */
 gboolean ws_job_is_broken_gang(const WsJob *job);
 gboolean ws_job_task_done(const WsJob *job, guint task);
 /* The job's assigned tasks by zone. */
-void ws_job_count_zones(const WsBook *book, const WsJob *job, guint *counts);
+void ws_job_count_zones(const WsReplica *replica, const WsJob *job, guint *counts);
 guint ws_job_chunk_count(const WsJob *job);
 json_t *ws_job_encode(const WsJob *job, WsJobState state, const char *home);
 json_t *ws_job_encode_final(const WsJob *job, WsJobState state);
@@ -226,9 +228,9 @@
 void ws_chunk_remove(WsChunk *chunk, guint task);
 WsAssignment *ws_chunk_find(const WsChunk *chunk, guint task);
 void ws_chunk_free(WsChunk *chunk);
-json_t *ws_chunk_encode(const WsChunk *chunk, const WsBook *book);
+json_t *ws_chunk_encode(const WsChunk *chunk, const WsReplica *replica);
 json_t *ws_amount_encode(const WsAmount *amount);
-json_t *ws_lot_encode(const WsLot *lot, const WsBook *book);
+json_t *ws_lot_encode(const WsLot *lot, const WsReplica *replica);
 void ws_lot_free(WsLot *lot);
 json_t *ws_rent_encode(const WsRent *rent);
 json_t *ws_mark_encode(const char *why, gboolean now);
--- a/src/bookkeeping/ws-team-use.c
+++ b/src/storage/ws-team-use.c
@@ -1,4 +1,4 @@
-#include "bookkeeping/ws-team-use.h"
+#include "storage/ws-team-use.h"
 
 #include <string.h>
 
@@ -44,32 +44,32 @@
 }
 
 static void
-apply_amount(WsBook *book, guint team, const json_t *amount, gboolean is_own_record)
+apply_amount(WsReplica *replica, guint team, const json_t *amount, gboolean is_own_record)
 {
   if (team == WS_NONE || !json_is_object(amount)
-      || (!is_own_record && book->team_is_recorded[team]))
+      || (!is_own_record && replica->team_is_recorded[team]))
     return;
-  book->team_is_recorded[team] = is_own_record;
-  book->team_use[team].cpus = json_integer_value(json_object_get(amount, "c"));
-  book->team_use[team].gpus = json_integer_value(json_object_get(amount, "g"));
+  replica->team_is_recorded[team] = is_own_record;
+  replica->team_use[team].cpus = json_integer_value(json_object_get(amount, "c"));
+  replica->team_use[team].gpus = json_integer_value(json_object_get(amount, "g"));
 }
 
 void
-ws_team_use_apply(WsBook *book, const char *group_name, const json_t *value)
+ws_team_use_apply(WsReplica *replica, const char *group_name, const json_t *value)
 {
   guint64 group = g_ascii_strtoull(group_name, NULL, 10);
   const char *name;
   json_t *amount;
   json_object_foreach((json_t *)value, name, amount)
   {
-    guint team = ws_book_find_team(book, name);
-    gboolean is_own = team != WS_NONE && ws_team_use_group(book->settings, team) == group;
-    apply_amount(book, team, amount, is_own);
+    guint team = ws_replica_find_team(replica, name);
+    gboolean is_own = team != WS_NONE && ws_team_use_group(replica->settings, team) == group;
+    apply_amount(replica, team, amount, is_own);
   }
 }
 
 void
-ws_team_use_apply_single(WsBook *book, const char *team_name, const json_t *value)
+ws_team_use_apply_single(WsReplica *replica, const char *team_name, const json_t *value)
 {
-  apply_amount(book, ws_book_find_team(book, team_name), value, FALSE);
+  apply_amount(replica, ws_replica_find_team(replica, team_name), value, FALSE);
 }
--- a/src/bookkeeping/ws-team-use.h
+++ b/src/storage/ws-team-use.h
@@ -7,7 +7,7 @@
  */
 #pragma once
 
-#include "bookkeeping/ws-book.h"
+#include "storage/ws-replica.h"
 
 /** How many records there are, numbered from 0. */
 guint ws_team_use_groups(const WsSettings *settings);
@@ -27,7 +27,7 @@
  * A team counts by the record that it belongs to; another one that names it, from before the
  * settings' teams changed, counts only as long as there is no such record.
  */
-void ws_team_use_apply(WsBook *book, const char *group_name, const json_t *value);
+void ws_team_use_apply(WsReplica *replica, const char *group_name, const json_t *value);
 
 /** Takes a record of one team, as versions before 0.2 wrote them. */
-void ws_team_use_apply_single(WsBook *book, const char *team_name, const json_t *value);
+void ws_team_use_apply_single(WsReplica *replica, const char *team_name, const json_t *value);
--- a/tests/sim/rig.c
+++ b/tests/sim/rig.c
@@ -204,8 +204,8 @@
 gboolean
 rig_is_assigned(const Rig *rig)
 {
-  /* The final record of a job, which names no submission, is written only when nothing of the job is
-     on a machine; its records of tasks are removed later. */
+  /* The final record of a job, which names no submission, is written only when nothing of the job
+     is on a machine; its records of tasks are removed later. */
   const json_t *job = sim_state_get(rig->state, "w/job/req-1");
   return json_object_get(job, "spec") != NULL && sim_state_has(rig->state, "w/task/req-1/0");
 }
--- a/tests/test-size.c
+++ b/tests/test-size.c
@@ -1,7 +1,7 @@
 /* What a controller does for one report, one tick, one gossip, one plan and a takeover, counted at
    several sizes: it may not grow with the number of machines, or no worse than stated. Steps and
    messages, not seconds. */
-#include "bookkeeping/ws-book.h"
+#include "storage/ws-replica.h"
 #include "sim/rig.h"
 
 #define SMALL 80u
--- a/tests/test-bookkeeping.c
+++ b/tests/test-storage.c
@@ -1,4 +1,4 @@
-#include "bookkeeping/ws-team-use.h"
+#include "storage/ws-team-use.h"
 #include "ws-gen.h"
 #include "ws-site.h"
 
@@ -65,12 +65,12 @@
 }
 
 static void
-assert_sums(const WsBook *book)
+assert_sums(const WsReplica *replica)
 {
-  const WsJob *job = ws_book_find_job(book, "req-1");
+  const WsJob *job = ws_replica_find_job(replica, "req-1");
   guint linked = 0;
-  for (guint i = 0; i < book->machines->len; i++) {
-    const WsMachine *machine = ws_book_machine(book, i);
+  for (guint i = 0; i < replica->machines->len; i++) {
+    const WsMachine *machine = ws_replica_machine(replica, i);
     linked += machine->tasks->len;
     g_assert_cmpint(machine->used.cpus, ==, job->spec->need.cpus * machine->tasks->len);
   }
@@ -84,30 +84,30 @@
 {
   g_autoptr(WsSettings) settings = ws_test_settings(0);
   g_autoptr(GArray) events = history(rand);
-  WsBook *plain = ws_book_new(settings), *early = ws_book_new(settings);
+  WsReplica *plain = ws_replica_new(settings), *early = ws_replica_new(settings);
   for (guint i = 0; i < events->len; i++) {
     const Event *event = &g_array_index(events, Event, i);
-    ws_book_apply(plain, event->key, event->value, event->version);
-    ws_book_advance(plain, event->version);
+    ws_replica_apply(plain, event->key, event->value, event->version);
+    ws_replica_advance(plain, event->version);
     guint ahead = i + (guint)g_rand_int_range(rand, 0, 4);
     ahead = MIN(ahead, events->len - 1);
     const Event *own = &g_array_index(events, Event, ahead);
     if (i > 0)
-      ws_book_apply(early, own->key, own->value, own->version);
-    ws_book_apply(early, event->key, event->value, event->version);
-    ws_book_advance(early, event->version);
+      ws_replica_apply(early, own->key, own->value, own->version);
+    ws_replica_apply(early, event->key, event->value, event->version);
+    ws_replica_advance(early, event->version);
     assert_sums(early);
   }
   for (guint m = 0; m < 3; m++) {
     g_autofree char *name = g_strdup_printf("m-%u", m);
-    WsMachine *a = ws_book_get_machine(plain, name), *b = ws_book_get_machine(early, name);
+    WsMachine *a = ws_replica_get_machine(plain, name), *b = ws_replica_get_machine(early, name);
     g_assert_cmpint(a->marked, ==, b->marked);
     g_assert_cmpint(a->used.cpus, ==, b->used.cpus);
   }
-  g_assert_cmpuint(ws_book_version(plain, "w/task/req-1/0"), ==,
-                   ws_book_version(early, "w/task/req-1/0"));
-  ws_book_free(plain);
-  ws_book_free(early);
+  g_assert_cmpuint(ws_replica_version(plain, "w/task/req-1/0"), ==,
+                   ws_replica_version(early, "w/task/req-1/0"));
+  ws_replica_free(plain);
+  ws_replica_free(early);
 }
 
 static void
@@ -123,17 +123,17 @@
   g_autoptr(WsSettings) settings = ws_test_settings(0);
   g_autoptr(json_t) mark = ws_mark_encode("idle", FALSE);
   g_autoptr(GHashTable) read = g_hash_table_new(g_str_hash, g_str_equal);
-  WsBook *book = ws_book_new(settings);
-  ws_book_apply(book, "w/mark/m-1", mark, 4);
-  ws_book_apply(book, "w/mark/m-2", mark, 5);
-  ws_book_apply(book, "w/mark/m-3", mark, 9);
+  WsReplica *replica = ws_replica_new(settings);
+  ws_replica_apply(replica, "w/mark/m-1", mark, 4);
+  ws_replica_apply(replica, "w/mark/m-2", mark, 5);
+  ws_replica_apply(replica, "w/mark/m-3", mark, 9);
   g_hash_table_add(read, (gpointer) "w/mark/m-2");
-  ws_book_forget_missing(book, read, 7);
-  g_assert_false(ws_book_find_machine(book, "m-1")->marked);
-  g_assert_true(ws_book_find_machine(book, "m-2")->marked);
-  g_assert_true(ws_book_find_machine(book, "m-3")->marked); /* newer than what was read */
-  g_assert_cmpuint(ws_book_version(book, "w/mark/m-1"), ==, 0);
-  ws_book_free(book);
+  ws_replica_forget_missing(replica, read, 7);
+  g_assert_false(ws_replica_find_machine(replica, "m-1")->marked);
+  g_assert_true(ws_replica_find_machine(replica, "m-2")->marked);
+  g_assert_true(ws_replica_find_machine(replica, "m-3")->marked); /* newer than what was read */
+  g_assert_cmpuint(ws_replica_version(replica, "w/mark/m-1"), ==, 0);
+  ws_replica_free(replica);
 }
 
 static guint warnings;
@@ -154,13 +154,13 @@
   g_autoptr(WsSettings) settings = ws_test_settings(0);
   g_autoptr(json_t) job = job_value();
   g_autoptr(json_t) damaged = json_pack("{s:i, s:[[i]], s:s}", "a", 1, "on", 1, "d", "00");
-  WsBook *book = ws_book_new(settings);
-  ws_book_apply(book, "w/job/req-1", job, 1);
+  WsReplica *replica = ws_replica_new(settings);
+  ws_replica_apply(replica, "w/job/req-1", job, 1);
   warnings = 0;
-  ws_book_apply(book, "w/task/req-1/0", damaged, 2);
+  ws_replica_apply(replica, "w/task/req-1/0", damaged, 2);
   g_assert_cmpuint(warnings, ==, 1);
-  g_assert_cmpuint(ws_book_find_job(book, "req-1")->on_count, ==, 0);
-  ws_book_free(book);
+  g_assert_cmpuint(ws_replica_find_job(replica, "req-1")->on_count, ==, 0);
+  ws_replica_free(replica);
 }
 
 static void
@@ -183,26 +183,26 @@
     g_autoptr(WsSettings) settings = ws_test_settings(0);
     settings->state_value_kb = 8.0;
     add_teams(settings, (guint)g_rand_int_range(rand, 0, 400));
-    WsBook *book = ws_book_new(settings);
+    WsReplica *replica = ws_replica_new(settings);
     g_autofree WsAmount *use = g_new0(WsAmount, settings->teams->len);
     for (guint t = 0; t < settings->teams->len; t++)
       use[t] = (WsAmount){ .cpus = g_rand_int(rand), .gpus = g_rand_int(rand) };
     g_autoptr(json_t) old = json_pack("{s:i, s:i}", "c", 1, "g", 2);
-    ws_book_apply(book, "w/team/red", old, 1);
-    g_assert_cmpint(book->team_use[0].gpus, ==, 2);
+    ws_replica_apply(replica, "w/team/red", old, 1);
+    g_assert_cmpint(replica->team_use[0].gpus, ==, 2);
     for (guint group = 0; group < ws_team_use_groups(settings); group++) {
       g_autofree char *key = ws_team_use_key(group);
       g_autoptr(json_t) value = ws_team_use_encode(settings, group, use);
       g_autofree char *text = json_dumps(value, JSON_COMPACT);
       g_assert_cmpuint(strlen(text), <, 8 * 1024 * 3 / 4);
-      ws_book_apply(book, key, value, 2 + group);
+      ws_replica_apply(replica, key, value, 2 + group);
     }
-    ws_book_apply(book, "w/team/red", old, 1000);
+    ws_replica_apply(replica, "w/team/red", old, 1000);
     for (guint t = 0; t < settings->teams->len; t++) {
-      g_assert_cmpint(book->team_use[t].cpus, ==, use[t].cpus);
-      g_assert_cmpint(book->team_use[t].gpus, ==, use[t].gpus);
+      g_assert_cmpint(replica->team_use[t].cpus, ==, use[t].cpus);
+      g_assert_cmpint(replica->team_use[t].gpus, ==, use[t].gpus);
     }
-    ws_book_free(book);
+    ws_replica_free(replica);
   }
 }
 
@@ -212,9 +212,9 @@
   g_test_init(&argc, &argv, NULL);
   g_log_set_always_fatal(G_LOG_LEVEL_ERROR);
   g_log_set_writer_func(count_warnings, NULL, NULL);
-  g_test_add_func("/bookkeeping/early", test_early);
-  g_test_add_func("/bookkeeping/forget", test_forget);
-  g_test_add_func("/bookkeeping/damaged", test_damaged);
-  g_test_add_func("/bookkeeping/team-use", test_team_use);
+  g_test_add_func("/storage/early", test_early);
+  g_test_add_func("/storage/forget", test_forget);
+  g_test_add_func("/storage/damaged", test_damaged);
+  g_test_add_func("/storage/team-use", test_team_use);
   return g_test_run();
 }
