--- a/src/core/ws-cancel.c
+++ b/src/core/ws-cancel.c
@@ -352,7 +352,7 @@
     return;
   if (ws_store_ok(core)) {
     if (ws_entitled(core) && machine->stored && !machine->mark_now)
-      ws_giveback_mark(core, machine, "cancelled", TRUE);
+      ws_termination_mark(core, machine, "cancelled", TRUE);
   } else if (part >= RETURN_PART && returns_unmarked(core)) {
     ws_fleet_return_unmarked(core, machine);
   }
--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -27,7 +27,7 @@
 typedef struct _WsFleet WsFleet;
 typedef struct _WsPlan WsPlan;
 typedef struct _WsAsks WsAsks;
-typedef struct _WsGiveback WsGiveback;
+typedef struct _WsTermination WsTermination;
 typedef struct _WsCancels WsCancels;
 typedef struct _WsReservations WsReservations;
 typedef struct _WsWriteStats WsWriteStats;
@@ -66,7 +66,7 @@
   WsFleet *fleet;
   WsPlan *plan;
   WsAsks *asks;
-  WsGiveback *giveback;
+  WsTermination *termination;
   WsCancels *cancels;
   WsReservations *reservations;
   WsWriteStats *write_stats;
@@ -331,13 +331,13 @@
 /* ws-sweep.c */
 void ws_sweep_tick(WsCore *core);
 
-/* ws-giveback.c */
-gboolean ws_giveback_allowed(const WsCore *core, const WsMachine *machine);
-WsGiveback *ws_giveback_new(void);
-void ws_giveback_free(WsGiveback *giveback);
-void ws_giveback_tick(WsCore *core);
+/* ws-termination.c */
+gboolean ws_termination_allowed(const WsCore *core, const WsMachine *machine);
+WsTermination *ws_termination_new(void);
+void ws_termination_free(WsTermination *termination);
+void ws_termination_tick(WsCore *core);
 /* The leader writes the marks that were asked for. */
-void ws_giveback_pump(WsCore *core);
-void ws_giveback_mark(WsCore *core, WsMachine *machine, const char *why, gboolean now);
-gboolean ws_giveback_may_stop(WsCore *core, WsMachine *machine, WsJob *job,
-                              const WsAssignment *assignment);
+void ws_termination_pump(WsCore *core);
+void ws_termination_mark(WsCore *core, WsMachine *machine, const char *why, gboolean now);
+gboolean ws_termination_may_stop(WsCore *core, WsMachine *machine, WsJob *job,
+                                 const WsAssignment *assignment);
--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -27,7 +27,7 @@
   core->fleet = ws_fleet_new(settings);
   core->plan = ws_plan_new();
   core->asks = ws_asks_new(settings);
-  core->giveback = ws_giveback_new();
+  core->termination = ws_termination_new();
   core->cancels = ws_cancels_new(settings);
   core->reservations = ws_reservations_new();
   core->write_stats = ws_write_stats_new();
@@ -73,7 +73,7 @@
   ws_fleet_free(core->fleet);
   ws_plan_free(core->plan);
   ws_asks_free(core->asks, core->settings);
-  ws_giveback_free(core->giveback);
+  ws_termination_free(core->termination);
   ws_cancels_free(core->cancels);
   ws_reservations_free(core->reservations);
   ws_write_stats_free(core->write_stats);
@@ -240,7 +240,7 @@
     core->vouched_ms = core->now;
   ws_cancel_pump(core);
   ws_plan_tick(core);
-  ws_giveback_pump(core);
+  ws_termination_pump(core);
   ws_assign_pump(core);
   ws_ask_pump(core);
   ws_store_pump(core);
@@ -256,7 +256,7 @@
   if (core->now >= core->upkeep_ms && ws_store_loaded(core)) {
     core->upkeep_ms = core->now + 250;
     ws_silence_tick(core);
-    ws_giveback_tick(core);
+    ws_termination_tick(core);
     ws_fleet_tick(core);
     ws_fleet_adopt_tick(core);
     ws_sweep_tick(core);
--- a/src/core/ws-fleet.c
+++ b/src/core/ws-fleet.c
@@ -437,7 +437,7 @@
   if (machine->endpoint == NULL && listed->endpoint != NULL)
     machine->endpoint = g_strdup(listed->endpoint);
   if (listed->failed && !ws_machine_up(core, machine))
-    ws_giveback_mark(core, machine, "failed", TRUE);
+    ws_termination_mark(core, machine, "failed", TRUE);
 }
 
 static void
@@ -683,7 +683,7 @@
       g_ptr_array_add(names, g_strdup(name));
     else if (ws_fleet_gone(core, name) && machine->stored && !machine->mark_now
              && ws_entitled(core))
-      ws_giveback_mark(core, machine, "cancelled", TRUE);
+      ws_termination_mark(core, machine, "cancelled", TRUE);
   }
   send_return(core, names);
 }
@@ -716,7 +716,7 @@
       continue;
     double boot_s = ws_replica_type(core->replica, machine->type)->boot_s;
     if ((double)(core->wall - machine->at_ms) / 1000.0 > BOOT_PATIENCE * boot_s + 5.0)
-      ws_giveback_mark(core, machine, "never up", TRUE);
+      ws_termination_mark(core, machine, "never up", TRUE);
   }
 }
 
--- a/src/core/ws-merge.c
+++ b/src/core/ws-merge.c
@@ -114,7 +114,7 @@
   for (guint i = 0; i < machine->tasks->len; i++)
     g_hash_table_add(batch->jobs,
                      GUINT_TO_POINTER(g_array_index(machine->tasks, WsTaskRef, i).job));
-  ws_giveback_mark(core, machine, "merge", FALSE);
+  ws_termination_mark(core, machine, "merge", FALSE);
 }
 
 static gboolean
@@ -151,7 +151,7 @@
         || !is_due(core, machine) || looked >= MOST_LOOKS || !may_close(core, batch, machine)
         || batch->machines > stored / MACHINES_A_MERGE)
       continue;
-    if (fits_elsewhere(core, batch, machine) && ws_giveback_allowed(core, machine)) {
+    if (fits_elsewhere(core, batch, machine) && ws_termination_allowed(core, machine)) {
       merge(core, batch, machine);
       continue;
     }
--- a/src/core/ws-silence.c
+++ b/src/core/ws-silence.c
@@ -87,7 +87,7 @@
 watch_mute(WsCore *core, WsMachine *machine)
 {
   if (machine->tasks->len > 0 && ws_machine_mute(core, machine))
-    ws_giveback_mark(core, machine, "mute", TRUE);
+    ws_termination_mark(core, machine, "mute", TRUE);
 }
 
 static void
@@ -281,7 +281,7 @@
   if (has_cancelled(core, machine))
     patience = MIN(patience, (gint64)(core->settings->cancel_s * 400.0));
   if (failed && silent_ms > patience)
-    ws_giveback_mark(core, machine, "silent", TRUE);
+    ws_termination_mark(core, machine, "silent", TRUE);
 }
 
 static void
@@ -291,7 +291,7 @@
   double part = many ? 1.0 : DEAF_PART;
   if (ws_machine_up(core, machine)
       && (double)unmet_for(core, machine) > part * core->settings->lease_s * 1000.0)
-    ws_giveback_mark(core, machine, "deaf", TRUE);
+    ws_termination_mark(core, machine, "deaf", TRUE);
 }
 
 static void
--- a/src/core/ws-giveback.c
+++ b/src/core/ws-termination.c
@@ -68,7 +68,7 @@
   gboolean now;
 } Marking;
 
-struct _WsGiveback {
+struct _WsTermination {
   GArray *wanted;  /* of Marking: the leader writes them, many in one transaction */
   GArray *writing; /* of Marking */
 };
@@ -87,28 +87,28 @@
   return markings;
 }
 
-WsGiveback *
-ws_giveback_new(void)
+WsTermination *
+ws_termination_new(void)
 {
-  WsGiveback *giveback = g_new0(WsGiveback, 1);
-  giveback->wanted = markings_new();
-  giveback->writing = markings_new();
-  return giveback;
+  WsTermination *termination = g_new0(WsTermination, 1);
+  termination->wanted = markings_new();
+  termination->writing = markings_new();
+  return termination;
 }
 
 void
-ws_giveback_free(WsGiveback *giveback)
+ws_termination_free(WsTermination *termination)
 {
-  g_array_unref(giveback->wanted);
-  g_array_unref(giveback->writing);
-  g_free(giveback);
+  g_array_unref(termination->wanted);
+  g_array_unref(termination->writing);
+  g_free(termination);
 }
 
 static void
 on_marked(WsCore *core, WsTxnResult result, gpointer data)
 {
   (void)data;
-  GArray *writing = core->giveback->writing;
+  GArray *writing = core->termination->writing;
   for (guint i = 0; i < writing->len; i++) {
     const Marking *marking = &g_array_index(writing, Marking, i);
     WsMachine *machine = ws_replica_machine(core->replica, marking->machine);
@@ -127,7 +127,7 @@
 
 /* An owner's election is handed in to the leader, who alone writes marks. */
 void
-ws_giveback_mark(WsCore *core, WsMachine *machine, const char *why, gboolean now)
+ws_termination_mark(WsCore *core, WsMachine *machine, const char *why, gboolean now)
 {
   if (machine->marking || (machine->marked && (!now || machine->mark_now)) || !ws_store_ok(core))
     return;
@@ -141,35 +141,35 @@
     return;
   }
   Marking marking = { machine->index, g_strdup(why), now };
-  g_array_append_val(core->giveback->wanted, marking);
+  g_array_append_val(core->termination->wanted, marking);
 }
 
 void
-ws_giveback_pump(WsCore *core)
+ws_termination_pump(WsCore *core)
 {
-  WsGiveback *giveback = core->giveback;
-  if (giveback->wanted->len == 0 || giveback->writing->len > 0)
+  WsTermination *termination = core->termination;
+  if (termination->wanted->len == 0 || termination->writing->len > 0)
     return;
   WsTxn *txn = ws_txn_new();
   ws_txn_if(txn, core->replica, WS_KEY_EPOCH);
-  while (giveback->wanted->len > 0 && ws_txn_ops(txn) < core->settings->state_txn_ops) {
-    Marking marking = g_array_index(giveback->wanted, Marking, 0);
+  while (termination->wanted->len > 0 && ws_txn_ops(txn) < core->settings->state_txn_ops) {
+    Marking marking = g_array_index(termination->wanted, Marking, 0);
     WsMachine *machine = ws_replica_machine(core->replica, marking.machine);
     /* Two owners may have elected at once what the budget allows only one of. */
     if (!machine->stored || !ws_is_leader(core)
         || (!marking.now && strcmp(marking.why, "notice") != 0 && !budget_allows(core, machine))) {
       machine->marking = FALSE;
-      g_array_remove_index(giveback->wanted, 0);
+      g_array_remove_index(termination->wanted, 0);
       continue;
     }
     g_autofree char *key = ws_key(WS_KEYS_MARK, machine->name);
     ws_txn_if(txn, core->replica, key);
     ws_txn_set(txn, key, ws_mark_encode(marking.why, marking.now));
     marking.why = g_strdup(marking.why);
-    g_array_append_val(giveback->writing, marking);
-    g_array_remove_index(giveback->wanted, 0);
+    g_array_append_val(termination->writing, marking);
+    g_array_remove_index(termination->wanted, 0);
   }
-  if (giveback->writing->len > 0)
+  if (termination->writing->len > 0)
     ws_txn_commit(core, txn, WS_FIRST_TASK, on_marked, NULL);
   else
     ws_txn_free(txn);
@@ -177,7 +177,8 @@
 
 /* Stops go one at a time per service, and back off while one of its tasks is down already. */
 gboolean
-ws_giveback_may_stop(WsCore *core, WsMachine *machine, WsJob *job, const WsAssignment *assignment)
+ws_termination_may_stop(WsCore *core, WsMachine *machine, WsJob *job,
+                        const WsAssignment *assignment)
 {
   if (job->spec->kind != WS_KIND_SERVICE || assignment->state < WS_TASK_RUNNING)
     return TRUE;
@@ -199,7 +200,7 @@
 }
 
 gboolean
-ws_giveback_allowed(const WsCore *core, const WsMachine *machine)
+ws_termination_allowed(const WsCore *core, const WsMachine *machine)
 {
   return zone_is_whole(core, machine->zone) && budget_allows(core, machine)
          && (machine->spot || ws_spare_without(core, machine));
@@ -218,23 +219,23 @@
     machine->empty_ms = core->now;
   if (core->now - machine->empty_ms < (gint64)(core->properties->hold_s * 1000.0))
     return;
-  if (ws_giveback_allowed(core, machine))
-    ws_giveback_mark(core, machine, "idle", FALSE);
+  if (ws_termination_allowed(core, machine))
+    ws_termination_mark(core, machine, "idle", FALSE);
 }
 
 static void
 tend(WsCore *core, WsMachine *machine)
 {
   if (machine->notice_ms > 0 && !machine->marked)
-    ws_giveback_mark(core, machine, "notice", FALSE);
+    ws_termination_mark(core, machine, "notice", FALSE);
   else if (machine->bad_jobs >= 2 && !machine->marked)
-    ws_giveback_mark(core, machine, "faulty", FALSE);
+    ws_termination_mark(core, machine, "faulty", FALSE);
   else if (!machine->marked)
     elect(core, machine);
 }
 
 void
-ws_giveback_tick(WsCore *core)
+ws_termination_tick(WsCore *core)
 {
   for (guint i = 0; i < core->replica->machines->len; i++) {
     WsMachine *machine = ws_replica_machine(core->replica, i);
--- a/src/core/ws-workers.c
+++ b/src/core/ws-workers.c
@@ -313,7 +313,7 @@
   if (task->state == WS_TASK_SAVING && !is_cancelled)
     return;
   if (is_cancelled || a->stopping || ws_job_is_broken_gang(job)
-      || (machine->marked && ws_giveback_may_stop(answer->core, machine, job, a)))
+      || (machine->marked && ws_termination_may_stop(answer->core, machine, job, a)))
     command(answer, WS_OP_HALT, task->job, task->task, task->attempt, grace(answer->core, job));
 }
 
