--- a/src/core/ws-cancel.c
+++ b/src/core/ws-cancel.c
@@ -37,7 +37,7 @@
   gint64 *tell_ms;     /* by node: when it may be told again */
   GHashTable *halt_ms; /* machine -> when it may be sent a halt again */
   guint halt_calls;
-  gint64 sweep_ms;
+  gint64 garbage_ms;
 };
 
 static void
@@ -431,11 +431,11 @@
     gint64 age_ms = CLAMP(core->wall - job->cancelled_ms, 0, core->now);
     learn(core, job->id, core->now - age_ms, core->settings->self);
   }
-  gboolean is_due = core->now >= cancels->sweep_ms || fresh->len > 0;
+  gboolean is_due = core->now >= cancels->garbage_ms || fresh->len > 0;
   g_array_set_size(fresh, 0);
   if (cancels->list->len == 0 || !is_due)
     return;
-  cancels->sweep_ms = core->now + 100;
+  cancels->garbage_ms = core->now + 100;
   forget_over(core);
   for (guint n = 0; n < core->settings->nodes->len; n++)
     if (!cancels->telling[n] && core->now >= cancels->tell_ms[n] && ws_cancel_untold(core, n) > 0)
--- a/src/core/ws-merge.c
+++ b/src/core/ws-consolidation.c
@@ -7,7 +7,7 @@
 /* Machines looked at in one tick, beside those that are merged: each is held against all others. */
 #define MOST_LOOKS 4
 /* One in so many machines is merged at a time. */
-#define MACHINES_A_MERGE 50
+#define MACHINES_A_CONSOLIDATION 50
 /* How long each node's turn is; in its first half it may begin. */
 #define TURN_MS 2000
 
@@ -107,7 +107,7 @@
 }
 
 static void
-merge(WsCore *core, Batch *batch, WsMachine *machine)
+consolidate(WsCore *core, Batch *batch, WsMachine *machine)
 {
   batch->closing[machine->index] = TRUE;
   batch->machines++;
@@ -140,7 +140,7 @@
 }
 
 static void
-merge_some(WsCore *core, Batch *batch)
+consolidate_some(WsCore *core, Batch *batch)
 {
   guint count = core->replica->machines->len, stored = 0, looked = 0;
   for (guint i = 0; i < count; i++)
@@ -149,10 +149,10 @@
     WsMachine *machine = ws_replica_machine(core->replica, i);
     if (!machine->stored || machine->type == WS_NONE || !ws_owns(core, machine)
         || !is_due(core, machine) || looked >= MOST_LOOKS || !may_close(core, batch, machine)
-        || batch->machines > stored / MACHINES_A_MERGE)
+        || batch->machines > stored / MACHINES_A_CONSOLIDATION)
       continue;
     if (fits_elsewhere(core, batch, machine) && ws_termination_allowed(core, machine)) {
-      merge(core, batch, machine);
+      consolidate(core, batch, machine);
       continue;
     }
     looked++;
@@ -173,14 +173,14 @@
 }
 
 void
-ws_merge_tick(WsCore *core)
+ws_consolidation_tick(WsCore *core)
 {
   if (core->replica->catalog == NULL || !is_our_turn(core) || !is_quiet(core))
     return;
   guint count = MAX(core->replica->machines->len, 1u);
   Batch batch
       = { g_new0(WsAmount, count), g_new0(gboolean, count), g_hash_table_new(NULL, NULL), 0 };
-  merge_some(core, &batch);
+  consolidate_some(core, &batch);
   g_free(batch.taken);
   g_free(batch.closing);
   g_hash_table_unref(batch.jobs);
--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -89,7 +89,7 @@
   guint64 epoch_seen;
   gboolean is_dazed; /* stood still, and has not renewed and read since */
   gint64 upkeep_ms;
-  gint64 sweep_ms;
+  gint64 garbage_ms;
   gboolean wants_epoch; /* a doubt can only be ended by a higher token */
 };
 
@@ -325,11 +325,11 @@
 /* The one return without a mark: a cancelled task must go, and the state service takes none. */
 void ws_fleet_return_unmarked(WsCore *core, const WsMachine *machine);
 
-/* ws-merge.c: machines whose work fits on others. */
-void ws_merge_tick(WsCore *core);
+/* ws-consolidation.c: machines whose work fits on others. */
+void ws_consolidation_tick(WsCore *core);
 
-/* ws-sweep.c */
-void ws_sweep_tick(WsCore *core);
+/* ws-garbage.c */
+void ws_garbage_tick(WsCore *core);
 
 /* ws-termination.c */
 gboolean ws_termination_allowed(const WsCore *core, const WsMachine *machine);
--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -259,7 +259,7 @@
     ws_termination_tick(core);
     ws_fleet_tick(core);
     ws_fleet_adopt_tick(core);
-    ws_sweep_tick(core);
+    ws_garbage_tick(core);
     ws_write_stats_tick(core);
   }
   settle(core);
--- a/src/core/ws-draft.c
+++ b/src/core/ws-draft.c
@@ -331,7 +331,7 @@
 /* Writing it down. */
 
 /* Ends a job with its last task, in the same transaction. Its chunks of tasks say nothing any more
-   and are removed when there is time (ws-sweep.c): each would be one more change. */
+   and are removed when there is time (ws-garbage.c): each would be one more change. */
 static gboolean
 write_final(const WsDraft *draft, WsTxn *txn, const WsJob *job, GArray *ending)
 {
--- a/src/core/ws-sweep.c
+++ b/src/core/ws-garbage.c
@@ -25,10 +25,10 @@
 }
 
 static void
-on_swept(WsCore *core, WsTxnResult result, gpointer data)
+on_collected(WsCore *core, WsTxnResult result, gpointer data)
 {
   (void)data;
-  core->sweep_ms = core->now + (result == WS_TXN_OK ? BUSY_PAUSE_MS : PAUSE_MS);
+  core->garbage_ms = core->now + (result == WS_TXN_OK ? BUSY_PAUSE_MS : PAUSE_MS);
 }
 
 /* Returns how many there are; as many as a transaction takes are added to it. */
@@ -50,9 +50,9 @@
 }
 
 void
-ws_sweep_tick(WsCore *core)
+ws_garbage_tick(WsCore *core)
 {
-  if (!ws_is_leader(core) || core->now < core->sweep_ms || !ws_store_ok(core))
+  if (!ws_is_leader(core) || core->now < core->garbage_ms || !ws_store_ok(core))
     return;
   WsTxn *txn = ws_txn_new();
   ws_txn_if(txn, core->replica, WS_KEY_EPOCH);
@@ -60,9 +60,9 @@
   gboolean may_write = count > MOST_LEFT
                        || (!ws_assign_is_behind(core)
                            && ws_store_may_write(core, core->settings->state_txn_ops / 2));
-  core->sweep_ms = core->now + (count > 0 ? BUSY_PAUSE_MS : PAUSE_MS);
+  core->garbage_ms = core->now + (count > 0 ? BUSY_PAUSE_MS : PAUSE_MS);
   if (count > 0 && may_write)
-    ws_txn_commit(core, txn, WS_FIRST_REST, on_swept, NULL);
+    ws_txn_commit(core, txn, WS_FIRST_REST, on_collected, NULL);
   else
     ws_txn_free(txn);
 }
--- a/src/core/ws-termination.c
+++ b/src/core/ws-termination.c
@@ -247,5 +247,5 @@
     if (machine->stored && ws_owns(core, machine))
       tend(core, machine);
   }
-  ws_merge_tick(core);
+  ws_consolidation_tick(core);
 }
