--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -173,15 +173,15 @@
 void ws_cancel_add_halts(const WsCore *core, const WsReport *report, json_t *commands);
 void ws_cancel_pump(WsCore *core);
 
-/* ws-silence.c */
-void ws_silence_tick(WsCore *core);
+/* ws-failure-detector.c */
+void ws_failure_detector_tick(WsCore *core);
 /* As of the last tick. */
 gboolean ws_zone_cut(const WsCore *core, guint zone);
 gboolean ws_machine_up(const WsCore *core, const WsMachine *machine);
 /* Its reports come, but what it's told doesn't reach it. */
-gboolean ws_machine_deaf(const WsCore *core, const WsMachine *machine);
+gboolean ws_machine_outbound_unreachable(const WsCore *core, const WsMachine *machine);
 /* It can be called, but its reports reach nobody. */
-gboolean ws_machine_mute(const WsCore *core, const WsMachine *machine);
+gboolean ws_machine_inbound_unreachable(const WsCore *core, const WsMachine *machine);
 gboolean ws_machine_silent(const WsCore *core, const WsMachine *machine);
 
 /* ws-mesh.c */
--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -255,7 +255,7 @@
   ws_mesh_tick(core);
   if (core->now >= core->upkeep_ms && ws_store_loaded(core)) {
     core->upkeep_ms = core->now + 250;
-    ws_silence_tick(core);
+    ws_failure_detector_tick(core);
     ws_termination_tick(core);
     ws_fleet_tick(core);
     ws_fleet_adopt_tick(core);
--- a/src/core/ws-silence.c
+++ b/src/core/ws-failure-detector.c
@@ -18,7 +18,7 @@
 #define CUT_NOW_MS 600
 /* A machine that doesn't do what it's told is not used when it should have shown it by now, and
    returned after a larger part of its lease. */
-#define DEAF_PART 0.7
+#define OUTBOUND_PATIENCE_PART 0.7
 /* A worker whose node doesn't answer gives up after 4 s and tries the next one a second later. */
 #define FIND_MS 5000
 /* No worker reaches this node, if none did for as long as this many should have. */
@@ -65,7 +65,7 @@
 }
 
 gboolean
-ws_machine_deaf(const WsCore *core, const WsMachine *machine)
+ws_machine_outbound_unreachable(const WsCore *core, const WsMachine *machine)
 {
   /* One that says nothing isn't deaf, but silent. */
   return ws_machine_up(core, machine) && unmet_for(core, machine) > patience_ms(core);
@@ -75,7 +75,7 @@
    not reported since. Whatever is started there ends with the next lease. A machine whose reports
    are only answered elsewhere keeps its session. */
 gboolean
-ws_machine_mute(const WsCore *core, const WsMachine *machine)
+ws_machine_inbound_unreachable(const WsCore *core, const WsMachine *machine)
 {
   return machine->session_ms > machine->reported_ms && ws_machine_up(core, machine)
          && core->now - machine->session_ms > patience_ms(core);
@@ -84,9 +84,9 @@
 /* The tasks that it held are gone, and those that were assigned since wait there in vain: they
    begin elsewhere once it's returned. An empty one goes when its hold is over. */
 static void
-watch_mute(WsCore *core, WsMachine *machine)
+watch_inbound_unreachable(WsCore *core, WsMachine *machine)
 {
-  if (machine->tasks->len > 0 && ws_machine_mute(core, machine))
+  if (machine->tasks->len > 0 && ws_machine_inbound_unreachable(core, machine))
     ws_termination_mark(core, machine, "mute", TRUE);
 }
 
@@ -285,17 +285,17 @@
 }
 
 static void
-watch_deaf(WsCore *core, WsMachine *machine, guint deaf, guint all)
+watch_outbound_unreachable(WsCore *core, WsMachine *machine, guint deaf, guint all)
 {
   gboolean many = deaf >= 3 && 5 * deaf >= all; /* then it's rather this node that isn't heard */
-  double part = many ? 1.0 : DEAF_PART;
+  double part = many ? 1.0 : OUTBOUND_PATIENCE_PART;
   if (ws_machine_up(core, machine)
       && (double)unmet_for(core, machine) > part * core->settings->lease_s * 1000.0)
     ws_termination_mark(core, machine, "deaf", TRUE);
 }
 
 static void
-watch_all_deaf(WsCore *core)
+watch_all_outbound_unreachable(WsCore *core)
 {
   guint deaf = 0, all = 0;
   for (guint i = 0; i < core->replica->machines->len; i++) {
@@ -303,12 +303,12 @@
     if (!machine->stored || machine->marked || !ws_owns(core, machine))
       continue;
     all++;
-    deaf += ws_machine_deaf(core, machine) ? 1 : 0;
+    deaf += ws_machine_outbound_unreachable(core, machine) ? 1 : 0;
   }
   for (guint i = 0; deaf > 0 && i < core->replica->machines->len; i++) {
     WsMachine *machine = ws_replica_machine(core->replica, i);
     if (machine->stored && ws_owns(core, machine) && !machine->mark_now)
-      watch_deaf(core, machine, deaf, all);
+      watch_outbound_unreachable(core, machine, deaf, all);
   }
 }
 
@@ -333,7 +333,7 @@
 /* Each round of status calls begins after the last one of the round before, so that a bound on them
    leaves nobody out. */
 void
-ws_silence_tick(WsCore *core)
+ws_failure_detector_tick(WsCore *core)
 {
   guint count = core->replica->machines->len;
   Cuts cuts = { 0 };
@@ -351,11 +351,11 @@
     gboolean had_room = core->status_calls < MOST_STATUS_CALLS;
     if (!machine->marked || !machine->mark_now) {
       watch_machine(core, machine, &cuts);
-      watch_mute(core, machine);
+      watch_inbound_unreachable(core, machine);
     }
     if (had_room && core->status_calls == MOST_STATUS_CALLS)
       core->status_next = machine->index + 1;
   }
   g_free(cuts.zones);
-  watch_all_deaf(core);
+  watch_all_outbound_unreachable(core);
 }
--- a/src/core/ws-mesh.c
+++ b/src/core/ws-mesh.c
@@ -122,8 +122,8 @@
 static void
 note_news(WsCore *core, WsMachine *machine)
 {
-  guint said = (ws_machine_up(core, machine) && !ws_machine_deaf(core, machine)
-                        && !ws_machine_mute(core, machine)
+  guint said = (ws_machine_up(core, machine) && !ws_machine_outbound_unreachable(core, machine)
+                        && !ws_machine_inbound_unreachable(core, machine)
                     ? SAID_UP
                     : 0u)
                | (machine->notice_ms > 0 ? SAID_NOTICE : 0u);
