--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -82,12 +82,12 @@
   guint status_next; /* where the next round of status calls begins */
   guint64 plan_steps;
   guint64 plans;
-  gint64 *cut_ms;      /* by zone: when it last seemed to be cut off; 0: never */
-  gint64 *sure_cut_ms; /* by zone: when that was last sure */
+  gint64 *partition_ms;      /* by zone: when it last seemed to be cut off; 0: never */
+  gint64 *sure_partition_ms; /* by zone: when that was last sure */
   gboolean plan_due;
   gint64 epoch_ms; /* since when the present epoch is known */
   guint64 epoch_seen;
-  gboolean is_dazed; /* stood still, and has not renewed and read since */
+  gboolean is_stalled; /* stood still, and has not renewed and read since */
   gint64 upkeep_ms;
   gint64 garbage_ms;
   gboolean wants_epoch; /* a doubt can only be ended by a higher token */
@@ -176,7 +176,7 @@
 /* ws-failure-detector.c */
 void ws_failure_detector_tick(WsCore *core);
 /* As of the last tick. */
-gboolean ws_zone_cut(const WsCore *core, guint zone);
+gboolean ws_zone_partitioned(const WsCore *core, guint zone);
 gboolean ws_machine_up(const WsCore *core, const WsMachine *machine);
 /* Its reports come, but what it's told doesn't reach it. */
 gboolean ws_machine_outbound_unreachable(const WsCore *core, const WsMachine *machine);
@@ -192,7 +192,7 @@
 gboolean ws_mesh_sees(const WsCore *core, guint from, guint to);
 gboolean ws_mesh_alone_refused(const WsCore *core);
 /* Neither the state service nor any other node is reached. */
-gboolean ws_mesh_cut_off(const WsCore *core);
+gboolean ws_mesh_isolated(const WsCore *core);
 /* Nothing that was confirmed to a user is missed by this node. */
 gboolean ws_vouches(const WsCore *core);
 /* Whether a lease that is renewed now ends in time for whatever is missed. */
--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 /* A pause between two ticks after which this node's lease may have ended. */
-#define STOOD_STILL_MS 3000
+#define STALL_MS 3000
 
 typedef struct {
   guint64 id; /* the key under which it is kept */
@@ -33,8 +33,8 @@
   core->write_stats = ws_write_stats_new();
   core->learned = ws_learned_new();
   core->peers = g_new0(WsPeer, settings->nodes->len);
-  core->cut_ms = g_new0(gint64, MAX(settings->zones->len, 1u));
-  core->sure_cut_ms = g_new0(gint64, MAX(settings->zones->len, 1u));
+  core->partition_ms = g_new0(gint64, MAX(settings->zones->len, 1u));
+  core->sure_partition_ms = g_new0(gint64, MAX(settings->zones->len, 1u));
   return core;
 }
 
@@ -80,8 +80,8 @@
   g_hash_table_unref(core->learned);
   ws_replica_free(core->replica);
   g_free(core->peers);
-  g_free(core->cut_ms);
-  g_free(core->sure_cut_ms);
+  g_free(core->partition_ms);
+  g_free(core->sure_partition_ms);
   g_free(core);
 }
 
@@ -157,7 +157,7 @@
 gboolean
 ws_entitled(const WsCore *core)
 {
-  return ws_store_loaded(core) && !core->is_dazed
+  return ws_store_loaded(core) && !core->is_stalled
          && ws_epoch_has(&core->replica->epoch, core->settings->self, core->incarnation);
 }
 
@@ -179,10 +179,10 @@
 notice_gap(WsCore *core, gint64 now_ms)
 {
   gint64 gap_ms = now_ms - core->now;
-  if (core->now == 0 || gap_ms <= STOOD_STILL_MS)
+  if (core->now == 0 || gap_ms <= STALL_MS)
     return;
   g_info("this node stood still for %.1f s", (double)gap_ms / 1000.0);
-  core->is_dazed = TRUE;
+  core->is_stalled = TRUE;
   core->epoch_ms = now_ms;
   for (guint i = 0; i < core->replica->machines->len; i++) {
     WsMachine *machine = ws_replica_machine(core->replica, i);
@@ -270,8 +270,8 @@
 static gboolean
 is_ready(const WsCore *core)
 {
-  return ws_store_loaded(core) && !core->is_dazed && core->replica->catalog != NULL
-         && !ws_mesh_alone_refused(core) && !ws_mesh_cut_off(core);
+  return ws_store_loaded(core) && !core->is_stalled && core->replica->catalog != NULL
+         && !ws_mesh_alone_refused(core) && !ws_mesh_isolated(core);
 }
 
 static void
--- a/src/core/ws-demand.c
+++ b/src/core/ws-demand.c
@@ -97,7 +97,7 @@
     if (!machine->stored || machine->type == WS_NONE || machine->zone == WS_NONE)
       continue;
     demand->by_zone[machine->zone]++;
-    if (machine->marked || ws_zone_cut(core, machine->zone))
+    if (machine->marked || ws_zone_partitioned(core, machine->zone))
       continue; /* nobody hears of a machine that comes up behind a cut */
     if (is_booting(core, machine))
       add_virtual(demand, machine->type, machine->zone, machine->spot,
@@ -199,7 +199,7 @@
   char **zones = ws_replica_type(demand->core->replica, type)->zones;
   for (; *zones != NULL; zones++) {
     guint zone = ws_replica_find_zone(demand->core->replica, *zones);
-    if (zone == WS_NONE || !zone_fits(job, zone) || ws_zone_cut(demand->core, zone)
+    if (zone == WS_NONE || !zone_fits(job, zone) || ws_zone_partitioned(demand->core, zone)
         || ws_fleet_no_capacity(demand->core, type, zone, spot))
       continue;
     if (best == WS_NONE || demand->by_zone[zone] < demand->by_zone[best])
--- a/src/core/ws-failure-detector.c
+++ b/src/core/ws-failure-detector.c
@@ -8,14 +8,14 @@
 #define DOUBT_MS 8000
 #define MOST_STATUS_CALLS 32
 /* Leases for which the machines of a zone that is cut off are waited for. */
-#define CUT_LEASES 10.0
+#define PARTITION_LEASES 10.0
 /* The same where the zone has no controller that could keep its tasks alive: they have ended with
    their leases, and what is waited for is the machines. */
-#define CUT_LEASES_WITHOUT_NODE 3.0
+#define PARTITION_LEASES_WITHOUT_NODE 3.0
 /* A restart takes less than this part of a lease. */
 #define RESTART_PART 0.8
 /* A cut is looked for at every tick; this is longer than the pause between two. */
-#define CUT_NOW_MS 600
+#define PARTITION_NOW_MS 600
 /* A machine that doesn't do what it's told is not used when it should have shown it by now, and
    returned after a larger part of its lease. */
 #define OUTBOUND_PATIENCE_PART 0.7
@@ -135,28 +135,28 @@
 }
 
 gboolean
-ws_zone_cut(const WsCore *core, guint zone)
+ws_zone_partitioned(const WsCore *core, guint zone)
 {
-  return zone < core->settings->zones->len && core->cut_ms[zone] > 0
-         && core->now - core->cut_ms[zone] < CUT_NOW_MS;
+  return zone < core->settings->zones->len && core->partition_ms[zone] > 0
+         && core->now - core->partition_ms[zone] < PARTITION_NOW_MS;
 }
 
 /* When a cut has ended, workers still have to find their owner: they aren't given up for a lease.
  */
 static gboolean
-is_or_was_cut(const WsCore *core, guint zone)
+is_or_was_partitioned(const WsCore *core, guint zone)
 {
-  if (ws_zone_cut(core, zone))
+  if (ws_zone_partitioned(core, zone))
     return TRUE;
-  return zone < core->settings->zones->len && core->sure_cut_ms[zone] > 0
-         && (double)(core->now - core->sure_cut_ms[zone]) < core->settings->lease_s * 1000.0;
+  return zone < core->settings->zones->len && core->sure_partition_ms[zone] > 0
+         && (double)(core->now - core->sure_partition_ms[zone]) < core->settings->lease_s * 1000.0;
 }
 
 /* Whether it is the way to the machines of the zone that is silent, not they: a node of the zone is
    out of reach, or many of its machines are silent together. Such machines go on working, and their
    reports come through another node after a while. */
 static gboolean
-zone_is_cut(const WsCore *core, guint zone)
+zone_is_partitioned(const WsCore *core, guint zone)
 {
   guint silent = 0, all = 0;
   gint64 out_ms = out_of_reach_ms(core, zone);
@@ -188,7 +188,7 @@
     const WsMachine *machine = ws_replica_machine(core->replica, i);
     if (machine->spot || !machine->stored || silent_since(machine) == 0
         || (machine->marked && g_strcmp0(machine->mark_why, "silent") != 0)
-        || is_or_was_cut(core, machine->zone))
+        || is_or_was_partitioned(core, machine->zone))
       continue;
     all++;
     silent += ws_machine_silent(core, machine) ? 1 : 0;
@@ -202,7 +202,7 @@
    that died look the same for as long as a restart takes. Nobody inside a zone without a node can
    be missed: there it is inferred from the silence of most of its machines, whoever owns them. */
 static void
-find_zone_cut(WsCore *core, guint zone)
+find_partition(WsCore *core, guint zone)
 {
   gboolean has_node = zone_has_node(core, zone);
   gint64 out_ms = out_of_reach_ms(core, zone);
@@ -219,9 +219,9 @@
   gboolean many = silent >= 3 && 2 * silent > all;
   gboolean everyone = all > 0 && silent == all;
   if (many || (has_node && everyone))
-    core->cut_ms[zone] = core->now;
+    core->partition_ms[zone] = core->now;
   if (many || (has_node && everyone && is_long))
-    core->sure_cut_ms[zone] = core->now;
+    core->sure_partition_ms[zone] = core->now;
 }
 
 /* What is the same for all machines, found once. */
@@ -229,18 +229,18 @@
   gboolean known;
   gboolean is_interruption;
   gboolean *zones;
-} Cuts;
+} Partitions;
 
 static void
-find_cuts(const WsCore *core, Cuts *cuts)
+find_partitions(const WsCore *core, Partitions *partitions)
 {
-  if (cuts->known)
+  if (partitions->known)
     return;
-  cuts->known = TRUE;
-  cuts->is_interruption = is_interruption(core);
-  cuts->zones = g_new0(gboolean, core->settings->zones->len);
+  partitions->known = TRUE;
+  partitions->is_interruption = is_interruption(core);
+  partitions->zones = g_new0(gboolean, core->settings->zones->len);
   for (guint z = 0; z < core->settings->zones->len; z++)
-    cuts->zones[z] = zone_is_cut(core, z);
+    partitions->zones[z] = zone_is_partitioned(core, z);
 }
 
 static gboolean
@@ -254,13 +254,13 @@
 }
 
 static void
-watch_machine(WsCore *core, WsMachine *machine, Cuts *cuts)
+watch_machine(WsCore *core, WsMachine *machine, Partitions *partitions)
 {
   gint64 since_ms = silent_since(machine);
   gint64 silent_ms = since_ms > 0 ? core->now - since_ms : 0;
   if (silent_ms <= patience_ms(core))
     return;
-  find_cuts(core, cuts);
+  find_partitions(core, partitions);
   if (machine->endpoint != NULL && core->now - machine->status_ms >= STATUS_PAUSE_MS
       && core->status_calls < MOST_STATUS_CALLS) {
     machine->status_ms = core->now;
@@ -269,12 +269,13 @@
             GUINT_TO_POINTER(machine->index));
   }
   gboolean failed = machine->endpoint == NULL || machine->status_failed >= 2;
-  gboolean is_cut = core->unheard || cuts->is_interruption
-                    || (machine->zone != WS_NONE && cuts->zones[machine->zone]);
+  gboolean is_cut = core->unheard || partitions->is_interruption
+                    || (machine->zone != WS_NONE && partitions->zones[machine->zone]);
   gint64 patience
       = is_cut ? (gint64)(core->settings->lease_s * 1000.0) + 500 : patience_ms(core) + 1500;
-  if (is_or_was_cut(core, machine->zone)) {
-    double leases = zone_has_node(core, machine->zone) ? CUT_LEASES : CUT_LEASES_WITHOUT_NODE;
+  if (is_or_was_partitioned(core, machine->zone)) {
+    double leases
+        = zone_has_node(core, machine->zone) ? PARTITION_LEASES : PARTITION_LEASES_WITHOUT_NODE;
     patience = (gint64)(core->settings->lease_s * leases * 1000.0);
   }
   /* A cancelled task must be gone in time, cut or not. */
@@ -336,10 +337,10 @@
 ws_failure_detector_tick(WsCore *core)
 {
   guint count = core->replica->machines->len;
-  Cuts cuts = { 0 };
+  Partitions partitions = { 0 };
   find_unheard(core);
   for (guint z = 0; z < core->settings->zones->len; z++)
-    find_zone_cut(core, z);
+    find_partition(core, z);
   for (guint i = 0; i < count; i++) {
     WsMachine *machine = ws_replica_machine(core->replica, (core->status_next + i) % count);
     if (!machine->stored || !ws_owns(core, machine))
@@ -350,12 +351,12 @@
       core->wants_epoch = TRUE;
     gboolean had_room = core->status_calls < MOST_STATUS_CALLS;
     if (!machine->marked || !machine->mark_now) {
-      watch_machine(core, machine, &cuts);
+      watch_machine(core, machine, &partitions);
       watch_inbound_unreachable(core, machine);
     }
     if (had_room && core->status_calls == MOST_STATUS_CALLS)
       core->status_next = machine->index + 1;
   }
-  g_free(cuts.zones);
+  g_free(partitions.zones);
   watch_all_outbound_unreachable(core);
 }
--- a/src/core/ws-members.c
+++ b/src/core/ws-members.c
@@ -65,7 +65,7 @@
   members->reading = FALSE;
   if (!current || !members->is_renewed || members->wakes != GPOINTER_TO_UINT(data))
     return;
-  core->is_dazed = FALSE;
+  core->is_stalled = FALSE;
   core->plan_due = TRUE;
 }
 
@@ -244,7 +244,7 @@
   keep_lease(core);
   if (!ws_store_loaded(core))
     return;
-  if (core->is_dazed) {
+  if (core->is_stalled) {
     if (core->members->is_renewed && !core->members->reading) {
       core->members->reading = TRUE;
       ws_store_read(core, on_read_awake, GUINT_TO_POINTER(core->members->wakes));
--- a/src/core/ws-mesh.c
+++ b/src/core/ws-mesh.c
@@ -43,7 +43,7 @@
 }
 
 gboolean
-ws_mesh_cut_off(const WsCore *core)
+ws_mesh_isolated(const WsCore *core)
 {
   if (ws_store_ok(core))
     return FALSE;
@@ -83,7 +83,7 @@
 ws_may_renew(const WsCore *core)
 {
   const WsSettings *settings = core->settings;
-  if (ws_vouches(core) || (ws_mesh_cut_off(core) && !core->seen_from_outside))
+  if (ws_vouches(core) || (ws_mesh_isolated(core) && !core->seen_from_outside))
     return TRUE;
   return (double)(core->now - core->vouched_ms)
          < (settings->cancel_s - settings->lease_s) * 1000.0 - VOUCH_MARGIN_MS;
@@ -271,7 +271,7 @@
 void
 ws_mesh_tick(WsCore *core)
 {
-  if (!ws_mesh_cut_off(core))
+  if (!ws_mesh_isolated(core))
     core->seen_from_outside = FALSE;
   for (guint n = 0; n < core->settings->nodes->len; n++) {
     WsPeer *peer = &core->peers[n];
--- a/src/core/ws-termination.c
+++ b/src/core/ws-termination.c
@@ -47,7 +47,7 @@
 zone_is_whole(const WsCore *core, guint zone)
 {
   const GArray *members = core->replica->epoch.members;
-  if (ws_zone_cut(core, zone))
+  if (ws_zone_partitioned(core, zone))
     return FALSE;
   for (guint i = 0; i < members->len; i++) {
     guint node = g_array_index(members, WsMember, i).node;
--- a/src/core/ws-workers.c
+++ b/src/core/ws-workers.c
@@ -463,7 +463,7 @@
 sends_away(WsCore *core, WsMachine *machine)
 {
   const WsNode *self = ws_settings_node(core->settings, core->settings->self);
-  if (!ws_mesh_cut_off(core))
+  if (!ws_mesh_isolated(core))
     return FALSE;
   if (machine->zone != ws_replica_find_zone(core->replica, self->zone))
     core->seen_from_outside = TRUE;
