--- a/src/core/ws-ask.c
+++ b/src/core/ws-ask.c
@@ -63,7 +63,7 @@
 }
 
 void
-ws_ask_pick(WsCore *core, const WsJob *job, guint task, const WsMachine *machine)
+ws_ask_assignment(WsCore *core, const WsJob *job, guint task, const WsMachine *machine)
 {
   add(core, core->replica->epoch.leader, "picks",
       json_pack("[s, i, s]", job->id, (int)task, machine->name));
@@ -114,14 +114,14 @@
 }
 
 static void
-take_pick(WsCore *core, const json_t *item)
+take_assignment(WsCore *core, const json_t *item)
 {
   guint task = 0;
   const WsJob *job = job_of(core, item, &task);
   const char *name = json_string_value(json_array_get(item, 2));
   const WsMachine *machine = name != NULL ? ws_replica_find_machine(core->replica, name) : NULL;
   if (job != NULL && machine != NULL)
-    ws_assign_pick(core, job->index, task, machine->index);
+    ws_assign_propose(core, job->index, task, machine->index);
 }
 
 static void
@@ -181,7 +181,7 @@
   if (ws_is_leader(core)) {
     take_list(core, message, "releases", take_release);
     take_list(core, message, "reservations", take_reservation);
-    take_list(core, message, "picks", take_pick);
+    take_list(core, message, "picks", take_assignment);
     take_list(core, message, "marks", take_mark);
   }
   return TRUE;
--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -4,14 +4,14 @@
    transaction; a task is released only when ws-workers.c or ws-fleet.c knows that it is gone. The
    leader writes for everybody, one transaction at a time; the other nodes hand theirs in. */
 #include "storage/ws-team-use.h"
-#include "core/ws-draft.h"
+#include "core/ws-batch.h"
 
 #define GATHER_MS 50
 #define CONFLICT_PAUSE_MS 60
 #define FAILURE_PAUSE_MS 400
 /* What was handed in and came to nothing for so long is handed in again. */
 #define RELEASE_AGAIN_MS 2000
-#define PICK_AGAIN_MS 1500
+#define PROPOSE_AGAIN_MS 1500
 /* Changes that the budget must allow before a transaction is drafted: meanwhile others gather. */
 #define WORTH_A_TXN 4
 
@@ -19,20 +19,20 @@
   WsRelease release;
   gint64 known_ms;
   gint64 asked_ms; /* when it was handed in; 0: it wasn't */
-} Known;
+} PendingRelease;
 
 typedef struct {
-  WsPick pick;
+  WsProposal proposal;
   gint64 until_ms;
-} HandedIn;
+} Forwarded;
 
 struct _WsAssign {
-  GHashTable *known;  /* task -> Known: releases */
-  GArray *picks;      /* of WsPick, the most urgent first */
-  GHashTable *picked; /* task: among the picks, in the transaction, or handed in */
-  GArray *writing;    /* of WsPick: in the transaction on its way */
-  GArray *handed_in;  /* of HandedIn */
-  GArray *ending;     /* of guint: jobs that the transaction ends */
+  GHashTable *known;    /* task -> PendingRelease: releases */
+  GArray *proposals;    /* of WsProposal, the most urgent first */
+  GHashTable *proposed; /* task: among the proposals, in the transaction, or handed in */
+  GArray *writing;      /* of WsProposal: in the transaction on its way */
+  GArray *forwarded;    /* of Forwarded */
+  GArray *ending;       /* of guint: jobs that the transaction ends */
   gboolean busy;
   gint64 next_ms;
 };
@@ -53,11 +53,11 @@
 ws_assign_new(void)
 {
   WsAssign *assign = g_new0(WsAssign, 1);
-  assign->known = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-  assign->picks = g_array_new(FALSE, FALSE, sizeof(WsPick));
-  assign->picked = g_hash_table_new(NULL, NULL);
-  assign->writing = g_array_new(FALSE, FALSE, sizeof(WsPick));
-  assign->handed_in = g_array_new(FALSE, FALSE, sizeof(HandedIn));
+  assign->pending = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+  assign->proposals = g_array_new(FALSE, FALSE, sizeof(WsProposal));
+  assign->proposed = g_hash_table_new(NULL, NULL);
+  assign->writing = g_array_new(FALSE, FALSE, sizeof(WsProposal));
+  assign->forwarded = g_array_new(FALSE, FALSE, sizeof(Forwarded));
   assign->ending = g_array_new(FALSE, FALSE, sizeof(guint));
   return assign;
 }
@@ -65,11 +65,11 @@
 void
 ws_assign_free(WsAssign *assign)
 {
-  g_hash_table_unref(assign->known);
-  g_array_unref(assign->picks);
-  g_hash_table_unref(assign->picked);
+  g_hash_table_unref(assign->pending);
+  g_array_unref(assign->proposals);
+  g_hash_table_unref(assign->proposed);
   g_array_unref(assign->writing);
-  g_array_unref(assign->handed_in);
+  g_array_unref(assign->forwarded);
   g_array_unref(assign->ending);
   g_free(assign);
 }
@@ -78,16 +78,16 @@
 ws_assign_known_gone(WsCore *core, const WsJob *job, guint task, guint64 attempt, gboolean done)
 {
   gpointer key = task_key(job->index, task);
-  const Known *old = g_hash_table_lookup(core->assign->known, key);
+  const PendingRelease *old = g_hash_table_lookup(core->assign->pending, key);
   if (old != NULL && old->release.attempt >= attempt)
     return;
   const WsAssignment *a = job->spec != NULL ? ws_job_assignment(job, task) : NULL;
   if (done && a != NULL && a->attempt == attempt && ws_is_leader(core))
     ws_learn_done(core, job, a);
-  Known *known = g_new0(Known, 1);
+  PendingRelease *known = g_new0(PendingRelease, 1);
   known->release = (WsRelease){ job->index, task, attempt, done };
   known->known_ms = core->now;
-  g_hash_table_insert(core->assign->known, key, known);
+  g_hash_table_insert(core->assign->pending, key, known);
 }
 
 void
@@ -99,22 +99,22 @@
 gboolean
 ws_assign_pending(const WsCore *core, guint job, guint task)
 {
-  return g_hash_table_contains(core->assign->picked, task_key(job, task));
+  return g_hash_table_contains(core->assign->proposed, task_key(job, task));
 }
 
 void
-ws_assign_pick(WsCore *core, guint job, guint task, guint machine)
+ws_assign_propose(WsCore *core, guint job, guint task, guint machine)
 {
-  WsPick pick = { job, task, machine, core->now };
-  if (g_hash_table_add(core->assign->picked, task_key(job, task)))
-    g_array_append_val(core->assign->picks, pick);
+  WsProposal proposal = { job, task, machine, core->now };
+  if (g_hash_table_add(core->assign->proposed, task_key(job, task)))
+    g_array_append_val(core->assign->proposals, proposal);
 }
 
 /* Nothing is planned while what was planned before is being written. */
 gboolean
 ws_assign_idle(const WsCore *core)
 {
-  return !core->assign->busy && core->assign->picks->len == 0;
+  return !core->assign->busy && core->assign->proposals->len == 0;
 }
 
 gint64
@@ -123,45 +123,45 @@
   gint64 oldest_ms = core->now;
   GHashTableIter iter;
   gpointer known;
-  g_hash_table_iter_init(&iter, core->assign->known);
+  g_hash_table_iter_init(&iter, core->assign->pending);
   while (of_ends && g_hash_table_iter_next(&iter, NULL, &known))
-    oldest_ms = MIN(oldest_ms, ((const Known *)known)->known_ms);
-  for (guint i = 0; !of_ends && i < core->assign->picks->len; i++)
-    oldest_ms = MIN(oldest_ms, g_array_index(core->assign->picks, WsPick, i).planned_ms);
+    oldest_ms = MIN(oldest_ms, ((const PendingRelease *)known)->known_ms);
+  for (guint i = 0; !of_ends && i < core->assign->proposals->len; i++)
+    oldest_ms = MIN(oldest_ms, g_array_index(core->assign->proposals, WsProposal, i).planned_ms);
   return core->now - oldest_ms;
 }
 
 gboolean
 ws_assign_is_behind(const WsCore *core)
 {
-  return core->assign->picks->len > 0 || g_hash_table_size(core->assign->known) > 0;
+  return core->assign->proposals->len > 0 || g_hash_table_size(core->assign->pending) > 0;
 }
 
 void
-ws_assign_each_handed_in(const WsCore *core, WsPickFunc take, gpointer data)
+ws_assign_each_forwarded(const WsCore *core, WsProposalFunc take, gpointer data)
 {
-  for (guint i = 0; i < core->assign->handed_in->len; i++) {
-    const WsPick *pick = &g_array_index(core->assign->handed_in, HandedIn, i).pick;
-    take(ws_replica_job(core->replica, pick->job), pick->machine, data);
+  for (guint i = 0; i < core->assign->forwarded->len; i++) {
+    const WsProposal *proposal = &g_array_index(core->assign->forwarded, Forwarded, i).proposal;
+    take(ws_replica_job(core->replica, proposal->job), proposal->machine, data);
   }
 }
 
 void
-ws_assign_forget_picks(WsCore *core)
+ws_assign_forget_proposals(WsCore *core)
 {
   WsAssign *assign = core->assign;
-  g_array_set_size(assign->picks, 0);
-  g_array_set_size(assign->handed_in, 0);
-  g_hash_table_remove_all(assign->picked);
+  g_array_set_size(assign->proposals, 0);
+  g_array_set_size(assign->forwarded, 0);
+  g_hash_table_remove_all(assign->proposed);
   for (guint i = 0; i < assign->writing->len; i++) {
-    const WsPick *pick = &g_array_index(assign->writing, WsPick, i);
-    g_hash_table_add(assign->picked, task_key(pick->job, pick->task));
+    const WsProposal *proposal = &g_array_index(assign->writing, WsProposal, i);
+    g_hash_table_add(assign->proposed, task_key(proposal->job, proposal->task));
   }
   GHashTableIter iter;
   gpointer known;
-  g_hash_table_iter_init(&iter, assign->known);
+  g_hash_table_iter_init(&iter, assign->pending);
   while (g_hash_table_iter_next(&iter, NULL, &known))
-    ((Known *)known)->asked_ms = 0;
+    ((PendingRelease *)known)->asked_ms = 0;
 }
 
 /* Handing in. */
@@ -175,13 +175,13 @@
 }
 
 static void
-hand_in_releases(WsCore *core)
+forward_releases(WsCore *core)
 {
   GHashTableIter iter;
   gpointer value;
-  g_hash_table_iter_init(&iter, core->assign->known);
+  g_hash_table_iter_init(&iter, core->assign->pending);
   while (g_hash_table_iter_next(&iter, NULL, &value)) {
-    Known *known = value;
+    PendingRelease *known = value;
     if (is_over(core, &known->release)) {
       g_hash_table_iter_remove(&iter);
     } else if (known->asked_ms == 0 || core->now - known->asked_ms >= RELEASE_AGAIN_MS) {
@@ -193,31 +193,31 @@
 }
 
 static void
-hand_in_picks(WsCore *core)
+forward_proposals(WsCore *core)
 {
   WsAssign *assign = core->assign;
-  for (guint i = 0; i < assign->picks->len; i++) {
-    const WsPick *pick = &g_array_index(assign->picks, WsPick, i);
-    HandedIn handed_in = { *pick, core->now + PICK_AGAIN_MS };
-    g_array_append_val(assign->handed_in, handed_in);
-    ws_ask_pick(core, ws_replica_job(core->replica, pick->job), pick->task,
-                ws_replica_machine(core->replica, pick->machine));
+  for (guint i = 0; i < assign->proposals->len; i++) {
+    const WsProposal *proposal = &g_array_index(assign->proposals, WsProposal, i);
+    Forwarded forwarded = { *proposal, core->now + PROPOSE_AGAIN_MS };
+    g_array_append_val(assign->forwarded, forwarded);
+    ws_ask_assignment(core, ws_replica_job(core->replica, proposal->job), proposal->task,
+                      ws_replica_machine(core->replica, proposal->machine));
   }
-  g_array_set_size(assign->picks, 0);
+  g_array_set_size(assign->proposals, 0);
 }
 
 static void
-forget_handed_in(WsCore *core)
+forget_forwarded(WsCore *core)
 {
-  GArray *handed_in = core->assign->handed_in;
-  for (guint i = handed_in->len; i-- > 0;) {
-    const HandedIn *at = &g_array_index(handed_in, HandedIn, i);
-    const WsJob *job = ws_replica_job(core->replica, at->pick.job);
+  GArray *forwarded = core->assign->forwarded;
+  for (guint i = forwarded->len; i-- > 0;) {
+    const Forwarded *at = &g_array_index(forwarded, Forwarded, i);
+    const WsJob *job = ws_replica_job(core->replica, at->proposal.job);
     if (core->now <= at->until_ms && job->spec != NULL
-        && ws_job_assignment(job, at->pick.task) == NULL)
+        && ws_job_assignment(job, at->proposal.task) == NULL)
       continue;
-    g_hash_table_remove(core->assign->picked, task_key(at->pick.job, at->pick.task));
-    g_array_remove_index_fast(handed_in, i);
+    g_hash_table_remove(core->assign->proposed, task_key(at->proposal.job, at->proposal.task));
+    g_array_remove_index_fast(forwarded, i);
   }
 }
 
@@ -243,8 +243,8 @@
   assign->next_ms = core->now + GATHER_MS;
   core->plan_due = TRUE;
   for (guint i = 0; i < assign->writing->len; i++) {
-    const WsPick *pick = &g_array_index(assign->writing, WsPick, i);
-    g_hash_table_remove(assign->picked, task_key(pick->job, pick->task));
+    const WsProposal *proposal = &g_array_index(assign->writing, WsProposal, i);
+    g_hash_table_remove(assign->proposed, task_key(proposal->job, proposal->task));
   }
   if (result == WS_TXN_OK) {
     tell_ended(core);
@@ -254,8 +254,8 @@
     assign->next_ms
         = core->now + (result == WS_TXN_CONFLICT ? CONFLICT_PAUSE_MS : FAILURE_PAUSE_MS);
     for (guint i = 0; i < assign->writing->len; i++) {
-      const WsPick *pick = &g_array_index(assign->writing, WsPick, i);
-      ws_assign_pick(core, pick->job, pick->task, pick->machine);
+      const WsProposal *proposal = &g_array_index(assign->writing, WsProposal, i);
+      ws_assign_propose(core, proposal->job, proposal->task, proposal->machine);
     }
   }
   g_array_set_size(assign->writing, 0);
@@ -270,7 +270,7 @@
   gint64 of_chunk;    /* and all of its chunk */
   gboolean ends_job;  /* with the others that are known */
   gint64 accepted_ms; /* when its job was */
-} Ending;
+} PendingEnd;
 
 /* A record of teams' use is one change, however many tasks end, and so is a chunk of a job: ends
    that share them go together, those first that are most and have waited longest. Otherwise
@@ -278,7 +278,7 @@
 static gint
 by_weight(gconstpointer a, gconstpointer b)
 {
-  const Ending *first = a, *second = b;
+  const PendingEnd *first = a, *second = b;
   if (first->ends_job != second->ends_job)
     return first->ends_job ? -1 : 1;
   if (first->ends_job && first->accepted_ms != second->accepted_ms)
@@ -314,7 +314,7 @@
 static GArray *
 endings_in_order(WsCore *core)
 {
-  GArray *endings = g_array_new(FALSE, FALSE, sizeof(Ending));
+  GArray *endings = g_array_new(FALSE, FALSE, sizeof(PendingEnd));
   g_autoptr(GHashTable) chunks = g_hash_table_new(NULL, NULL);
   g_autoptr(GHashTable) known_of = g_hash_table_new(NULL, NULL); /* by job */
   g_autoptr(GHashTable) done_of = g_hash_table_new(NULL, NULL);
@@ -322,12 +322,12 @@
   g_autofree gint64 *records = g_new0(gint64, ws_team_use_groups(settings));
   GHashTableIter iter;
   gpointer value;
-  g_hash_table_iter_init(&iter, core->assign->known);
+  g_hash_table_iter_init(&iter, core->assign->pending);
   while (g_hash_table_iter_next(&iter, NULL, &value)) {
-    const Known *known = value;
+    const PendingRelease *known = value;
     const WsJob *job = ws_replica_job(core->replica, known->release.job);
     gint64 weight = LEAST_WEIGHT_MS + core->now - known->known_ms;
-    Ending ending = { .release = known->release, .accepted_ms = job->at_ms };
+    PendingEnd ending = { .release = known->release, .accepted_ms = job->at_ms };
     gpointer job_key = GUINT_TO_POINTER(job->index);
     (void)add_weight(known_of, job_key, 1);
     (void)add_weight(done_of, job_key, known->release.done ? 1 : 0);
@@ -337,7 +337,7 @@
     (void)add_weight(chunks, chunk_key(&known->release), weight);
   }
   for (guint i = 0; i < endings->len; i++) {
-    Ending *ending = &g_array_index(endings, Ending, i);
+    PendingEnd *ending = &g_array_index(endings, PendingEnd, i);
     const WsJob *job = ws_replica_job(core->replica, ending->release.job);
     if (job->team != WS_NONE)
       ending->of_team_use = records[ws_team_use_group(settings, job->team)];
@@ -351,41 +351,42 @@
 }
 
 static void
-draft_releases(WsCore *core, WsDraft *draft, const GArray *endings, gboolean only_ends_of_jobs)
+batch_releases(WsCore *core, WsBatch *batch, const GArray *endings, gboolean only_ends_of_jobs)
 {
   for (guint i = 0; i < endings->len; i++) {
-    const Ending *ending = &g_array_index(endings, Ending, i);
+    const PendingEnd *ending = &g_array_index(endings, PendingEnd, i);
     const WsRelease *release = &ending->release;
     if (only_ends_of_jobs && !ending->ends_job)
       break;
-    if (ws_draft_release(draft, release) == WS_DRAFT_UNWANTED)
-      g_hash_table_remove(core->assign->known, task_key(release->job, release->task));
+    if (ws_batch_release(batch, release) == WS_BATCH_UNWANTED)
+      g_hash_table_remove(core->assign->pending, task_key(release->job, release->task));
   }
 }
 
 static gboolean
-is_critical(const WsCore *core, const WsPick *pick)
+is_critical(const WsCore *core, const WsProposal *proposal)
 {
-  const WsJob *job = ws_replica_job(core->replica, pick->job);
+  const WsJob *job = ws_replica_job(core->replica, proposal->job);
   return job->spec != NULL && job->spec->priority == WS_CRITICAL;
 }
 
 static void
-draft_picks(WsCore *core, WsDraft *draft, gboolean only_critical)
+batch_proposals(WsCore *core, WsBatch *batch, gboolean only_critical)
 {
   WsAssign *assign = core->assign;
-  g_autoptr(GArray) picks = assign->picks;
-  assign->picks = g_array_new(FALSE, FALSE, sizeof(WsPick));
-  for (guint i = 0; i < picks->len; i++) {
-    const WsPick *pick = &g_array_index(picks, WsPick, i);
-    WsDraftResult result
-        = only_critical && !is_critical(core, pick) ? WS_DRAFT_FULL : ws_draft_pick(draft, pick);
-    if (result == WS_DRAFT_TAKEN)
-      g_array_append_vals(assign->writing, pick, 1);
-    else if (result == WS_DRAFT_FULL)
-      g_array_append_vals(assign->picks, pick, 1);
+  g_autoptr(GArray) proposals = assign->proposals;
+  assign->proposals = g_array_new(FALSE, FALSE, sizeof(WsProposal));
+  for (guint i = 0; i < proposals->len; i++) {
+    const WsProposal *proposal = &g_array_index(proposals, WsProposal, i);
+    WsBatchResult result = only_critical && !is_critical(core, proposal)
+                               ? WS_BATCH_FULL
+                               : ws_batch_assign(batch, proposal);
+    if (result == WS_BATCH_TAKEN)
+      g_array_append_vals(assign->writing, proposal, 1);
+    else if (result == WS_BATCH_FULL)
+      g_array_append_vals(assign->proposals, proposal, 1);
     else
-      g_hash_table_remove(assign->picked, task_key(pick->job, pick->task));
+      g_hash_table_remove(assign->proposed, task_key(proposal->job, proposal->task));
   }
 }
 
@@ -404,27 +405,27 @@
   WsAssign *assign = core->assign;
   if (assign->busy || core->now < assign->next_ms || core->replica->catalog == NULL
       || !knows_all_before(core)
-      || (g_hash_table_size(assign->known) == 0 && assign->picks->len == 0)
+      || (g_hash_table_size(assign->pending) == 0 && assign->proposals->len == 0)
       || !ws_store_may_write(core, WORTH_A_TXN))
     return;
-  WsDraft *draft = ws_draft_new(core);
+  WsBatch *batch = ws_batch_new(core);
   g_array_set_size(assign->ending, 0);
   /* Somebody waits for a critical task; when a cut heals or a wave has passed, the ends of hundreds
      of others would fill one transaction after another before it. */
   g_autoptr(GArray) endings = endings_in_order(core);
-  draft_picks(core, draft, TRUE);
-  ws_draft_bound(draft, core->settings->state_txn_ops / 2);
-  draft_releases(core, draft, endings, TRUE);
-  ws_draft_bound(draft, core->settings->state_txn_ops * 5 / 6);
-  draft_picks(core, draft, FALSE);
-  ws_draft_bound(draft, core->settings->state_txn_ops);
-  draft_releases(core, draft, endings, FALSE);
-  draft_picks(core, draft, FALSE);
-  if (!ws_draft_is_empty(draft)) {
+  batch_proposals(core, batch, TRUE);
+  ws_batch_bound(batch, core->settings->state_txn_ops / 2);
+  batch_releases(core, batch, endings, TRUE);
+  ws_batch_bound(batch, core->settings->state_txn_ops * 5 / 6);
+  batch_proposals(core, batch, FALSE);
+  ws_batch_bound(batch, core->settings->state_txn_ops);
+  batch_releases(core, batch, endings, FALSE);
+  batch_proposals(core, batch, FALSE);
+  if (!ws_batch_is_empty(batch)) {
     assign->busy = TRUE;
-    ws_txn_commit(core, ws_draft_write(draft, assign->ending), WS_FIRST_TASK, on_written, NULL);
+    ws_txn_commit(core, ws_batch_write(batch, assign->ending), WS_FIRST_TASK, on_written, NULL);
   }
-  ws_draft_free(draft);
+  ws_batch_free(batch);
 }
 
 /* What was assigned on this node's machines, by whoever wrote it, is launched at once. */
@@ -432,7 +433,7 @@
 static gint
 by_machine(gconstpointer a, gconstpointer b)
 {
-  const WsPick *first = a, *second = b;
+  const WsProposal *first = a, *second = b;
   return first->machine < second->machine ? -1 : first->machine > second->machine;
 }
 
@@ -440,7 +441,7 @@
 take_fresh(WsCore *core)
 {
   GArray *fresh = core->replica->fresh;
-  GArray *picks = g_array_new(FALSE, FALSE, sizeof(WsPick));
+  GArray *proposals = g_array_new(FALSE, FALSE, sizeof(WsProposal));
   for (guint i = 0; i < fresh->len; i++) {
     const WsTaskRef *ref = &g_array_index(fresh, WsTaskRef, i);
     const WsJob *job = ws_replica_job(core->replica, ref->job);
@@ -448,11 +449,11 @@
     if (a == NULL || a->state != WS_TASK_ASSIGNED
         || !ws_owns(core, ws_replica_machine(core->replica, a->machine)))
       continue;
-    WsPick pick = { ref->job, ref->task, a->machine, core->now };
-    g_array_append_val(picks, pick);
+    WsProposal proposal = { ref->job, ref->task, a->machine, core->now };
+    g_array_append_val(proposals, proposal);
   }
   g_array_set_size(fresh, 0);
-  return picks;
+  return proposals;
 }
 
 static void
@@ -460,18 +461,20 @@
 {
   if (core->replica->fresh->len == 0)
     return;
-  g_autoptr(GArray) picks = take_fresh(core);
-  g_array_sort(picks, by_machine);
+  g_autoptr(GArray) proposals = take_fresh(core);
+  g_array_sort(proposals, by_machine);
   guint i = 0;
-  while (i < picks->len) {
+  while (i < proposals->len) {
     g_autoptr(GArray) tasks = g_array_new(FALSE, FALSE, sizeof(WsTaskRef));
-    WsMachine *machine = ws_replica_machine(core->replica, g_array_index(picks, WsPick, i).machine);
-    for (; i < picks->len && g_array_index(picks, WsPick, i).machine == machine->index; i++) {
-      const WsPick *pick = &g_array_index(picks, WsPick, i);
-      WsTaskRef ref = { pick->job, pick->task };
+    WsMachine *machine
+        = ws_replica_machine(core->replica, g_array_index(proposals, WsProposal, i).machine);
+    for (; i < proposals->len && g_array_index(proposals, WsProposal, i).machine == machine->index;
+         i++) {
+      const WsProposal *proposal = &g_array_index(proposals, WsProposal, i);
+      WsTaskRef ref = { proposal->job, proposal->task };
       g_array_append_val(tasks, ref);
-      g_info("task %s/%u goes to %s", ws_replica_job(core->replica, pick->job)->id, pick->task,
-             machine->name);
+      g_info("task %s/%u goes to %s", ws_replica_job(core->replica, proposal->job)->id,
+             proposal->task, machine->name);
     }
     ws_workers_launch_now(core, machine, tasks);
   }
@@ -482,14 +485,14 @@
 {
   launch_fresh(core);
   if (!ws_entitled(core)) {
-    ws_assign_forget_picks(core);
+    ws_assign_forget_proposals(core);
     return;
   }
   if (core->now >= core->assign->next_ms && !ws_is_leader(core)) {
     core->assign->next_ms = core->now + GATHER_MS;
-    forget_handed_in(core);
-    hand_in_picks(core);
-    hand_in_releases(core);
+    forget_forwarded(core);
+    forward_proposals(core);
+    forward_releases(core);
   }
   if (ws_is_leader(core))
     write_all(core);
--- /dev/null
+++ b/src/core/ws-batch.h
@@ -0,0 +1,32 @@
+/* A transaction that assigns and releases tasks, while it's being put together. */
+#pragma once
+
+#include "core/ws-core-private.h"
+
+typedef struct {
+  guint job;
+  guint task;
+  guint64 attempt;
+  gboolean done;
+} WsRelease;
+
+typedef struct {
+  guint job;
+  guint task;
+  guint machine;
+  gint64 planned_ms;
+} WsProposal;
+
+typedef enum { WS_BATCH_TAKEN, WS_BATCH_FULL, WS_BATCH_UNWANTED } WsBatchResult;
+
+typedef struct _WsBatch WsBatch;
+
+WsBatch *ws_batch_new(WsCore *core);
+/* From now on it takes only what leaves it with so many changes. */
+void ws_batch_bound(WsBatch *batch, guint most_ops);
+void ws_batch_free(WsBatch *batch);
+gboolean ws_batch_is_empty(const WsBatch *batch);
+WsBatchResult ws_batch_release(WsBatch *batch, const WsRelease *release);
+WsBatchResult ws_batch_assign(WsBatch *batch, const WsProposal *proposal);
+/* The jobs that end with the transaction are added to the list. */
+WsTxn *ws_batch_write(const WsBatch *batch, GArray *ending /* of guint */);
--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -204,7 +204,7 @@
 WsAsks *ws_asks_new(const WsSettings *settings);
 void ws_asks_free(WsAsks *asks, const WsSettings *settings);
 void ws_ask_release(WsCore *core, const WsJob *job, guint task, guint64 attempt, gboolean done);
-void ws_ask_pick(WsCore *core, const WsJob *job, guint task, const WsMachine *machine);
+void ws_ask_assignment(WsCore *core, const WsJob *job, guint task, const WsMachine *machine);
 void ws_ask_mark(WsCore *core, const WsMachine *machine, const char *why, gboolean now);
 /* machine: WS_NONE for any */
 void ws_ask_reservation(WsCore *core, const WsJob *job, guint machine, guint tasks);
@@ -221,7 +221,7 @@
                           gboolean done);
 void ws_assign_release(WsCore *core, const WsJob *job, const WsAssignment *assignment,
                        gboolean done);
-void ws_assign_pick(WsCore *core, guint job, guint task, guint machine);
+void ws_assign_propose(WsCore *core, guint job, guint task, guint machine);
 gboolean ws_assign_pending(const WsCore *core, guint job, guint task);
 gboolean ws_assign_idle(const WsCore *core);
 /* Whether assignments or ends of tasks wait to be written. */
@@ -230,10 +230,10 @@
  */
 gint64 ws_assign_oldest_ms(const WsCore *core, gboolean of_ends);
 void ws_assign_pump(WsCore *core);
-void ws_assign_forget_picks(WsCore *core);
-typedef void (*WsPickFunc)(const WsJob *job, guint machine, gpointer data);
+void ws_assign_forget_proposals(WsCore *core);
+typedef void (*WsProposalFunc)(const WsJob *job, guint machine, gpointer data);
 /* What was handed in to the leader and has not come back through the store yet. */
-void ws_assign_each_handed_in(const WsCore *core, WsPickFunc take, gpointer data);
+void ws_assign_each_forwarded(const WsCore *core, WsProposalFunc take, gpointer data);
 /* Whether the rules on zones let one more task of the job be in the zone. counts: by zone. */
 gboolean ws_zone_allowed(const WsJob *job, const guint *counts, guint zones, guint zone);
 
--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -212,7 +212,7 @@
   core->epoch_ms = core->now;
   core->plan_due = TRUE;
   core->wants_epoch = FALSE;
-  ws_assign_forget_picks(core);
+  ws_assign_forget_proposals(core);
   ws_ask_forget(core);
   ws_reservations_clear(core);
   ws_mesh_new_epoch(core);
--- a/src/core/ws-place.c
+++ b/src/core/ws-place.c
@@ -47,7 +47,7 @@
 }
 
 static void
-take_handed_in(const WsJob *job, guint machine, gpointer data)
+take_forwarded(const WsJob *job, guint machine, gpointer data)
 {
   WsRoomMap *map = data;
   if (job->spec != NULL)
@@ -109,7 +109,7 @@
     if (is_usable(core, machine))
       look_at(map, machine);
   }
-  ws_assign_each_handed_in(core, take_handed_in, map);
+  ws_assign_each_forwarded(core, take_forwarded, map);
   for (guint i = 0; i < replica->machines->len; i++) {
     if (map->slots[i].usable && ws_amount_fits(least, &map->slots[i].free))
       g_array_append_val(map->open, i);
--- a/src/core/ws-plan.c
+++ b/src/core/ws-plan.c
@@ -203,7 +203,7 @@
     return ROOM_COMES;
   machine = ws_places_take(places, WS_ROOM_NOW);
   if (machine != NULL) {
-    ws_assign_pick(run->core, job->index, task, machine->index);
+    ws_assign_propose(run->core, job->index, task, machine->index);
     return PLACED;
   }
   return room_comes(run, places, job, WS_ROOM_COMING, WS_ROOM_TAKEN) ? ROOM_COMES : NO_ROOM;
@@ -268,8 +268,8 @@
   g_autoptr(GArray) machines = gang_machines(run, places, job, tasks->len);
   note_unplaced(core, job, machines == NULL);
   for (guint i = 0; machines != NULL && i < tasks->len; i++)
-    ws_assign_pick(core, job->index, g_array_index(tasks, guint, i),
-                   g_array_index(machines, guint, i));
+    ws_assign_propose(core, job->index, g_array_index(tasks, guint, i),
+                      g_array_index(machines, guint, i));
   if (machines != NULL)
     return;
   memcpy(run->map.slots, before, sizeof(WsSlot) * slots);
