--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -83,7 +83,7 @@
     return;
   const WsAssignment *a = job->spec != NULL ? ws_job_assignment(job, task) : NULL;
   if (done && a != NULL && a->attempt == attempt && ws_is_leader(core))
-    ws_learn_done(core, job, a);
+    ws_estimator_add(core, job, a);
   PendingRelease *known = g_new0(PendingRelease, 1);
   known->release = (WsRelease){ job->index, task, attempt, done };
   known->known_ms = core->now;
--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -70,8 +70,8 @@
   WsCancels *cancels;
   WsReservations *reservations;
   WsWriteStats *write_stats;
-  gint64 vouched_ms;   /* when this node last knew all that was confirmed to users */
-  GHashTable *learned; /* by class */
+  gint64 vouched_ms;     /* when this node last knew all that was confirmed to users */
+  GHashTable *run_times; /* by class */
   WsPeer *peers;
   guint64 gossip_rev;         /* counts what changed about this node's machines */
   gboolean seen_from_outside; /* cut off, yet heard by machines of other zones */
@@ -237,19 +237,19 @@
 /* Whether the rules on zones let one more task of the job be in the zone. counts: by zone. */
 gboolean ws_zone_allowed(const WsJob *job, const guint *counts, guint zones, guint zone);
 
-/* ws-learn.c */
-GHashTable *ws_learned_new(void);
-void ws_learn_done(WsCore *core, const WsJob *job, const WsAssignment *a);
+/* ws-estimator.c */
+GHashTable *ws_estimator_new(void);
+void ws_estimator_add(WsCore *core, const WsJob *job, const WsAssignment *a);
 /* The owner's estimate, corrected by what tasks of the class have taken. */
-double ws_learn_estimate_s(const WsCore *core, const WsJob *job);
+double ws_estimator_run_s(const WsCore *core, const WsJob *job);
 
-/* ws-order.c */
+/* ws-queue.c */
 /* A job that has waited so long for its first task comes before guarantees and priorities, critical
    work excepted. Whatever favours small or late jobs, age wins in the end. */
 #define WS_BEGIN_WITHIN_S 120.0
 /* As many tasks of a job that begins so late are placed before all else, and aren't stopped again
    for anything but critical work. */
-guint ws_order_protected_tasks(const WsJob *job);
+guint ws_queue_protected_tasks(const WsJob *job);
 typedef struct {
   WsJob *job;
   guint lateness;      /* 0: can be in time; 1: within half as long again; 2: late anyway */
@@ -257,7 +257,7 @@
   double weight;       /* what is left to start, less for what has waited */
 } WsWaiting;
 /* The open jobs, the most urgent first; also says which are within a guarantee. */
-GArray *ws_order_jobs(const WsCore *core); /* of WsWaiting */
+GArray *ws_queue_jobs(const WsCore *core); /* of WsWaiting */
 
 /* ws-plan.c */
 WsPlan *ws_plan_new(void);
--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -31,7 +31,7 @@
   core->cancels = ws_cancels_new(settings);
   core->reservations = ws_reservations_new();
   core->write_stats = ws_write_stats_new();
-  core->learned = ws_learned_new();
+  core->run_times = ws_estimator_new();
   core->peers = g_new0(WsPeer, settings->nodes->len);
   core->partition_ms = g_new0(gint64, MAX(settings->zones->len, 1u));
   core->sure_partition_ms = g_new0(gint64, MAX(settings->zones->len, 1u));
@@ -77,7 +77,7 @@
   ws_cancels_free(core->cancels);
   ws_reservations_free(core->reservations);
   ws_write_stats_free(core->write_stats);
-  g_hash_table_unref(core->learned);
+  g_hash_table_unref(core->run_times);
   ws_replica_free(core->replica);
   g_free(core->peers);
   g_free(core->partition_ms);
--- a/src/core/ws-demand.c
+++ b/src/core/ws-demand.c
@@ -118,7 +118,7 @@
   double begin_s = ws_settings_begin_within(core->settings, job->spec->class_name);
   double used_s
       = (double)(core->wall - job->at_ms) / 1000.0 + ws_replica_type(core->replica, 0)->boot_s;
-  double end_s = 1.2 * ws_learn_estimate_s(core, job) + ws_job_fetch_s(core->replica, job);
+  double end_s = 1.2 * ws_estimator_run_s(core, job) + ws_job_fetch_s(core->replica, job);
   double part = job->spec->deadline_s >= 0.0 ? USED_SLACK : USED_CLASS_SLACK;
   double spare_s = allowed_s >= 0.0 ? part * (allowed_s - used_s - end_s) : DEFAULT_SLACK_S;
   if (begin_s >= 0.0)
@@ -143,7 +143,7 @@
 share(const WsDemand *demand, const WsJob *job)
 {
   WsAmount need = job->spec->need;
-  double run_s = ws_learn_estimate_s(demand->core, job) + 5.0;
+  double run_s = ws_estimator_run_s(demand->core, job) + 5.0;
   double part = job->spec->kind == WS_KIND_ARRAY
                     ? MAX(LEAST_SHARE, run_s / (run_s + slack_s(demand, job)))
                     : 1.0;
@@ -165,7 +165,7 @@
 may_wait(const WsDemand *demand, const WsJob *job)
 {
   return job->spec->deadline_s >= 0.0
-         || slack_s(demand, job) >= 0.5 * ws_learn_estimate_s(demand->core, job);
+         || slack_s(demand, job) >= 0.5 * ws_estimator_run_s(demand->core, job);
 }
 
 /* Returns how many of the tasks found room. */
--- a/src/core/ws-learn.c
+++ b/src/core/ws-estimator.c
@@ -12,24 +12,24 @@
   guint tasks;
   double ran_s;
   double estimated_s;
-} Learned;
+} ClassRunTimes;
 
 GHashTable *
-ws_learned_new(void)
+ws_estimator_new(void)
 {
   return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
 /* Some of the tasks have waited for their image, so half of its fetch is taken off. */
 void
-ws_learn_done(WsCore *core, const WsJob *job, const WsAssignment *a)
+ws_estimator_add(WsCore *core, const WsJob *job, const WsAssignment *a)
 {
   if (job->spec->estimate_s <= 0.0 || core->replica->catalog == NULL)
     return;
-  Learned *learned = g_hash_table_lookup(core->learned, job->spec->class_name);
+  ClassRunTimes *learned = g_hash_table_lookup(core->run_times, job->spec->class_name);
   if (learned == NULL) {
-    learned = g_new0(Learned, 1);
-    g_hash_table_insert(core->learned, g_strdup(job->spec->class_name), learned);
+    learned = g_new0(ClassRunTimes, 1);
+    g_hash_table_insert(core->run_times, g_strdup(job->spec->class_name), learned);
   }
   double passed_s = (double)(core->wall - a->at_ms) / 1000.0;
   learned->tasks++;
@@ -38,9 +38,9 @@
 }
 
 double
-ws_learn_estimate_s(const WsCore *core, const WsJob *job)
+ws_estimator_run_s(const WsCore *core, const WsJob *job)
 {
-  const Learned *learned = g_hash_table_lookup(core->learned, job->spec->class_name);
+  const ClassRunTimes *learned = g_hash_table_lookup(core->run_times, job->spec->class_name);
   if (learned == NULL || learned->tasks < ENOUGH_TASKS)
     return job->spec->estimate_s;
   return job->spec->estimate_s
--- a/src/core/ws-plan.c
+++ b/src/core/ws-plan.c
@@ -404,7 +404,7 @@
 plan(WsCore *core)
 {
   Run run = { .core = core };
-  g_autoptr(GArray) jobs = ws_order_jobs(core);
+  g_autoptr(GArray) jobs = ws_queue_jobs(core);
   WsAmount least = least_needed(core, jobs);
   ws_room_map_init(&run.map, core, &least);
   run.use
@@ -416,7 +416,7 @@
     const WsWaiting *waiting = &g_array_index(jobs, WsWaiting, i);
     /* What goes first for its age is no more than isn't stopped again: the rest would be, for the
        same more urgent work that it had gone before, over and over. */
-    guint most = waiting->is_overdue ? MIN(left, ws_order_protected_tasks(waiting->job)) : left;
+    guint most = waiting->is_overdue ? MIN(left, ws_queue_protected_tasks(waiting->job)) : left;
     if (is_for_us(core, waiting->job))
       left -= place_job(&run, waiting->job, most);
   }
--- a/src/core/ws-preempt.c
+++ b/src/core/ws-preempt.c
@@ -21,7 +21,7 @@
 begins_at_last(const WsCore *core, const WsJob *victim, guint victim_tasks_on)
 {
   return core->wall - victim->at_ms > (gint64)(WS_BEGIN_WITHIN_S * 1000.0)
-         && victim->done_count == 0 && victim_tasks_on <= ws_order_protected_tasks(victim);
+         && victim->done_count == 0 && victim_tasks_on <= ws_queue_protected_tasks(victim);
 }
 
 gboolean
@@ -58,7 +58,7 @@
 {
   gint64 left = job->tasks - job->done_count - job->on_count;
   gint64 cpus = MIN(left * job->spec->need.cpus, victim->spec->need.cpus);
-  double gain = (double)cpus * MAX(ws_learn_estimate_s(core, job), 1.0);
+  double gain = (double)cpus * MAX(ws_estimator_run_s(core, job), 1.0);
   double lost = (double)victim->spec->need.cpus * (double)(core->wall - a->at_ms) / 1000.0;
   return lost <= MOST_LOST * gain;
 }
--- a/src/core/ws-order.c
+++ b/src/core/ws-queue.c
@@ -36,11 +36,11 @@
   if (team->limit.cpus > 0 && need->cpus > 0)
     at_once = MIN(at_once, team->limit.cpus / need->cpus);
   guint rounds = (left + (guint)at_once - 1) / MAX((guint)at_once, 1u);
-  return ws_learn_estimate_s(core, job) * rounds;
+  return ws_estimator_run_s(core, job) * rounds;
 }
 
 guint
-ws_order_protected_tasks(const WsJob *job)
+ws_queue_protected_tasks(const WsJob *job)
 {
   return 1 + job->tasks / 8;
 }
@@ -53,7 +53,7 @@
   guint left = job->tasks - job->done_count;
   double waited_s = (double)(core->wall - job->at_ms) / 1000.0;
   double end_s = waited_s + HOPE * shortest_s(core, job, left);
-  waiting->weight = ws_learn_estimate_s(core, job) * (left - job->on_count) - PATIENCE * waited_s;
+  waiting->weight = ws_estimator_run_s(core, job) * (left - job->on_count) - PATIENCE * waited_s;
   waiting->is_overdue = waited_s > WS_BEGIN_WITHIN_S && job->on_count == 0 && job->done_count == 0;
   if (within_s >= 0.0 && waited_s < MAX(NOT_GIVEN_UP_S, 2.0 * within_s))
     waiting->lateness = end_s <= within_s ? 0 : end_s <= 1.5 * within_s ? 1 : 2;
@@ -110,7 +110,7 @@
 }
 
 GArray *
-ws_order_jobs(const WsCore *core)
+ws_queue_jobs(const WsCore *core)
 {
   GArray *jobs = open_jobs(core);
   g_array_sort(jobs, by_urgency);
