--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -186,8 +186,8 @@
       g_hash_table_iter_remove(&iter);
     } else if (known->asked_ms == 0 || core->now - known->asked_ms >= RELEASE_AGAIN_MS) {
       known->asked_ms = core->now;
-      ws_ask_release(core, ws_replica_job(core->replica, known->release.job), known->release.task,
-                     known->release.attempt, known->release.done);
+      ws_peer_request_release(core, ws_replica_job(core->replica, known->release.job),
+                              known->release.task, known->release.attempt, known->release.done);
     }
   }
 }
@@ -200,8 +200,8 @@
     const WsProposal *proposal = &g_array_index(assign->proposals, WsProposal, i);
     Forwarded forwarded = { *proposal, core->now + PROPOSE_AGAIN_MS };
     g_array_append_val(assign->forwarded, forwarded);
-    ws_ask_assignment(core, ws_replica_job(core->replica, proposal->job), proposal->task,
-                      ws_replica_machine(core->replica, proposal->machine));
+    ws_peer_request_assignment(core, ws_replica_job(core->replica, proposal->job), proposal->task,
+                               ws_replica_machine(core->replica, proposal->machine));
   }
   g_array_set_size(assign->proposals, 0);
 }
--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -26,7 +26,7 @@
 typedef struct _WsAssign WsAssign;
 typedef struct _WsFleet WsFleet;
 typedef struct _WsPlan WsPlan;
-typedef struct _WsAsks WsAsks;
+typedef struct _WsPeerRequests WsPeerRequests;
 typedef struct _WsTermination WsTermination;
 typedef struct _WsCancels WsCancels;
 typedef struct _WsReservations WsReservations;
@@ -65,7 +65,7 @@
   WsAssign *assign;
   WsFleet *fleet;
   WsPlan *plan;
-  WsAsks *asks;
+  WsPeerRequests *peer_requests;
   WsTermination *termination;
   WsCancels *cancels;
   WsReservations *reservations;
@@ -200,18 +200,20 @@
 void ws_mesh_new_epoch(WsCore *core);
 void ws_mesh_relay(WsCore *core, guint owner, const char *report, gpointer request);
 
-/* ws-ask.c */
-WsAsks *ws_asks_new(const WsSettings *settings);
-void ws_asks_free(WsAsks *asks, const WsSettings *settings);
-void ws_ask_release(WsCore *core, const WsJob *job, guint task, guint64 attempt, gboolean done);
-void ws_ask_assignment(WsCore *core, const WsJob *job, guint task, const WsMachine *machine);
-void ws_ask_mark(WsCore *core, const WsMachine *machine, const char *why, gboolean now);
+/* ws-peer-requests.c */
+WsPeerRequests *ws_peer_requests_new(const WsSettings *settings);
+void ws_peer_requests_free(WsPeerRequests *peer_requests, const WsSettings *settings);
+void ws_peer_request_release(WsCore *core, const WsJob *job, guint task, guint64 attempt,
+                             gboolean done);
+void ws_peer_request_assignment(WsCore *core, const WsJob *job, guint task,
+                                const WsMachine *machine);
+void ws_peer_request_mark(WsCore *core, const WsMachine *machine, const char *why, gboolean now);
 /* machine: WS_NONE for any */
-void ws_ask_reservation(WsCore *core, const WsJob *job, guint machine, guint tasks);
-void ws_ask_stop(WsCore *core, guint node, const WsJob *job, const WsAssignment *a);
-void ws_ask_taken(WsCore *core, const json_t *message, gpointer request);
-void ws_ask_forget(WsCore *core);
-void ws_ask_pump(WsCore *core);
+void ws_peer_request_reservation(WsCore *core, const WsJob *job, guint machine, guint tasks);
+void ws_peer_request_stop(WsCore *core, guint node, const WsJob *job, const WsAssignment *a);
+void ws_peer_requests_taken(WsCore *core, const json_t *message, gpointer request);
+void ws_peer_requests_forget(WsCore *core);
+void ws_peer_requests_pump(WsCore *core);
 
 /* ws-assign.c */
 WsAssign *ws_assign_new(void);
--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -26,7 +26,7 @@
   core->assign = ws_assign_new();
   core->fleet = ws_fleet_new(settings);
   core->plan = ws_plan_new();
-  core->asks = ws_asks_new(settings);
+  core->peer_requests = ws_peer_requests_new(settings);
   core->termination = ws_termination_new();
   core->cancels = ws_cancels_new(settings);
   core->reservations = ws_reservations_new();
@@ -72,7 +72,7 @@
   ws_assign_free(core->assign);
   ws_fleet_free(core->fleet);
   ws_plan_free(core->plan);
-  ws_asks_free(core->asks, core->settings);
+  ws_peer_requests_free(core->peer_requests, core->settings);
   ws_termination_free(core->termination);
   ws_cancels_free(core->cancels);
   ws_reservations_free(core->reservations);
@@ -213,7 +213,7 @@
   core->plan_due = TRUE;
   core->wants_epoch = FALSE;
   ws_assign_forget_proposals(core);
-  ws_ask_forget(core);
+  ws_peer_requests_forget(core);
   ws_reservations_clear(core);
   ws_mesh_new_epoch(core);
   for (guint i = 0; i < core->replica->machines->len; i++) {
@@ -242,7 +242,7 @@
   ws_plan_tick(core);
   ws_termination_pump(core);
   ws_assign_pump(core);
-  ws_ask_pump(core);
+  ws_peer_requests_pump(core);
   ws_store_pump(core);
 }
 
--- a/src/core/ws-mesh.c
+++ b/src/core/ws-mesh.c
@@ -451,7 +451,7 @@
   } else if (strcmp(path, "/cancelled") == 0) {
     ws_cancel_taken(core, message, request);
   } else if (strcmp(path, "/ask") == 0) {
-    ws_ask_taken(core, message, request);
+    ws_peer_requests_taken(core, message, request);
   } else if (strcmp(path, "/relay") == 0) {
     take_relay(core, message, request);
   } else {
--- a/src/core/ws-ask.c
+++ b/src/core/ws-peer-requests.c
@@ -13,37 +13,37 @@
 #include <string.h>
 
 #define GATHER_MS 60
-#define MAIL_MS 1000
-#define ASK_TIMEOUT_MS 1500
+#define MAILBOX_PAUSE_MS 1000
+#define REQUEST_TIMEOUT_MS 1500
 #define MOST_ITEMS 48
 
-struct _WsAsks {
+struct _WsPeerRequests {
   json_t **out; /* by node: what it will be asked */
   gint64 next_ms;
-  gint64 mail_ms;
+  gint64 mailbox_ms;
 };
 
-WsAsks *
-ws_asks_new(const WsSettings *settings)
+WsPeerRequests *
+ws_peer_requests_new(const WsSettings *settings)
 {
-  WsAsks *asks = g_new0(WsAsks, 1);
-  asks->out = g_new0(json_t *, settings->nodes->len);
-  return asks;
+  WsPeerRequests *peer_requests = g_new0(WsPeerRequests, 1);
+  peer_requests->out = g_new0(json_t *, settings->nodes->len);
+  return peer_requests;
 }
 
 void
-ws_asks_free(WsAsks *asks, const WsSettings *settings)
+ws_peer_requests_free(WsPeerRequests *peer_requests, const WsSettings *settings)
 {
   for (guint n = 0; n < settings->nodes->len; n++)
-    json_decref(asks->out[n]);
-  g_free(asks->out);
-  g_free(asks);
+    json_decref(peer_requests->out[n]);
+  g_free(peer_requests->out);
+  g_free(peer_requests);
 }
 
 static void
 add(WsCore *core, guint node, const char *list, json_t *item)
 {
-  json_t **out = &core->asks->out[node];
+  json_t **out = &core->peer_requests->out[node];
   if (*out == NULL)
     *out = json_object();
   if (json_object_get(*out, list) == NULL)
@@ -56,27 +56,27 @@
 }
 
 void
-ws_ask_release(WsCore *core, const WsJob *job, guint task, guint64 attempt, gboolean done)
+ws_peer_request_release(WsCore *core, const WsJob *job, guint task, guint64 attempt, gboolean done)
 {
   add(core, core->replica->epoch.leader, "releases",
       json_pack("[s, i, I, b]", job->id, (int)task, (json_int_t)attempt, done));
 }
 
 void
-ws_ask_assignment(WsCore *core, const WsJob *job, guint task, const WsMachine *machine)
+ws_peer_request_assignment(WsCore *core, const WsJob *job, guint task, const WsMachine *machine)
 {
   add(core, core->replica->epoch.leader, "picks",
       json_pack("[s, i, s]", job->id, (int)task, machine->name));
 }
 
 void
-ws_ask_mark(WsCore *core, const WsMachine *machine, const char *why, gboolean now)
+ws_peer_request_mark(WsCore *core, const WsMachine *machine, const char *why, gboolean now)
 {
   add(core, core->replica->epoch.leader, "marks", json_pack("[s, s, b]", machine->name, why, now));
 }
 
 void
-ws_ask_reservation(WsCore *core, const WsJob *job, guint machine, guint tasks)
+ws_peer_request_reservation(WsCore *core, const WsJob *job, guint machine, guint tasks)
 {
   const char *name = machine != WS_NONE ? ws_replica_machine(core->replica, machine)->name : "";
   add(core, core->replica->epoch.leader, "reservations",
@@ -84,7 +84,7 @@
 }
 
 void
-ws_ask_stop(WsCore *core, guint node, const WsJob *job, const WsAssignment *a)
+ws_peer_request_stop(WsCore *core, guint node, const WsJob *job, const WsAssignment *a)
 {
   add(core, node, "stops", json_pack("[s, i, I]", job->id, (int)a->task, (json_int_t)a->attempt));
 }
@@ -188,7 +188,7 @@
 }
 
 void
-ws_ask_taken(WsCore *core, const json_t *message, gpointer request)
+ws_peer_requests_taken(WsCore *core, const json_t *message, gpointer request)
 {
   if (take_all(core, message))
     ws_answer(core, request, 200, json_object(), 0);
@@ -197,11 +197,11 @@
 }
 
 static void
-read_mail(WsCore *core)
+read_mailbox(WsCore *core)
 {
   const char *self = ws_settings_node(core->settings, core->settings->self)->name;
   json_t *letter;
-  while ((letter = g_queue_pop_head(&core->replica->mail)) != NULL) {
+  while ((letter = g_queue_pop_head(&core->replica->mailbox)) != NULL) {
     const json_t *mine = json_object_get(letter, self);
     if (mine != NULL)
       (void)take_all(core, mine);
@@ -232,9 +232,9 @@
 mail(WsCore *core, json_t *letter /* taken */)
 {
   g_autofree char *key
-      = ws_key(WS_KEYS_MAIL, ws_settings_node(core->settings, core->settings->self)->name);
+      = ws_key(WS_KEYS_MAILBOX, ws_settings_node(core->settings, core->settings->self)->name);
   WsTxn *txn = ws_txn_new();
-  core->asks->mail_ms = core->now + MAIL_MS;
+  core->peer_requests->mailbox_ms = core->now + MAILBOX_PAUSE_MS;
   ws_txn_if(txn, core->replica, WS_KEY_EPOCH);
   ws_txn_set(txn, key, letter);
   ws_txn_commit(core, txn, WS_FIRST_TASK, on_mailed, NULL);
@@ -244,17 +244,17 @@
 static void
 send_all(WsCore *core)
 {
-  gboolean may_mail = core->now >= core->asks->mail_ms && ws_store_ok(core);
+  gboolean may_mail = core->now >= core->peer_requests->mailbox_ms && ws_store_ok(core);
   json_t *letter = NULL;
   for (guint n = 0; n < core->settings->nodes->len; n++) {
-    json_t **out = &core->asks->out[n];
+    json_t **out = &core->peer_requests->out[n];
     if (*out == NULL || (!ws_mesh_reaches(core, n) && !may_mail))
       continue;
     json_object_set_new(*out, "epoch", json_integer((json_int_t)core->replica->epoch.number));
     const WsNode *node = ws_settings_node(core->settings, n);
     if (ws_mesh_reaches(core, n)) {
-      ws_call(core, "POST", node->endpoint, "/ask", g_steal_pointer(out), ASK_TIMEOUT_MS, on_asked,
-              GUINT_TO_POINTER(n));
+      ws_call(core, "POST", node->endpoint, "/ask", g_steal_pointer(out), REQUEST_TIMEOUT_MS,
+              on_asked, GUINT_TO_POINTER(n));
       continue;
     }
     if (letter == NULL)
@@ -267,22 +267,22 @@
 
 /* What was to be asked in the last epoch is worked out afresh in the next. */
 void
-ws_ask_forget(WsCore *core)
+ws_peer_requests_forget(WsCore *core)
 {
   for (guint n = 0; n < core->settings->nodes->len; n++)
-    g_clear_pointer(&core->asks->out[n], json_decref);
+    g_clear_pointer(&core->peer_requests->out[n], json_decref);
 }
 
 void
-ws_ask_pump(WsCore *core)
+ws_peer_requests_pump(WsCore *core)
 {
-  read_mail(core);
+  read_mailbox(core);
   if (!ws_entitled(core)) {
-    ws_ask_forget(core);
+    ws_peer_requests_forget(core);
     return;
   }
-  if (core->now < core->asks->next_ms)
+  if (core->now < core->peer_requests->next_ms)
     return;
-  core->asks->next_ms = core->now + GATHER_MS;
+  core->peer_requests->next_ms = core->now + GATHER_MS;
   send_all(core);
 }
--- a/src/core/ws-plan.c
+++ b/src/core/ws-plan.c
@@ -94,7 +94,7 @@
         || (a->stop_asked_ms > 0 && core->now - a->stop_asked_ms < STOP_AGAIN_MS))
       continue;
     a->stop_asked_ms = core->now;
-    ws_ask_stop(core, machine->owner, victim, a);
+    ws_peer_request_stop(core, machine->owner, victim, a);
   }
 }
 
--- a/src/core/ws-reservation.c
+++ b/src/core/ws-reservation.c
@@ -75,7 +75,7 @@
   entry->tasks = tasks;
   entry->until_ms = core->now + LIFETIME_MS;
   if (!ws_is_leader(core))
-    ws_ask_reservation(core, job, machine, tasks);
+    ws_peer_request_reservation(core, job, machine, tasks);
 }
 
 static void
--- a/src/core/ws-termination.c
+++ b/src/core/ws-termination.c
@@ -137,7 +137,7 @@
   machine->marking = TRUE;
   machine->marking_ms = core->now;
   if (!ws_is_leader(core)) {
-    ws_ask_mark(core, machine, why, now);
+    ws_peer_request_mark(core, machine, why, now);
     return;
   }
   Marking marking = { machine->index, g_strdup(why), now };
--- a/src/storage/ws-keys.h
+++ b/src/storage/ws-keys.h
@@ -16,7 +16,7 @@
 #define WS_KEYS_LOT WS_PREFIX "lot/"
 #define WS_KEYS_MARK WS_PREFIX "mark/"
 #define WS_KEYS_RENT WS_PREFIX "rent/"
-#define WS_KEYS_MAIL WS_PREFIX "mail/"
+#define WS_KEYS_MAILBOX WS_PREFIX "mail/"
 
 char *ws_key_job(const char *id);
 char *ws_key_chunk(const char *id, guint chunk);
--- a/src/storage/ws-records.c
+++ b/src/storage/ws-records.c
@@ -239,13 +239,13 @@
     g_ptr_array_add(replica->lots, lot);
 }
 
-/* Whoever it is for reads it; see ws-ask.c. */
+/* Whoever it is for reads it; see ws-peer-requests.c. */
 static void
-apply_mail(WsReplica *replica, const char *name, const json_t *value)
+apply_mailbox(WsReplica *replica, const char *name, const json_t *value)
 {
   (void)name;
   if (value != NULL)
-    g_queue_push_tail(&replica->mail, json_incref((json_t *)value));
+    g_queue_push_tail(&replica->mailbox, json_incref((json_t *)value));
 }
 
 json_t *
@@ -340,7 +340,7 @@
                 { WS_KEYS_MARK, apply_mark },
                 { WS_KEYS_RENT, apply_rent },
                 { WS_KEYS_MEMBER, apply_member },
-                { WS_KEYS_MAIL, apply_mail } };
+                { WS_KEYS_MAILBOX, apply_mailbox } };
   if (strcmp(key, WS_KEY_EPOCH) == 0) {
     if (value == NULL || !ws_epoch_parse(&replica->epoch, value, replica->settings))
       g_warning("the epoch's record is missing or damaged");
--- a/src/storage/ws-replica.c
+++ b/src/storage/ws-replica.c
@@ -75,7 +75,7 @@
   replica->machine_index = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   replica->rents = g_ptr_array_new_with_free_func(rent_free);
   replica->lots = g_ptr_array_new_with_free_func((GDestroyNotify)ws_lot_free);
-  g_queue_init(&replica->mail);
+  g_queue_init(&replica->mailbox);
   replica->fresh = g_array_new(FALSE, FALSE, sizeof(WsTaskRef));
   replica->cancelled = g_array_new(FALSE, FALSE, sizeof(guint));
   g_queue_init(&replica->removed);
@@ -101,7 +101,7 @@
   g_hash_table_unref(replica->machine_index);
   g_ptr_array_unref(replica->rents);
   g_ptr_array_unref(replica->lots);
-  g_queue_clear_full(&replica->mail, mail_free);
+  g_queue_clear_full(&replica->mailbox, mail_free);
   g_free(replica->team_use);
   g_free(replica->team_is_recorded);
   ws_names_clear(&replica->images);
--- a/src/storage/ws-replica.h
+++ b/src/storage/ws-replica.h
@@ -168,7 +168,7 @@
   GHashTable *machine_index;
   GPtrArray *rents; /* of WsRent */
   GPtrArray *lots;  /* of WsLot */
-  GQueue mail;      /* of json_t: what nodes left in the store for each other */
+  GQueue mailbox;   /* of json_t: what nodes left in the store for each other */
   WsAmount *team_use;
   gboolean *team_is_recorded; /* its use comes from the record that it belongs to */
   WsNames images;
