--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -194,9 +194,9 @@
 /* Neither the state service nor any other node is reached. */
 gboolean ws_mesh_isolated(const WsCore *core);
 /* Nothing that was confirmed to a user is missed by this node. */
-gboolean ws_vouches(const WsCore *core);
+gboolean ws_knows_all_cancellations(const WsCore *core);
 /* Whether a lease that is renewed now ends in time for whatever is missed. */
-gboolean ws_may_renew(const WsCore *core);
+gboolean ws_may_renew_lease(const WsCore *core);
 void ws_mesh_new_epoch(WsCore *core);
 void ws_mesh_relay(WsCore *core, guint owner, const char *report, gpointer request);
 
--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -236,7 +236,7 @@
 settle(WsCore *core)
 {
   notice_epoch(core);
-  if (ws_vouches(core))
+  if (ws_knows_all_cancellations(core))
     core->vouched_ms = core->now;
   ws_cancel_pump(core);
   ws_plan_tick(core);
--- a/src/core/ws-members.c
+++ b/src/core/ws-members.c
@@ -1,7 +1,7 @@
 /* This node's lease, the election, and the epochs that the leader writes. */
 #include "core/ws-core-private.h"
 
-#include "protocol/ws-words.h"
+#include "protocol/ws-field-names.h"
 
 #define LEASE_MS 4000
 #define RENEW_MS 900
--- a/src/core/ws-mesh.c
+++ b/src/core/ws-mesh.c
@@ -57,7 +57,7 @@
    node can while its replica is current; without the state service it can while all that it reaches
    are without it too, and have told it what they knew: nothing new can be confirmed then. */
 gboolean
-ws_vouches(const WsCore *core)
+ws_knows_all_cancellations(const WsCore *core)
 {
   gboolean reached = FALSE, settled = FALSE;
   if (!ws_store_loaded(core))
@@ -80,10 +80,10 @@
    last vouched has to be gone within cancel_s. Inside a zone that is cut off its node goes on:
    those outside return the machines there in time. */
 gboolean
-ws_may_renew(const WsCore *core)
+ws_may_renew_lease(const WsCore *core)
 {
   const WsSettings *settings = core->settings;
-  if (ws_vouches(core) || (ws_mesh_isolated(core) && !core->seen_from_outside))
+  if (ws_knows_all_cancellations(core) || (ws_mesh_isolated(core) && !core->seen_from_outside))
     return TRUE;
   return (double)(core->now - core->vouched_ms)
          < (settings->cancel_s - settings->lease_s) * 1000.0 - VOUCH_MARGIN_MS;
@@ -330,7 +330,7 @@
 {
   json_t *commands = json_array();
   add_halts(core, report, commands);
-  if (ws_entitled(core) && ws_may_renew(core))
+  if (ws_entitled(core) && ws_may_renew_lease(core))
     ws_answer(core, request, 200,
               ws_commands_answer(core->replica->epoch.number, g_steal_pointer(&commands)), 0);
   else
@@ -401,7 +401,7 @@
   g_autoptr(WsReport) report = ws_report_parse(message, &reason);
   if (report == NULL)
     ws_answer_reason(core, request, 400, reason);
-  else if (report->token > core->replica->epoch.number || !ws_may_renew(core))
+  else if (report->token > core->replica->epoch.number || !ws_may_renew_lease(core))
     ws_answer_later(core, request, 1);
   else
     ws_answer(core, request, 200, ws_workers_process(core, report), 0);
--- a/src/core/ws-txn.c
+++ b/src/core/ws-txn.c
@@ -1,6 +1,6 @@
 #include "core/ws-write-stats.h"
 
-#include "protocol/ws-words.h"
+#include "protocol/ws-field-names.h"
 
 #include <string.h>
 
--- a/src/core/ws-users.c
+++ b/src/core/ws-users.c
@@ -1,7 +1,7 @@
 /* Submissions, polls and withdrawals. Every one is answered at once or after one current read. */
 #include "core/ws-core-private.h"
 
-#include "protocol/ws-words.h"
+#include "protocol/ws-field-names.h"
 
 #include <string.h>
 
--- a/src/core/ws-workers.c
+++ b/src/core/ws-workers.c
@@ -97,7 +97,7 @@
 void
 ws_workers_launch_now(WsCore *core, WsMachine *machine, GArray *tasks)
 {
-  if (!can_send_direct(core, machine) || !ws_vouches(core)
+  if (!can_send_direct(core, machine) || !ws_knows_all_cancellations(core)
       || (core->direct_calls >= MOST_DIRECT_CALLS && !any_critical(core, tasks)))
     return;
   json_t *commands = json_array();
@@ -335,7 +335,7 @@
 {
   gboolean unwanted = ws_cancel_is_known(answer->core, job) || a->stopping
                       || answer->machine->marked || ws_job_is_broken_gang(job);
-  if (!unwanted && !ws_vouches(answer->core))
+  if (!unwanted && !ws_knows_all_cancellations(answer->core))
     return; /* it may be cancelled, and nobody could have told us */
   if (!unwanted) {
     command(answer, WS_OP_LAUNCH, job->id, a->task, a->attempt, 0.0);
@@ -489,7 +489,7 @@
   }
   core->report_ms = core->now;
   if (!ws_entitled(core) || report->token > token(core) || !knows_newest_epoch(core)
-      || ws_mesh_alone_refused(core) || !ws_may_renew(core)
+      || ws_mesh_alone_refused(core) || !ws_may_renew_lease(core)
       || ws_fleet_gone(core, report->machine)) {
     ws_answer_later(core, request, 1);
     return;
--- a/src/protocol/ws-cloud.c
+++ b/src/protocol/ws-cloud.c
@@ -1,6 +1,6 @@
 #include "protocol/ws-cloud.h"
 
-#include "protocol/ws-words.h"
+#include "protocol/ws-field-names.h"
 
 #include <math.h>
 
--- a/src/protocol/ws-report.c
+++ b/src/protocol/ws-report.c
@@ -1,7 +1,7 @@
 #include "protocol/ws-report.h"
 
 #include "protocol/ws-submission.h"
-#include "protocol/ws-words.h"
+#include "protocol/ws-field-names.h"
 
 #include <string.h>
 
--- a/tests/test-meetings.c
+++ b/tests/test-combined-faults.c
@@ -32,7 +32,7 @@
 } Gap;
 
 static void
-gap_day(guint32 seed, const Gap *gap)
+refusal_then_outage(guint32 seed, const Gap *gap)
 {
   Sim *sim = sim_new(seed);
   g_test_message("%s, seed %u", gap->name, seed);
@@ -77,7 +77,7 @@
 test_gap(gconstpointer data)
 {
   for (guint32 seed = 500; seed < 505; seed++)
-    gap_day(seed, data);
+    refusal_then_outage(seed, data);
 }
 
 static const Gap GAPS[] = {
@@ -121,7 +121,7 @@
 typedef struct {
   const char *name;
   void (*play)(Sim *sim);
-} Meeting;
+} CombinedFaults;
 
 static void
 add_load(Sim *sim, guint rounds)
@@ -377,7 +377,7 @@
   sim_run(sim, 25.0);
 }
 
-static const Meeting MEETINGS[] = {
+static const CombinedFaults COMBINED_FAULTS[] = {
   { "leaders-change", play_leaders_change },
   { "held-up", play_held_up },
   { "leader-ends-unreached", play_leader_ends_unreached },
@@ -424,7 +424,7 @@
   return sim;
 }
 
-/* As many more as one likes: WS_SEEDS=100 test-meetings */
+/* As many more as one likes: WS_SEEDS=100 test-combined-faults */
 static guint
 seeds(guint usual)
 {
@@ -433,9 +433,9 @@
 }
 
 static void
-test_meeting(gconstpointer data)
+test_combined_faults(gconstpointer data)
 {
-  const Meeting *meeting = data;
+  const CombinedFaults *meeting = data;
   for (guint32 seed = 600; seed < 600 + seeds(3); seed++) {
     g_test_message("%s, seed %u", meeting->name, seed);
     Sim *sim = loaded_world(seed);
@@ -805,17 +805,17 @@
   g_test_init(&argc, &argv, NULL);
   g_log_set_always_fatal(G_LOG_LEVEL_ERROR);
   for (gsize i = 0; i < G_N_ELEMENTS(GAPS); i++) {
-    g_autofree char *path = g_strconcat("/meetings/gap/", GAPS[i].name, NULL);
+    g_autofree char *path = g_strconcat("/combined-faults/gap/", GAPS[i].name, NULL);
     g_test_add_data_func(path, &GAPS[i], test_gap);
   }
-  for (gsize i = 0; i < G_N_ELEMENTS(MEETINGS); i++) {
-    g_autofree char *path = g_strconcat("/meetings/", MEETINGS[i].name, NULL);
-    g_test_add_data_func(path, &MEETINGS[i], test_meeting);
+  for (gsize i = 0; i < G_N_ELEMENTS(COMBINED_FAULTS); i++) {
+    g_autofree char *path = g_strconcat("/combined-faults/", COMBINED_FAULTS[i].name, NULL);
+    g_test_add_data_func(path, &COMBINED_FAULTS[i], test_combined_faults);
   }
-  g_test_add_func("/meetings/mute-is-unused", test_mute_is_unused);
-  g_test_add_func("/meetings/objects-twice", test_objects_twice);
-  g_test_add_func("/meetings/objects-quota", test_objects_quota);
-  g_test_add_func("/meetings/waits-beside-room", test_waits_beside_room);
-  g_test_add_func("/meetings/drawn", test_drawn);
+  g_test_add_func("/combined-faults/mute-is-unused", test_mute_is_unused);
+  g_test_add_func("/combined-faults/objects-twice", test_objects_twice);
+  g_test_add_func("/combined-faults/objects-quota", test_objects_quota);
+  g_test_add_func("/combined-faults/waits-beside-room", test_waits_beside_room);
+  g_test_add_func("/combined-faults/drawn", test_drawn);
   return g_test_run();
 }
