--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -27,7 +27,7 @@
 } Forwarded;
 
 struct _WsAssign {
-  GHashTable *known;    /* task -> PendingRelease: releases */
+  GHashTable *pending;  /* task -> PendingRelease: releases */
   GArray *proposals;    /* of WsProposal, the most urgent first */
   GHashTable *proposed; /* task: among the proposals, in the transaction, or handed in */
   GArray *writing;      /* of WsProposal: in the transaction on its way */
