--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -1,7 +1,7 @@
 /* Assignments and releases on their way to the state service.
 
    A task is assigned there before it is launched, and its team's use is counted in the same
-   transaction; a task is released only when ws-workers.c or ws-fleet.c knows that it is gone. The
+   transaction; a task is released only when ws-workers.c or ws-returns.c knows that it is gone. The
    leader writes for everybody, one transaction at a time; the other nodes hand theirs in. */
 #include "storage/ws-team-use.h"
 #include "core/ws-batch.h"
--- a/src/core/ws-cancel.c
+++ b/src/core/ws-cancel.c
@@ -3,7 +3,7 @@
    Whoever learns of one, by its own commit or through its replica, tells every peer until each has
    acknowledged it, and has the tasks halted wherever they may be, owner or not: a halt can do no
    harm. A machine that doesn't confirm in time is returned. */
-#include "core/ws-core-private.h"
+#include "core/ws-returns.h"
 
 #include <string.h>
 
@@ -348,13 +348,13 @@
 give_back(WsCore *core, WsMachine *machine, gint64 age_ms)
 {
   double part = (double)age_ms / (core->settings->cancel_s * 1000.0);
-  if (part < MARK_PART || machine->gone || ws_fleet_gone(core, machine->name))
+  if (part < MARK_PART || machine->gone || ws_returns_is_confirmed(core, machine->name))
     return;
   if (ws_store_ok(core)) {
     if (ws_entitled(core) && machine->stored && !machine->mark_now)
       ws_termination_mark(core, machine, "cancelled", TRUE);
   } else if (part >= RETURN_PART && returns_unmarked(core)) {
-    ws_fleet_return_unmarked(core, machine);
+    ws_returns_add_unmarked(core, machine);
   }
 }
 
--- /dev/null
+++ b/src/core/ws-cloud-list.c
@@ -0,0 +1,173 @@
+#include "core/ws-cloud-list.h"
+
+#include "core/ws-fleet.h"
+#include "core/ws-returns.h"
+
+#include <string.h>
+
+#define MOST_A_BATCH 50
+
+struct _WsCloudList {
+  gint64 next_ms;
+  gboolean listing;
+  char *after;
+  guint64 batches; /* of machines that weren't expected */
+};
+
+WsCloudList *
+ws_cloud_list_new(void)
+{
+  return g_new0(WsCloudList, 1);
+}
+
+void
+ws_cloud_list_free(WsCloudList *list)
+{
+  g_free(list->after);
+  g_free(list);
+}
+
+/* Machines that weren't expected get a lot of their own: those of a kind share one. */
+
+static void
+on_recorded(WsCore *core, WsTxnResult result, gpointer data)
+{
+  g_autoptr(GArray) machines = data;
+  for (guint i = 0; i < machines->len; i++) {
+    WsMachine *machine = ws_replica_machine(core->replica, g_array_index(machines, guint, i));
+    machine->marking = FALSE;
+    if (result == WS_TXN_OK)
+      g_info("machine %s wasn't expected; it is used or given back", machine->name);
+    else
+      machine->adopt = TRUE;
+  }
+  core->plan_due = TRUE;
+}
+
+void
+ws_cloud_list_reconcile(WsCore *core, WsMachine *machine, gint64 at_ms)
+{
+  if (machine->marking || machine->type_name == NULL || machine->zone == WS_NONE
+      || ws_returns_is_confirmed(core, machine->name) || !ws_entitled(core))
+    return;
+  machine->adopt = TRUE;
+  machine->at_ms = at_ms;
+}
+
+static gboolean
+belongs(const WsLot *lot, const WsMachine *machine)
+{
+  return strcmp(lot->type, machine->type_name) == 0 && lot->spot == machine->spot;
+}
+
+/* All machines of the kind that wait for a lot. */
+static WsLot *
+gather_lot(WsCore *core, const WsMachine *first, GArray *machines)
+{
+  const char *zone = g_ptr_array_index(core->settings->zones, first->zone);
+  WsLot *lot = g_new0(WsLot, 1);
+  lot->name = g_strdup_printf("a-%" G_GUINT64_FORMAT "-%u-%" G_GUINT64_FORMAT,
+                              core->replica->epoch.number, core->settings->self,
+                              ++core->cloud_list->batches);
+  lot->type = g_strdup(first->type_name);
+  lot->zone = g_strdup(zone);
+  lot->spot = first->spot;
+  lot->at_ms = first->at_ms;
+  lot->machines = g_array_new(FALSE, FALSE, sizeof(guint));
+  for (guint i = first->index; i < core->replica->machines->len; i++) {
+    WsMachine *machine = ws_replica_machine(core->replica, i);
+    if (!machine->adopt || machine->zone != first->zone || !belongs(lot, machine)
+        || lot->machines->len >= MOST_A_BATCH)
+      continue;
+    machine->adopt = FALSE;
+    machine->marking = TRUE;
+    machine->marking_ms = core->now;
+    g_array_append_val(lot->machines, machine->index);
+    g_array_append_val(machines, machine->index);
+  }
+  return lot;
+}
+
+void
+ws_cloud_list_reconcile_tick(WsCore *core)
+{
+  if (!ws_entitled(core) || !ws_store_ok(core))
+    return;
+  WsTxn *txn = ws_txn_new();
+  GArray *machines = g_array_new(FALSE, FALSE, sizeof(guint));
+  ws_txn_if(txn, core->replica, WS_KEY_EPOCH);
+  for (guint i = 0; i < core->replica->machines->len; i++) {
+    WsMachine *machine = ws_replica_machine(core->replica, i);
+    if (machine->stored || ws_returns_is_confirmed(core, machine->name))
+      machine->adopt = FALSE;
+    if (!machine->adopt || ws_txn_ops(txn) >= core->settings->state_txn_ops)
+      continue;
+    WsLot *lot = gather_lot(core, machine, machines);
+    g_autofree char *key = ws_key(WS_KEYS_LOT, lot->name);
+    ws_txn_if_version(txn, key, 0);
+    ws_txn_set(txn, key, ws_lot_encode(lot, core->replica));
+    ws_lot_free(lot);
+  }
+  if (machines->len > 0) {
+    ws_txn_commit(core, txn, WS_FIRST_REST, on_recorded, machines);
+    return;
+  }
+  ws_txn_free(txn);
+  g_array_unref(machines);
+}
+
+static void
+take_listed(WsCore *core, const WsListed *listed)
+{
+  if (ws_returns_is_confirmed(core, listed->id))
+    return;
+  WsMachine *machine = ws_replica_get_machine(core->replica, listed->id);
+  if (!machine->stored) {
+    /* A list may be old, also older than the one before: a machine that was returned by an earlier
+       leader would be taken for a new one. */
+    if (machine->listed_ms == 0)
+      machine->listed_ms = core->now;
+    if (core->now - machine->listed_ms < (gint64)(core->settings->list_lag_s * 3000.0))
+      return;
+    ws_replica_describe_machine(core->replica, machine, listed->type, listed->zone, listed->spot);
+    ws_cloud_list_reconcile(core, machine, core->wall - (gint64)(listed->age_s * 1000.0));
+    return;
+  }
+  if (machine->endpoint == NULL && listed->endpoint != NULL)
+    machine->endpoint = g_strdup(listed->endpoint);
+  if (listed->failed && !ws_machine_up(core, machine))
+    ws_termination_mark(core, machine, "failed", TRUE);
+}
+
+static void
+on_list(WsCore *core, guint status, const json_t *body, gpointer data)
+{
+  (void)data;
+  WsCloudList *list = core->cloud_list;
+  gboolean more = FALSE;
+  g_autoptr(GPtrArray) machines = status == 200 ? ws_listing_parse(body, &more) : NULL;
+  list->listing = FALSE;
+  list->next_ms = core->now + (gint64)(core->settings->list_lag_s * 1000.0);
+  g_clear_pointer(&list->after, g_free);
+  if (machines == NULL || !ws_is_leader(core))
+    return;
+  for (guint i = 0; i < machines->len; i++)
+    take_listed(core, g_ptr_array_index(machines, i));
+  if (more && machines->len > 0) {
+    list->after = g_strdup(((WsListed *)g_ptr_array_index(machines, machines->len - 1))->id);
+    list->next_ms = core->now;
+  }
+}
+
+void
+ws_cloud_list_tick(WsCore *core)
+{
+  WsCloudList *list = core->cloud_list;
+  if (list->listing || core->now < list->next_ms || !ws_fleet_take_call(core))
+    return;
+  list->listing = TRUE;
+  g_autofree char *path = list->after == NULL
+                              ? g_strdup("/machines?page=500")
+                              : g_strdup_printf("/machines?from=%s&page=500", list->after);
+  ws_call(core, "GET", core->settings->cloud_addr, path, NULL, 4000, on_list, NULL);
+}
--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -25,6 +25,9 @@
 typedef struct _WsMembers WsMembers;
 typedef struct _WsAssign WsAssign;
 typedef struct _WsFleet WsFleet;
+typedef struct _WsRentals WsRentals;
+typedef struct _WsReturns WsReturns;
+typedef struct _WsCloudList WsCloudList;
 typedef struct _WsPlan WsPlan;
 typedef struct _WsPeerRequests WsPeerRequests;
 typedef struct _WsTermination WsTermination;
@@ -64,6 +67,9 @@
   WsMembers *members;
   WsAssign *assign;
   WsFleet *fleet;
+  WsRentals *rentals;
+  WsReturns *returns;
+  WsCloudList *cloud_list;
   WsPlan *plan;
   WsPeerRequests *peer_requests;
   WsTermination *termination;
@@ -313,20 +319,6 @@
                               gboolean has_place, WsPlaceFunc makes_place, gpointer data,
                               GArray *machines);
 
-/* ws-fleet.c */
-WsFleet *ws_fleet_new(const WsSettings *settings);
-void ws_fleet_free(WsFleet *fleet);
-void ws_fleet_tick(WsCore *core);
-void ws_fleet_adopt_tick(WsCore *core);
-void ws_fleet_adopt(WsCore *core, WsMachine *machine, gint64 at_ms);
-void ws_fleet_need(WsCore *core, guint type, guint zone, gboolean spot, guint machines);
-/* Writes down what was needed since the last call. */
-void ws_fleet_intend(WsCore *core);
-gboolean ws_fleet_no_capacity(const WsCore *core, guint type, guint zone, gboolean spot);
-gboolean ws_fleet_gone(const WsCore *core, const char *machine);
-/* The one return without a mark: a cancelled task must go, and the state service takes none. */
-void ws_fleet_return_unmarked(WsCore *core, const WsMachine *machine);
-
 /* ws-consolidation.c: machines whose work fits on others. */
 void ws_consolidation_tick(WsCore *core);
 
--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -1,4 +1,8 @@
+#include "core/ws-cloud-list.h"
+#include "core/ws-fleet.h"
+#include "core/ws-rentals.h"
 #include "core/ws-reservation.h"
+#include "core/ws-returns.h"
 #include "core/ws-write-stats.h"
 
 #include <string.h>
@@ -25,6 +29,9 @@
   core->members = ws_members_new();
   core->assign = ws_assign_new();
   core->fleet = ws_fleet_new(settings);
+  core->rentals = ws_rentals_new();
+  core->returns = ws_returns_new();
+  core->cloud_list = ws_cloud_list_new();
   core->plan = ws_plan_new();
   core->peer_requests = ws_peer_requests_new(settings);
   core->termination = ws_termination_new();
@@ -71,6 +78,9 @@
   ws_members_free(core->members);
   ws_assign_free(core->assign);
   ws_fleet_free(core->fleet);
+  ws_rentals_free(core->rentals);
+  ws_returns_free(core->returns);
+  ws_cloud_list_free(core->cloud_list);
   ws_plan_free(core->plan);
   ws_peer_requests_free(core->peer_requests, core->settings);
   ws_termination_free(core->termination);
@@ -258,7 +268,7 @@
     ws_failure_detector_tick(core);
     ws_termination_tick(core);
     ws_fleet_tick(core);
-    ws_fleet_adopt_tick(core);
+    ws_cloud_list_reconcile_tick(core);
     ws_garbage_tick(core);
     ws_write_stats_tick(core);
   }
--- a/src/core/ws-demand.c
+++ b/src/core/ws-demand.c
@@ -1,5 +1,5 @@
 /* How many machines of which kind the tasks without room call for. */
-#include "core/ws-core-private.h"
+#include "core/ws-rentals.h"
 
 /* Without a deadline or an objective an array's tasks may follow each other for this long. */
 #define DEFAULT_SLACK_S 100.0
@@ -200,7 +200,7 @@
   for (; *zones != NULL; zones++) {
     guint zone = ws_replica_find_zone(demand->core->replica, *zones);
     if (zone == WS_NONE || !zone_fits(job, zone) || ws_zone_partitioned(demand->core, zone)
-        || ws_fleet_no_capacity(demand->core, type, zone, spot))
+        || ws_rentals_no_capacity(demand->core, type, zone, spot))
       continue;
     if (best == WS_NONE || demand->by_zone[zone] < demand->by_zone[best])
       best = zone;
@@ -353,9 +353,9 @@
       count++;
     }
     if (count > 0)
-      ws_fleet_need(demand->core, first.type, first.zone, first.spot, count);
+      ws_rentals_need(demand->core, first.type, first.zone, first.spot, count);
   }
-  ws_fleet_intend(demand->core);
+  ws_rentals_intend(demand->core);
   g_array_unref(demand->machines);
   g_free(demand->by_zone);
   g_free(demand);
--- a/src/core/ws-place.c
+++ b/src/core/ws-place.c
@@ -1,5 +1,7 @@
 #include "core/ws-place.h"
 
+#include "core/ws-rentals.h"
+
 /* What a machine is worth to a task. */
 #define IMAGE_THERE 100.0
 #define SPOT 30.0
@@ -209,8 +211,8 @@
     for (char **zone = type->zones; *zone != NULL; zone++) {
       guint z = ws_replica_find_zone(replica, *zone);
       if (z != WS_NONE && (job->spec->zone == NULL || job->zone == z)
-          && (!ws_fleet_no_capacity(core, t, z, FALSE)
-              || (job->spec->spot && !ws_fleet_no_capacity(core, t, z, TRUE))))
+          && (!ws_rentals_no_capacity(core, t, z, FALSE)
+              || (job->spec->spot && !ws_rentals_no_capacity(core, t, z, TRUE))))
         return TRUE;
     }
   }
--- /dev/null
+++ b/src/core/ws-rentals.c
@@ -0,0 +1,260 @@
+#include "core/ws-rentals.h"
+
+#include "core/ws-fleet.h"
+#include "core/ws-returns.h"
+
+#include <string.h>
+
+#define FIRST_NO_CAPACITY_MS 5000
+#define MOST_NO_CAPACITY_MS 40000
+/* Asking in vain costs two changes of the state service: the intent, and its end. Asking for all
+   kinds of machines takes no more than this part of the changes. */
+#define VAIN_RENTALS_PART 0.03
+#define CHANGES_A_RENTAL 2.0
+#define RETRY_MS 1500
+/* As many as the cloud gives at once. */
+#define MOST_A_RENTAL 50
+
+/* Until when a kind of machine isn't asked for, since the cloud had none. */
+typedef struct {
+  gint64 until_ms;
+  guint backoff_ms;
+} CapacityBackoff;
+
+struct _WsRentals {
+  GHashTable *backoffs; /* kind -> CapacityBackoff */
+  guint64 requests;
+  WsTxn *intent; /* being put together */
+  gboolean intending;
+  GHashTable *renting; /* requests on their way */
+  GHashTable *retries; /* request -> time */
+};
+
+WsRentals *
+ws_rentals_new(void)
+{
+  WsRentals *rentals = g_new0(WsRentals, 1);
+  rentals->backoffs = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+  rentals->renting = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+  rentals->retries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  return rentals;
+}
+
+void
+ws_rentals_free(WsRentals *rentals)
+{
+  g_hash_table_unref(rentals->backoffs);
+  g_hash_table_unref(rentals->renting);
+  g_hash_table_unref(rentals->retries);
+  g_free(rentals);
+}
+
+static gpointer
+kind(guint type, guint zone, gboolean spot)
+{
+  return GUINT_TO_POINTER(type << 16 | zone << 1 | (spot ? 1u : 0u));
+}
+
+gboolean
+ws_rentals_no_capacity(const WsCore *core, guint type, guint zone, gboolean spot)
+{
+  const CapacityBackoff *backoff
+      = g_hash_table_lookup(core->rentals->backoffs, kind(type, zone, spot));
+  return backoff != NULL && core->now < backoff->until_ms;
+}
+
+/* How many times longer than usual the back-off is where changes are few and kinds are many. */
+static double
+backoff_factor(const WsCore *core)
+{
+  double kinds = 0.0;
+  for (guint t = 0; core->replica->catalog != NULL && t < core->replica->catalog->len; t++)
+    kinds += 2.0 * g_strv_length(ws_replica_type(core->replica, t)->zones);
+  double per_second = VAIN_RENTALS_PART * core->settings->state_write_rps;
+  double period_ms = 1000.0 * CHANGES_A_RENTAL * kinds / per_second;
+  return MAX(1.0, period_ms / MOST_NO_CAPACITY_MS);
+}
+
+void
+ws_rentals_note_capacity(WsCore *core, guint type, guint zone, gboolean spot, gboolean enough)
+{
+  gpointer key = kind(type, zone, spot);
+  if (enough) {
+    g_hash_table_remove(core->rentals->backoffs, key);
+    return;
+  }
+  CapacityBackoff *backoff = g_hash_table_lookup(core->rentals->backoffs, key);
+  if (backoff == NULL) {
+    backoff = g_new0(CapacityBackoff, 1);
+    g_hash_table_insert(core->rentals->backoffs, key, backoff);
+  }
+  double factor = backoff_factor(core);
+  backoff->backoff_ms = CLAMP(backoff->backoff_ms * 2, (guint)(FIRST_NO_CAPACITY_MS * factor),
+                              (guint)(MOST_NO_CAPACITY_MS * factor));
+  backoff->until_ms = core->now + backoff->backoff_ms;
+}
+
+static void
+on_intended(WsCore *core, WsTxnResult result, gpointer data)
+{
+  (void)result;
+  (void)data;
+  core->rentals->intending = FALSE;
+}
+
+/* While a rental waits for its turn at the cloud, what else is needed gathers: fewer and larger
+   requests get the machines sooner than many small ones. */
+static gboolean
+has_unsent(const WsCore *core)
+{
+  for (guint i = 0; i < core->replica->rents->len; i++) {
+    const WsRent *rent = g_ptr_array_index(core->replica->rents, i);
+    if (!g_hash_table_contains(core->rentals->renting, rent->request))
+      return TRUE;
+  }
+  return FALSE;
+}
+
+static void
+intend_one(WsCore *core, guint type, guint zone, gboolean spot, guint machines)
+{
+  WsRentals *rentals = core->rentals;
+  g_autofree char *request = g_strdup_printf("r-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT,
+                                             core->replica->epoch.number, ++rentals->requests);
+  g_autofree char *key = ws_key(WS_KEYS_RENT, request);
+  WsRent rent = { .type = ws_replica_type(core->replica, type)->name,
+                  .zone = g_ptr_array_index(core->settings->zones, zone),
+                  .spot = spot,
+                  .count = machines };
+  g_info("renting %u %s machines of type %s in %s", rent.count, spot ? "spot" : "ordinary",
+         rent.type, rent.zone);
+  ws_txn_if_version(rentals->intent, key, 0);
+  ws_txn_set(rentals->intent, key, ws_rent_encode(&rent));
+}
+
+void
+ws_rentals_need(WsCore *core, guint type, guint zone, gboolean spot, guint machines)
+{
+  WsRentals *rentals = core->rentals;
+  if (rentals->intending || has_unsent(core))
+    return;
+  if (rentals->intent == NULL) {
+    rentals->intent = ws_txn_new();
+    ws_txn_if(rentals->intent, core->replica, WS_KEY_EPOCH);
+  }
+  for (guint left = machines;
+       left > 0 && ws_txn_ops(rentals->intent) < core->settings->state_txn_ops;
+       left -= MIN(left, MOST_A_RENTAL))
+    intend_one(core, type, zone, spot, MIN(left, MOST_A_RENTAL));
+}
+void
+ws_rentals_intend(WsCore *core)
+{
+  WsRentals *rentals = core->rentals;
+  if (rentals->intent == NULL)
+    return;
+  rentals->intending = TRUE;
+  ws_txn_commit(core, g_steal_pointer(&rentals->intent), WS_FIRST_TASK, on_intended, NULL);
+}
+
+static WsRent *
+find_rent(const WsCore *core, const char *request)
+{
+  for (guint i = 0; i < core->replica->rents->len; i++) {
+    WsRent *rent = g_ptr_array_index(core->replica->rents, i);
+    if (strcmp(rent->request, request) == 0)
+      return rent;
+  }
+  return NULL;
+}
+
+static void
+retry_rent(WsCore *core, const char *request)
+{
+  gint64 *at_ms = g_new(gint64, 1);
+  *at_ms = core->now + RETRY_MS;
+  g_hash_table_insert(core->rentals->retries, g_strdup(request), at_ms);
+}
+
+static void
+on_rent_closed(WsCore *core, WsTxnResult result, gpointer data)
+{
+  char *request = data;
+  if (result != WS_TXN_OK)
+    retry_rent(core, request);
+  g_hash_table_remove(core->rentals->renting, request);
+  core->plan_due = TRUE;
+  g_free(request);
+}
+
+/* The intent goes and the machines get their lot in one transaction. */
+static void
+close_rent(WsCore *core, const WsRent *rent, GPtrArray *names)
+{
+  g_autofree char *key = ws_key(WS_KEYS_RENT, rent->request);
+  g_autofree char *lot_key = ws_key(WS_KEYS_LOT, rent->request);
+  g_autoptr(GArray) machines = g_array_new(FALSE, FALSE, sizeof(guint));
+  for (guint i = 0; names != NULL && i < names->len; i++) {
+    const char *name = g_ptr_array_index(names, i);
+    guint machine = ws_replica_get_machine(core->replica, name)->index;
+    if (!ws_returns_is_confirmed(core, name))
+      g_array_append_val(machines, machine);
+  }
+  WsLot lot = { .type = rent->type,
+                .zone = rent->zone,
+                .spot = rent->spot,
+                .at_ms = core->wall,
+                .machines = machines };
+  WsTxn *txn = ws_txn_new();
+  ws_txn_if(txn, core->replica, WS_KEY_EPOCH);
+  /* Carried out late, after the lot has shrunk, it would bring returned machines back. */
+  ws_txn_if(txn, core->replica, key);
+  ws_txn_remove(txn, key);
+  if (machines->len > 0)
+    ws_txn_set(txn, lot_key, ws_lot_encode(&lot, core->replica));
+  ws_txn_commit(core, txn, WS_FIRST_TASK, on_rent_closed, g_strdup(rent->request));
+}
+
+static void
+on_rented(WsCore *core, guint status, const json_t *body, gpointer data)
+{
+  g_autofree char *request = data;
+  const WsRent *rent = find_rent(core, request);
+  g_autoptr(GPtrArray) names = status == 200 ? ws_names_parse(body) : NULL;
+  gboolean no_capacity
+      = status == 503
+        && g_strcmp0(json_string_value(json_object_get(body, "error")), "no capacity") == 0;
+  if (rent == NULL || (names == NULL && !no_capacity && status != 400)) {
+    retry_rent(core, request);
+    g_hash_table_remove(core->rentals->renting, request);
+    return;
+  }
+  guint zone = ws_replica_find_zone(core->replica, rent->zone);
+  guint count = names != NULL ? names->len : 0;
+  ws_rentals_note_capacity(core, ws_replica_find_type(core->replica, rent->type), zone, rent->spot,
+                           count >= rent->count);
+  g_info("the cloud rented %u of %u %s machines in %s", count, rent->count,
+         rent->spot ? "spot" : "ordinary", rent->zone);
+  close_rent(core, rent, names);
+}
+
+static void
+send_rent(WsCore *core, const WsRent *rent)
+{
+  WsRentals *rentals = core->rentals;
+  const gint64 *retry_ms = g_hash_table_lookup(rentals->retries, rent->request);
+  if (g_hash_table_contains(rentals->renting, rent->request)
+      || (retry_ms != NULL && core->now < *retry_ms) || !ws_fleet_take_call(core))
+    return;
+  g_hash_table_add(rentals->renting, g_strdup(rent->request));
+  ws_call(core, "POST", core->settings->cloud_addr, "/machines",
+          ws_rental_encode(rent->request, rent->type, rent->zone, rent->spot, rent->count), 4000,
+          on_rented, g_strdup(rent->request));
+}
+
+void
+ws_rentals_tick(WsCore *core)
+{
+  for (guint i = 0; i < core->replica->rents->len; i++)
+    send_rent(core, g_ptr_array_index(core->replica->rents, i));
+}
--- a/src/core/ws-termination.c
+++ b/src/core/ws-termination.c
@@ -2,9 +2,9 @@
 
    The owner elects a machine that was empty for the hold and, if the budget allows it, writes the
    mark; from then on the machine is closed. The leader returns what is marked and empty (see
-   ws-fleet.c) and clears the mark once the cloud has confirmed. Marks outlive every controller, so
-   whoever leads goes on with them. */
-#include "core/ws-core-private.h"
+   ws-returns.c) and clears the mark once the cloud has confirmed. Marks outlive every controller,
+   so whoever leads goes on with them. */
+#include "core/ws-returns.h"
 
 #include <string.h>
 
@@ -132,7 +132,7 @@
   if (machine->marking || (machine->marked && (!now || machine->mark_now)) || !ws_store_ok(core))
     return;
   /* Owners take a returned machine for silent until its mark is cleared. */
-  if (machine->marked && ws_fleet_gone(core, machine->name))
+  if (machine->marked && ws_returns_is_confirmed(core, machine->name))
     return;
   machine->marking = TRUE;
   machine->marking_ms = core->now;
--- a/src/core/ws-workers.c
+++ b/src/core/ws-workers.c
@@ -3,7 +3,8 @@
    The commands for a machine follow from two things only: the records of what is assigned to it
    and its newest report. They are worked out by the machine's owner, who alone may release a task
    or let the worker forget one. */
-#include "core/ws-core-private.h"
+#include "core/ws-cloud-list.h"
+#include "core/ws-returns.h"
 
 #include <string.h>
 
@@ -393,7 +394,7 @@
   /* A copy of an old report may come from a machine that was returned before this node began; only
      one that has had an answer of this epoch is there. */
   if (!machine->stored && answer.confirmed)
-    ws_fleet_adopt(core, machine, core->wall);
+    ws_cloud_list_reconcile(core, machine, core->wall);
   if (answer.confirmed)
     for (guint i = 0; i < report->tasks->len; i++)
       take_task(core, machine, &g_array_index(report->tasks, WsReportTask, i));
@@ -490,7 +491,7 @@
   core->report_ms = core->now;
   if (!ws_entitled(core) || report->token > token(core) || !knows_newest_epoch(core)
       || ws_mesh_alone_refused(core) || !ws_may_renew_lease(core)
-      || ws_fleet_gone(core, report->machine)) {
+      || ws_returns_is_confirmed(core, report->machine)) {
     ws_answer_later(core, request, 1);
     return;
   }
