--- a/src/core/ws-rentals.c
+++ b/src/core/ws-rentals.c
@@ -147,6 +147,7 @@
        left -= MIN(left, MOST_A_RENTAL))
     intend_one(core, type, zone, spot, MIN(left, MOST_A_RENTAL));
 }
+
 void
 ws_rentals_intend(WsCore *core)
 {
