--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -81,9 +81,9 @@
   const PendingRelease *old = g_hash_table_lookup(core->assign->pending, key);
   if (old != NULL && old->release.attempt >= attempt)
     return;
-  const WsAssignment *a = job->spec != NULL ? ws_job_assignment(job, task) : NULL;
-  if (done && a != NULL && a->attempt == attempt && ws_is_leader(core))
-    ws_estimator_add(core, job, a);
+  const WsAssignment *assignment = job->spec != NULL ? ws_job_assignment(job, task) : NULL;
+  if (done && assignment != NULL && assignment->attempt == attempt && ws_is_leader(core))
+    ws_estimator_add(core, job, assignment);
   PendingRelease *known = g_new0(PendingRelease, 1);
   known->release = (WsRelease){ job->index, task, attempt, done };
   known->known_ms = core->now;
@@ -170,8 +170,8 @@
 is_over(const WsCore *core, const WsRelease *release)
 {
   const WsJob *job = ws_replica_job(core->replica, release->job);
-  const WsAssignment *a = job->spec != NULL ? ws_job_assignment(job, release->task) : NULL;
-  return a == NULL || a->attempt != release->attempt;
+  const WsAssignment *assignment = job->spec != NULL ? ws_job_assignment(job, release->task) : NULL;
+  return assignment == NULL || assignment->attempt != release->attempt;
 }
 
 static void
@@ -445,11 +445,11 @@
   for (guint i = 0; i < fresh->len; i++) {
     const WsTaskRef *ref = &g_array_index(fresh, WsTaskRef, i);
     const WsJob *job = ws_replica_job(core->replica, ref->job);
-    const WsAssignment *a = job->spec != NULL ? ws_job_assignment(job, ref->task) : NULL;
-    if (a == NULL || a->state != WS_TASK_ASSIGNED
-        || !ws_owns(core, ws_replica_machine(core->replica, a->machine)))
+    const WsAssignment *assignment = job->spec != NULL ? ws_job_assignment(job, ref->task) : NULL;
+    if (assignment == NULL || assignment->state != WS_TASK_ASSIGNED
+        || !ws_owns(core, ws_replica_machine(core->replica, assignment->machine)))
       continue;
-    WsProposal proposal = { ref->job, ref->task, a->machine, core->now };
+    WsProposal proposal = { ref->job, ref->task, assignment->machine, core->now };
     g_array_append_val(proposals, proposal);
   }
   g_array_set_size(fresh, 0);
--- a/src/core/ws-batch.c
+++ b/src/core/ws-batch.c
@@ -210,15 +210,15 @@
 ws_batch_release(WsBatch *batch, const WsRelease *release)
 {
   const WsJob *job = ws_replica_job(batch->core->replica, release->job);
-  const WsAssignment *a = job->spec != NULL ? ws_job_assignment(job, release->task) : NULL;
-  if (a == NULL || a->attempt != release->attempt)
+  const WsAssignment *assignment = job->spec != NULL ? ws_job_assignment(job, release->task) : NULL;
+  if (assignment == NULL || assignment->attempt != release->attempt)
     return WS_BATCH_UNWANTED; /* done, or somebody else's by now */
   if (ws_chunk_find(chunk_after(batch, job, release->task / WS_CHUNK_TASKS), release->task) == NULL)
     return WS_BATCH_TAKEN; /* by this very transaction: its use is given back once */
   if (!reserve(batch, job, release->task, NULL, ends_job(batch, job, release->done)))
     return WS_BATCH_FULL;
   WsChunk *chunk = open_chunk(batch, job, release->task);
-  ws_amount_add(taken(batch, a->machine), &job->spec->need, -1);
+  ws_amount_add(taken(batch, assignment->machine), &job->spec->need, -1);
   ws_chunk_remove(chunk, release->task);
   use_team(batch, job, -1);
   if (job->spec->kind == WS_KIND_GANG && !release->done)
@@ -240,8 +240,8 @@
   for (guint c = 0; c < ws_job_chunk_count(job); c++) {
     const WsChunk *chunk = chunk_after(batch, job, c);
     for (guint i = 0; chunk != NULL && i < chunk->on->len; i++) {
-      const WsAssignment *a = &g_array_index(chunk->on, WsAssignment, i);
-      guint zone = ws_replica_machine(replica, a->machine)->zone;
+      const WsAssignment *assignment = &g_array_index(chunk->on, WsAssignment, i);
+      guint zone = ws_replica_machine(replica, assignment->machine)->zone;
       if (zone != WS_NONE)
         counts[zone]++;
     }
--- a/src/core/ws-cancel.c
+++ b/src/core/ws-cancel.c
@@ -211,11 +211,12 @@
 
 /* In any attempt: beside one that was refused as busy another may run. */
 static gboolean
-is_halted(const WsReport *report, const WsJob *job, const WsAssignment *a)
+is_halted(const WsReport *report, const WsJob *job, const WsAssignment *assignment)
 {
   for (guint i = 0; i < report->tasks->len; i++) {
     const WsReportTask *task = &g_array_index(report->tasks, WsReportTask, i);
-    if (task->task == a->task && strcmp(task->job, job->id) == 0 && task->state != WS_TASK_EXITED)
+    if (task->task == assignment->task && strcmp(task->job, job->id) == 0
+        && task->state != WS_TASK_EXITED)
       return FALSE;
   }
   return TRUE;
@@ -227,8 +228,9 @@
 {
   const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, i);
   *job = ws_replica_job(core->replica, ref->job);
-  WsAssignment *a = (*job)->spec != NULL ? ws_job_assignment(*job, ref->task) : NULL;
-  return a != NULL && !a->seen_gone && ws_cancel_is_known(core, *job) ? a : NULL;
+  WsAssignment *assignment = (*job)->spec != NULL ? ws_job_assignment(*job, ref->task) : NULL;
+  return assignment != NULL && !assignment->seen_gone && ws_cancel_is_known(core, *job) ? assignment
+                                                                                        : NULL;
 }
 
 /* The worker's own word. A launch of ours without an answer may still be carried out after it. */
@@ -239,9 +241,9 @@
   machine->halt_session = report->session;
   machine->halt_token = report->token;
   for (guint i = 0; machine->doubts == 0 && i < machine->tasks->len; i++) {
-    WsAssignment *a = unhalted(core, machine, i, &job);
-    if (a != NULL && is_halted(report, job, a))
-      a->seen_gone = TRUE;
+    WsAssignment *assignment = unhalted(core, machine, i, &job);
+    if (assignment != NULL && is_halted(report, job, assignment))
+      assignment->seen_gone = TRUE;
   }
 }
 
@@ -296,10 +298,10 @@
   }
   json_t *commands = json_array();
   for (guint i = 0; i < machine->tasks->len; i++) {
-    const WsAssignment *a = unhalted(core, machine, i, &job);
-    if (a != NULL)
-      json_array_append_new(commands,
-                            ws_command_encode(WS_OP_HALT, job->id, a->task, a->attempt, 0.0));
+    const WsAssignment *assignment = unhalted(core, machine, i, &job);
+    if (assignment != NULL)
+      json_array_append_new(commands, ws_command_encode(WS_OP_HALT, job->id, assignment->task,
+                                                        assignment->attempt, 0.0));
   }
   ws_call(core, "POST", machine->endpoint, "/commands",
           ws_commands_direct(MAX(machine->token, machine->halt_token),
@@ -398,9 +400,9 @@
     for (guint k = 0; job != NULL && job->spec != NULL && k < job->chunks->len; k++) {
       const WsChunk *chunk = g_ptr_array_index(job->chunks, k);
       for (guint i = 0; chunk != NULL && i < chunk->on->len; i++) {
-        const WsAssignment *a = &g_array_index(chunk->on, WsAssignment, i);
-        if (!a->seen_gone && g_hash_table_add(seen, GUINT_TO_POINTER(a->machine)))
-          tend_machine(core, ws_replica_machine(core->replica, a->machine));
+        const WsAssignment *assignment = &g_array_index(chunk->on, WsAssignment, i);
+        if (!assignment->seen_gone && g_hash_table_add(seen, GUINT_TO_POINTER(assignment->machine)))
+          tend_machine(core, ws_replica_machine(core->replica, assignment->machine));
       }
     }
   }
--- a/src/core/ws-consolidation.c
+++ b/src/core/ws-consolidation.c
@@ -72,8 +72,9 @@
   for (guint i = 0; i < machine->tasks->len; i++) {
     const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, i);
     const WsJob *job = ws_replica_job(core->replica, ref->job);
-    const WsAssignment *a = ws_job_assignment(job, ref->task);
-    if (job->spec->kind != WS_KIND_SERVICE || a == NULL || a->state != WS_TASK_RUNNING
+    const WsAssignment *assignment = ws_job_assignment(job, ref->task);
+    if (job->spec->kind != WS_KIND_SERVICE || assignment == NULL
+        || assignment->state != WS_TASK_RUNNING
         || g_hash_table_contains(batch->jobs, GUINT_TO_POINTER(job->index)))
       return FALSE;
   }
--- a/src/core/ws-estimator.c
+++ b/src/core/ws-estimator.c
@@ -22,7 +22,7 @@
 
 /* Some of the tasks have waited for their image, so half of its fetch is taken off. */
 void
-ws_estimator_add(WsCore *core, const WsJob *job, const WsAssignment *a)
+ws_estimator_add(WsCore *core, const WsJob *job, const WsAssignment *assignment)
 {
   if (job->spec->estimate_s <= 0.0 || core->replica->catalog == NULL)
     return;
@@ -31,7 +31,7 @@
     learned = g_new0(ClassRunTimes, 1);
     g_hash_table_insert(core->run_times, g_strdup(job->spec->class_name), learned);
   }
-  double passed_s = (double)(core->wall - a->at_ms) / 1000.0;
+  double passed_s = (double)(core->wall - assignment->at_ms) / 1000.0;
   learned->tasks++;
   learned->ran_s += MAX(passed_s - ON_THE_WAY_S - 0.5 * ws_job_fetch_s(core->replica, job), 0.0);
   learned->estimated_s += job->spec->estimate_s;
--- a/src/core/ws-peer-requests.c
+++ b/src/core/ws-peer-requests.c
@@ -84,9 +84,10 @@
 }
 
 void
-ws_peer_request_stop(WsCore *core, guint node, const WsJob *job, const WsAssignment *a)
+ws_peer_request_stop(WsCore *core, guint node, const WsJob *job, const WsAssignment *assignment)
 {
-  add(core, node, "stops", json_pack("[s, i, I]", job->id, (int)a->task, (json_int_t)a->attempt));
+  add(core, node, "stops",
+      json_pack("[s, i, I]", job->id, (int)assignment->task, (json_int_t)assignment->attempt));
 }
 
 /* Being asked. */
@@ -153,12 +154,13 @@
 {
   guint task = 0;
   WsJob *job = job_of(core, item, &task);
-  WsAssignment *a = job != NULL ? ws_job_assignment(job, task) : NULL;
-  if (a == NULL || a->stopping || a->attempt != (guint64)json_integer_value(json_array_get(item, 2))
-      || !ws_owns(core, ws_replica_machine(core->replica, a->machine)))
+  WsAssignment *assignment = job != NULL ? ws_job_assignment(job, task) : NULL;
+  if (assignment == NULL || assignment->stopping
+      || assignment->attempt != (guint64)json_integer_value(json_array_get(item, 2))
+      || !ws_owns(core, ws_replica_machine(core->replica, assignment->machine)))
     return;
-  a->stopping = TRUE;
-  ws_workers_halt_now(core, job, a);
+  assignment->stopping = TRUE;
+  ws_workers_halt_now(core, job, assignment);
 }
 
 static void
--- a/src/core/ws-place.c
+++ b/src/core/ws-place.c
@@ -68,10 +68,10 @@
   for (guint k = 0; k < machine->tasks->len; k++) {
     const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, k);
     const WsJob *job = ws_replica_job(replica, ref->job);
-    const WsAssignment *a = ws_job_assignment(job, ref->task);
+    const WsAssignment *assignment = ws_job_assignment(job, ref->task);
     has_array = has_array || job->spec->kind == WS_KIND_ARRAY;
     slot->has_service = slot->has_service || job->spec->kind == WS_KIND_SERVICE;
-    if (a == NULL || !(a->stopping || ws_cancel_is_known(map->core, job)))
+    if (assignment == NULL || !(assignment->stopping || ws_cancel_is_known(map->core, job)))
       continue;
     ws_amount_add(&slot->coming, &job->spec->need, 1);
     is_freed = TRUE;
@@ -153,10 +153,10 @@
   for (guint i = 0; i < machine->tasks->len; i++) {
     const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, i);
     const WsJob *other = ws_replica_job(replica, ref->job);
-    const WsAssignment *a = ws_job_assignment(other, ref->task);
+    const WsAssignment *assignment = ws_job_assignment(other, ref->task);
     if (is_service && other == job)
       value -= SAME_MACHINE;
-    if (a != NULL && a->state <= WS_TASK_FETCHING)
+    if (assignment != NULL && assignment->state <= WS_TASK_FETCHING)
       value += other->image == job->image ? IMAGE_COMING : -OTHER_FETCH;
   }
   return value;
--- a/src/core/ws-plan.c
+++ b/src/core/ws-plan.c
@@ -89,12 +89,12 @@
   for (guint i = 0; i < machine->tasks->len; i++) {
     const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, i);
     const WsJob *victim = ws_replica_job(core->replica, ref->job);
-    WsAssignment *a = ws_job_assignment(victim, ref->task);
-    if (a == NULL || !a->stopping
-        || (a->stop_asked_ms > 0 && core->now - a->stop_asked_ms < STOP_AGAIN_MS))
+    WsAssignment *assignment = ws_job_assignment(victim, ref->task);
+    if (assignment == NULL || !assignment->stopping
+        || (assignment->stop_asked_ms > 0 && core->now - assignment->stop_asked_ms < STOP_AGAIN_MS))
       continue;
-    a->stop_asked_ms = core->now;
-    ws_peer_request_stop(core, machine->owner, victim, a);
+    assignment->stop_asked_ms = core->now;
+    ws_peer_request_stop(core, machine->owner, victim, assignment);
   }
 }
 
--- a/src/core/ws-preempt.c
+++ b/src/core/ws-preempt.c
@@ -54,22 +54,23 @@
 /* What is lost of the victim's work is no more than a few times what would be done in its place: a
    large task that has run for minutes isn't stopped for small ones of seconds. */
 static gboolean
-loses_little(const WsCore *core, const WsJob *job, const WsJob *victim, const WsAssignment *a)
+loses_little(const WsCore *core, const WsJob *job, const WsJob *victim,
+             const WsAssignment *assignment)
 {
   gint64 left = job->tasks - job->done_count - job->on_count;
   gint64 cpus = MIN(left * job->spec->need.cpus, victim->spec->need.cpus);
   double gain = (double)cpus * MAX(ws_estimator_run_s(core, job), 1.0);
-  double lost = (double)victim->spec->need.cpus * (double)(core->wall - a->at_ms) / 1000.0;
+  double lost = (double)victim->spec->need.cpus * (double)(core->wall - assignment->at_ms) / 1000.0;
   return lost <= MOST_LOST * gain;
 }
 
 /* A guarantee among equals isn't worth work that is half done: its place is soon free. */
 static gboolean
-is_worth(const WsCore *core, const WsJob *job, const WsJob *victim, const WsAssignment *a)
+is_worth(const WsCore *core, const WsJob *job, const WsJob *victim, const WsAssignment *assignment)
 {
   if (job->spec->priority < victim->spec->priority)
-    return job->spec->priority == WS_CRITICAL || loses_little(core, job, victim, a);
-  return (double)(core->wall - a->at_ms) < 500.0 * victim->spec->estimate_s;
+    return job->spec->priority == WS_CRITICAL || loses_little(core, job, victim, assignment);
+  return (double)(core->wall - assignment->at_ms) < 500.0 * victim->spec->estimate_s;
 }
 
 /* The cheapest task on the machine that may be stopped and is not yet: the youngest one. */
@@ -81,12 +82,12 @@
   for (guint i = 0; i < machine->tasks->len; i++) {
     const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, i);
     WsJob *victim = ws_replica_job(core->replica, ref->job);
-    WsAssignment *a = ws_job_assignment(victim, ref->task);
-    if (a == NULL || a->stopping || a->at_ms >= younger_than_ms
-        || !ws_preempt_allowed(core, job, victim) || !is_worth(core, job, victim, a))
+    WsAssignment *assignment = ws_job_assignment(victim, ref->task);
+    if (assignment == NULL || assignment->stopping || assignment->at_ms >= younger_than_ms
+        || !ws_preempt_allowed(core, job, victim) || !is_worth(core, job, victim, assignment))
       continue;
-    if (best == NULL || a->at_ms > best->at_ms) {
-      best = a;
+    if (best == NULL || assignment->at_ms > best->at_ms) {
+      best = assignment;
       *owner = victim;
     }
   }
@@ -102,12 +103,12 @@
   ws_amount_add(&room, &slot->coming, 1);
   while (!ws_amount_fits(&job->spec->need, &room)) {
     WsJob *victim = NULL;
-    const WsAssignment *a = cheapest(core, job, machine, younger_than_ms, &victim);
-    if (a == NULL)
+    const WsAssignment *assignment = cheapest(core, job, machine, younger_than_ms, &victim);
+    if (assignment == NULL)
       return -1.0;
-    younger_than_ms = a->at_ms;
+    younger_than_ms = assignment->at_ms;
     ws_amount_add(&room, &victim->spec->need, 1);
-    cost += 5.0 + (double)(core->wall - a->at_ms) / 1000.0;
+    cost += 5.0 + (double)(core->wall - assignment->at_ms) / 1000.0;
   }
   return cost;
 }
@@ -119,14 +120,14 @@
   ws_amount_add(&room, &slot->coming, 1);
   while (!ws_amount_fits(&job->spec->need, &room)) {
     WsJob *victim = NULL;
-    WsAssignment *a = cheapest(core, job, machine, G_MAXINT64, &victim);
-    if (a == NULL)
+    WsAssignment *assignment = cheapest(core, job, machine, G_MAXINT64, &victim);
+    if (assignment == NULL)
       return;
-    a->stopping = TRUE;
+    assignment->stopping = TRUE;
     ws_amount_add(&room, &victim->spec->need, 1);
     ws_amount_add(&slot->coming, &victim->spec->need, 1);
     if (ws_owns(core, machine))
-      ws_workers_halt_now(core, victim, a);
+      ws_workers_halt_now(core, victim, assignment);
   }
 }
 
--- a/src/core/ws-returns.c
+++ b/src/core/ws-returns.c
@@ -130,9 +130,9 @@
   for (guint i = 0; i < machine->tasks->len; i++) {
     const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, i);
     WsJob *job = ws_replica_job(core->replica, ref->job);
-    const WsAssignment *a = ws_job_assignment(job, ref->task);
-    if (a != NULL)
-      ws_assign_release(core, job, a, FALSE);
+    const WsAssignment *assignment = ws_job_assignment(job, ref->task);
+    if (assignment != NULL)
+      ws_assign_release(core, job, assignment, FALSE);
   }
 }
 
--- a/src/core/ws-workers.c
+++ b/src/core/ws-workers.c
@@ -105,11 +105,11 @@
   for (guint i = 0; i < tasks->len; i++) {
     const WsTaskRef *ref = &g_array_index(tasks, WsTaskRef, i);
     const WsJob *job = ws_replica_job(core->replica, ref->job);
-    WsAssignment *a = ws_job_assignment(job, ref->task);
-    if (a == NULL || job->state != WS_JOB_ACTIVE || ws_cancel_is_known(core, job))
+    WsAssignment *assignment = ws_job_assignment(job, ref->task);
+    if (assignment == NULL || job->state != WS_JOB_ACTIVE || ws_cancel_is_known(core, job))
       continue;
-    json_array_append_new(commands,
-                          ws_command_encode(WS_OP_LAUNCH, job->id, a->task, a->attempt, 0.0));
+    json_array_append_new(commands, ws_command_encode(WS_OP_LAUNCH, job->id, assignment->task,
+                                                      assignment->attempt, 0.0));
   }
   if (json_array_size(commands) > 0)
     send_direct(core, machine, commands, TRUE);
@@ -125,14 +125,14 @@
 }
 
 void
-ws_workers_halt_now(WsCore *core, WsJob *job, WsAssignment *a)
+ws_workers_halt_now(WsCore *core, WsJob *job, WsAssignment *assignment)
 {
-  WsMachine *machine = ws_replica_machine(core->replica, a->machine);
+  WsMachine *machine = ws_replica_machine(core->replica, assignment->machine);
   if (!can_send_direct(core, machine))
     return;
   json_t *commands = json_array();
-  json_array_append_new(
-      commands, ws_command_encode(WS_OP_HALT, job->id, a->task, a->attempt, grace(core, job)));
+  json_array_append_new(commands, ws_command_encode(WS_OP_HALT, job->id, assignment->task,
+                                                    assignment->attempt, grace(core, job)));
   send_direct(core, machine, commands, FALSE);
 }
 
@@ -169,11 +169,11 @@
 }
 
 static void
-note_exit(WsCore *core, WsMachine *machine, WsJob *job, WsAssignment *a, WsExit why)
+note_exit(WsCore *core, WsMachine *machine, WsJob *job, WsAssignment *assignment, WsExit why)
 {
-  if (a->state == WS_TASK_EXITED)
+  if (assignment->state == WS_TASK_EXITED)
     return;
-  a->state = WS_TASK_EXITED;
+  assignment->state = WS_TASK_EXITED;
   if (why == WS_EXIT_ERROR)
     note_error(core, machine, job);
   if (why == WS_EXIT_REFUSED)
@@ -191,26 +191,29 @@
   *job = ws_replica_find_job(core->replica, task->job);
   if (*job == NULL || (*job)->spec == NULL || task->task >= (*job)->tasks)
     return NULL;
-  WsAssignment *a = ws_job_assignment(*job, task->task);
-  return a != NULL && a->machine == machine->index && a->attempt == task->attempt ? a : NULL;
+  WsAssignment *assignment = ws_job_assignment(*job, task->task);
+  return assignment != NULL && assignment->machine == machine->index
+                 && assignment->attempt == task->attempt
+             ? assignment
+             : NULL;
 }
 
 static void
 take_task(WsCore *core, WsMachine *machine, const WsReportTask *task)
 {
   WsJob *job;
-  WsAssignment *a = matching(core, machine, task, &job);
-  if (a == NULL)
+  WsAssignment *assignment = matching(core, machine, task, &job);
+  if (assignment == NULL)
     return;
   if (task->state == WS_TASK_EXITED) {
-    note_exit(core, machine, job, a, task->why);
-    ws_assign_release(core, job, a, task->why == WS_EXIT_DONE);
+    note_exit(core, machine, job, assignment, task->why);
+    ws_assign_release(core, job, assignment, task->why == WS_EXIT_DONE);
     return;
   }
-  if (task->state != a->state)
-    g_debug("task %s/%u on %s: state %d", job->id, a->task, machine->name, task->state);
-  a->state = task->state;
-  if (a->state == WS_TASK_RUNNING)
+  if (task->state != assignment->state)
+    g_debug("task %s/%u on %s: state %d", job->id, assignment->task, machine->name, task->state);
+  assignment->state = task->state;
+  if (assignment->state == WS_TASK_RUNNING)
     remember_image(machine, job->image);
 }
 
@@ -224,11 +227,12 @@
   machine->doubts = 0; /* a direct launch names its session, so an old one is refused */
   for (guint i = 0; i < machine->tasks->len; i++) {
     const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, i);
-    WsAssignment *a = ws_job_assignment(ws_replica_job(core->replica, ref->job), ref->task);
-    if (a == NULL)
+    WsAssignment *assignment
+        = ws_job_assignment(ws_replica_job(core->replica, ref->job), ref->task);
+    if (assignment == NULL)
       continue;
-    a->state = WS_TASK_ASSIGNED;
-    a->told = FALSE;
+    assignment->state = WS_TASK_ASSIGNED;
+    assignment->told = FALSE;
   }
 }
 
@@ -300,8 +304,8 @@
 {
   WsJob *job;
   WsMachine *machine = answer->machine;
-  WsAssignment *a = matching(answer->core, machine, task, &job);
-  if (a == NULL) {
+  WsAssignment *assignment = matching(answer->core, machine, task, &job);
+  if (assignment == NULL) {
     if (task->state != WS_TASK_EXITED)
       command(answer, WS_OP_HALT, task->job, task->task, task->attempt, 0.0);
     else if (answer->confirmed && machine->doubts == 0)
@@ -313,17 +317,18 @@
   gboolean is_cancelled = ws_cancel_is_known(answer->core, job);
   if (task->state == WS_TASK_SAVING && !is_cancelled)
     return;
-  if (is_cancelled || a->stopping || ws_job_is_broken_gang(job)
-      || (machine->marked && ws_termination_may_stop(answer->core, machine, job, a)))
+  if (is_cancelled || assignment->stopping || ws_job_is_broken_gang(job)
+      || (machine->marked && ws_termination_may_stop(answer->core, machine, job, assignment)))
     command(answer, WS_OP_HALT, task->job, task->task, task->attempt, grace(answer->core, job));
 }
 
 static gboolean
-is_reported(const Answer *answer, const WsJob *job, const WsAssignment *a)
+is_reported(const Answer *answer, const WsJob *job, const WsAssignment *assignment)
 {
   for (guint i = 0; i < answer->report->tasks->len; i++) {
     const WsReportTask *task = &g_array_index(answer->report->tasks, WsReportTask, i);
-    if (task->task == a->task && task->attempt == a->attempt && strcmp(task->job, job->id) == 0)
+    if (task->task == assignment->task && task->attempt == assignment->attempt
+        && strcmp(task->job, job->id) == 0)
       return TRUE;
   }
   return FALSE;
@@ -332,20 +337,20 @@
 /* A task that is assigned and missing is launched (again); it's released only when it isn't wanted
    here any more, the report answers our token, and no launch of it can come late. */
 static void
-command_absent(Answer *answer, WsJob *job, WsAssignment *a)
+command_absent(Answer *answer, WsJob *job, WsAssignment *assignment)
 {
-  gboolean unwanted = ws_cancel_is_known(answer->core, job) || a->stopping
+  gboolean unwanted = ws_cancel_is_known(answer->core, job) || assignment->stopping
                       || answer->machine->marked || ws_job_is_broken_gang(job);
   if (!unwanted && !ws_knows_all_cancellations(answer->core))
     return; /* it may be cancelled, and nobody could have told us */
   if (!unwanted) {
-    command(answer, WS_OP_LAUNCH, job->id, a->task, a->attempt, 0.0);
-    answer->unmet = answer->unmet || a->told;
-    a->told = TRUE;
+    command(answer, WS_OP_LAUNCH, job->id, assignment->task, assignment->attempt, 0.0);
+    answer->unmet = answer->unmet || assignment->told;
+    assignment->told = TRUE;
     return;
   }
   if (answer->confirmed && answer->machine->doubts == 0)
-    ws_assign_release(answer->core, job, a, FALSE);
+    ws_assign_release(answer->core, job, assignment, FALSE);
 }
 
 static void
@@ -357,9 +362,10 @@
   for (guint i = 0; i < answer->machine->tasks->len; i++) {
     const WsTaskRef *ref = &g_array_index(answer->machine->tasks, WsTaskRef, i);
     WsJob *job = ws_replica_job(replica, ref->job);
-    WsAssignment *a = ws_job_assignment(job, ref->task);
-    if (a != NULL && a->machine == answer->machine->index && !is_reported(answer, job, a))
-      command_absent(answer, job, a);
+    WsAssignment *assignment = ws_job_assignment(job, ref->task);
+    if (assignment != NULL && assignment->machine == answer->machine->index
+        && !is_reported(answer, job, assignment))
+      command_absent(answer, job, assignment);
   }
 }
 
--- a/src/storage/ws-records.c
+++ b/src/storage/ws-records.c
@@ -8,10 +8,11 @@
 {
   json_t *on = json_array();
   for (guint i = 0; i < chunk->on->len; i++) {
-    const WsAssignment *a = &g_array_index(chunk->on, WsAssignment, i);
-    json_array_append_new(on, json_pack("[i, s, I, I]", (int)a->task,
-                                        ws_replica_machine(replica, a->machine)->name,
-                                        (json_int_t)a->attempt, (json_int_t)a->at_ms));
+    const WsAssignment *assignment = &g_array_index(chunk->on, WsAssignment, i);
+    json_array_append_new(on, json_pack("[i, s, I, I]", (int)assignment->task,
+                                        ws_replica_machine(replica, assignment->machine)->name,
+                                        (json_int_t)assignment->attempt,
+                                        (json_int_t)assignment->at_ms));
   }
   char hex[2 * sizeof chunk->done + 1];
   for (guint i = 0; i < sizeof chunk->done; i++)
