--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -3,8 +3,7 @@
    A task is assigned there before it is launched, and its team's use is counted in the same
    transaction; a task is released only when ws-workers.c or ws-returns.c knows that it is gone. The
    leader writes for everybody, one transaction at a time; the other nodes hand theirs in. */
-#include "storage/ws-team-use.h"
-#include "core/ws-batch.h"
+#include "core/ws-release-order.h"
 
 #define GATHER_MS 50
 #define CONFLICT_PAUSE_MS 60
@@ -15,19 +14,13 @@
 /* Changes that the budget must allow before a transaction is drafted: meanwhile others gather. */
 #define WORTH_A_TXN 4
 
-typedef struct {
-  WsRelease release;
-  gint64 known_ms;
-  gint64 asked_ms; /* when it was handed in; 0: it wasn't */
-} PendingRelease;
-
 typedef struct {
   WsProposal proposal;
   gint64 until_ms;
 } Forwarded;
 
 struct _WsAssign {
-  GHashTable *pending;  /* task -> PendingRelease: releases */
+  GHashTable *pending;  /* task -> WsPendingRelease: releases */
   GArray *proposals;    /* of WsProposal, the most urgent first */
   GHashTable *proposed; /* task: among the proposals, in the transaction, or handed in */
   GArray *writing;      /* of WsProposal: in the transaction on its way */
@@ -43,12 +36,6 @@
   return GSIZE_TO_POINTER((gsize)job * WS_MAX_TASKS + task + 1);
 }
 
-static gpointer
-chunk_key(const WsRelease *release)
-{
-  return task_key(release->job, release->task / WS_CHUNK_TASKS);
-}
-
 WsAssign *
 ws_assign_new(void)
 {
@@ -78,13 +65,13 @@
 ws_assign_known_gone(WsCore *core, const WsJob *job, guint task, guint64 attempt, gboolean done)
 {
   gpointer key = task_key(job->index, task);
-  const PendingRelease *old = g_hash_table_lookup(core->assign->pending, key);
+  const WsPendingRelease *old = g_hash_table_lookup(core->assign->pending, key);
   if (old != NULL && old->release.attempt >= attempt)
     return;
   const WsAssignment *assignment = job->spec != NULL ? ws_job_assignment(job, task) : NULL;
   if (done && assignment != NULL && assignment->attempt == attempt && ws_is_leader(core))
     ws_estimator_add(core, job, assignment);
-  PendingRelease *known = g_new0(PendingRelease, 1);
+  WsPendingRelease *known = g_new0(WsPendingRelease, 1);
   known->release = (WsRelease){ job->index, task, attempt, done };
   known->known_ms = core->now;
   g_hash_table_insert(core->assign->pending, key, known);
@@ -125,7 +112,7 @@
   gpointer known;
   g_hash_table_iter_init(&iter, core->assign->pending);
   while (of_ends && g_hash_table_iter_next(&iter, NULL, &known))
-    oldest_ms = MIN(oldest_ms, ((const PendingRelease *)known)->known_ms);
+    oldest_ms = MIN(oldest_ms, ((const WsPendingRelease *)known)->known_ms);
   for (guint i = 0; !of_ends && i < core->assign->proposals->len; i++)
     oldest_ms = MIN(oldest_ms, g_array_index(core->assign->proposals, WsProposal, i).planned_ms);
   return core->now - oldest_ms;
@@ -161,7 +148,7 @@
   gpointer known;
   g_hash_table_iter_init(&iter, assign->pending);
   while (g_hash_table_iter_next(&iter, NULL, &known))
-    ((PendingRelease *)known)->asked_ms = 0;
+    ((WsPendingRelease *)known)->asked_ms = 0;
 }
 
 /* Handing in. */
@@ -181,7 +168,7 @@
   gpointer value;
   g_hash_table_iter_init(&iter, core->assign->pending);
   while (g_hash_table_iter_next(&iter, NULL, &value)) {
-    PendingRelease *known = value;
+    WsPendingRelease *known = value;
     if (is_over(core, &known->release)) {
       g_hash_table_iter_remove(&iter);
     } else if (known->asked_ms == 0 || core->now - known->asked_ms >= RELEASE_AGAIN_MS) {
@@ -261,100 +248,11 @@
   g_array_set_size(assign->writing, 0);
 }
 
-/* What a release weighs: the longer it has been known, the more. */
-#define LEAST_WEIGHT_MS 300
-
-typedef struct {
-  WsRelease release;
-  gint64 of_team_use; /* what all releases weigh whose teams share a record */
-  gint64 of_chunk;    /* and all of its chunk */
-  gboolean ends_job;  /* with the others that are known */
-  gint64 accepted_ms; /* when its job was */
-} PendingEnd;
-
-/* A record of teams' use is one change, however many tasks end, and so is a chunk of a job: ends
-   that share them go together, those first that are most and have waited longest. Otherwise
-   hundreds of ends fill the budget of changes for seconds, and nothing is placed meanwhile. */
-static gint
-by_weight(gconstpointer a, gconstpointer b)
-{
-  const PendingEnd *first = a, *second = b;
-  if (first->ends_job != second->ends_job)
-    return first->ends_job ? -1 : 1;
-  if (first->ends_job && first->accepted_ms != second->accepted_ms)
-    return first->accepted_ms < second->accepted_ms ? -1 : 1;
-  if (first->of_team_use != second->of_team_use)
-    return first->of_team_use > second->of_team_use ? -1 : 1;
-  if (first->of_chunk != second->of_chunk)
-    return first->of_chunk > second->of_chunk ? -1 : 1;
-  if (first->release.job != second->release.job)
-    return first->release.job < second->release.job ? -1 : 1;
-  return first->release.task < second->release.task ? -1
-                                                    : first->release.task > second->release.task;
-}
-
-static gint64
-add_weight(GHashTable *sums, gpointer key, gint64 weight)
-{
-  gint64 sum = GPOINTER_TO_SIZE(g_hash_table_lookup(sums, key)) + weight;
-  g_hash_table_insert(sums, key, GSIZE_TO_POINTER((gsize)sum));
-  return sum;
-}
-
-/* Whether so many known ends leave the job with nothing to do. */
-static gboolean
-would_end(const WsJob *job, guint known, guint known_done)
-{
-  if (job->spec == NULL)
-    return FALSE;
-  return job->state == WS_JOB_ACTIVE ? job->done_count + known_done == job->tasks
-                                     : job->on_count == known;
-}
-
-static GArray *
-endings_in_order(WsCore *core)
-{
-  GArray *endings = g_array_new(FALSE, FALSE, sizeof(PendingEnd));
-  g_autoptr(GHashTable) chunks = g_hash_table_new(NULL, NULL);
-  g_autoptr(GHashTable) known_of = g_hash_table_new(NULL, NULL); /* by job */
-  g_autoptr(GHashTable) done_of = g_hash_table_new(NULL, NULL);
-  const WsSettings *settings = core->settings;
-  g_autofree gint64 *records = g_new0(gint64, ws_team_use_groups(settings));
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init(&iter, core->assign->pending);
-  while (g_hash_table_iter_next(&iter, NULL, &value)) {
-    const PendingRelease *known = value;
-    const WsJob *job = ws_replica_job(core->replica, known->release.job);
-    gint64 weight = LEAST_WEIGHT_MS + core->now - known->known_ms;
-    PendingEnd ending = { .release = known->release, .accepted_ms = job->at_ms };
-    gpointer job_key = GUINT_TO_POINTER(job->index);
-    (void)add_weight(known_of, job_key, 1);
-    (void)add_weight(done_of, job_key, known->release.done ? 1 : 0);
-    g_array_append_val(endings, ending);
-    if (job->team != WS_NONE)
-      records[ws_team_use_group(settings, job->team)] += weight;
-    (void)add_weight(chunks, chunk_key(&known->release), weight);
-  }
-  for (guint i = 0; i < endings->len; i++) {
-    PendingEnd *ending = &g_array_index(endings, PendingEnd, i);
-    const WsJob *job = ws_replica_job(core->replica, ending->release.job);
-    if (job->team != WS_NONE)
-      ending->of_team_use = records[ws_team_use_group(settings, job->team)];
-    ending->of_chunk = add_weight(chunks, chunk_key(&ending->release), 0);
-    gpointer job_key = GUINT_TO_POINTER(job->index);
-    ending->ends_job = would_end(job, (guint)add_weight(known_of, job_key, 0),
-                                 (guint)add_weight(done_of, job_key, 0));
-  }
-  g_array_sort(endings, by_weight);
-  return endings;
-}
-
 static void
 batch_releases(WsCore *core, WsBatch *batch, const GArray *endings, gboolean only_ends_of_jobs)
 {
   for (guint i = 0; i < endings->len; i++) {
-    const PendingEnd *ending = &g_array_index(endings, PendingEnd, i);
+    const WsPendingEnd *ending = &g_array_index(endings, WsPendingEnd, i);
     const WsRelease *release = &ending->release;
     if (only_ends_of_jobs && !ending->ends_job)
       break;
@@ -412,7 +310,7 @@
   g_array_set_size(assign->ending, 0);
   /* Somebody waits for a critical task; when a cut heals or a wave has passed, the ends of hundreds
      of others would fill one transaction after another before it. */
-  g_autoptr(GArray) endings = endings_in_order(core);
+  g_autoptr(GArray) endings = ws_release_order(core, assign->pending);
   batch_proposals(core, batch, TRUE);
   ws_batch_bound(batch, core->settings->state_txn_ops / 2);
   batch_releases(core, batch, endings, TRUE);
--- /dev/null
+++ b/src/core/ws-release-order.c
@@ -0,0 +1,122 @@
+#include "core/ws-release-order.h"
+
+#include "storage/ws-team-use.h"
+
+/* What a release weighs at least; the longer it has been known, the more. */
+#define LEAST_WEIGHT_MS 300
+
+/* Sums over all pending releases. */
+typedef struct {
+  GHashTable *of_chunk;     /* weight */
+  GHashTable *known_of_job; /* how many */
+  GHashTable *done_of_job;  /* how many of them are done */
+  gint64 *of_team_use;      /* weight by record of teams' use */
+} Sums;
+
+static gpointer
+chunk_key(const WsRelease *release)
+{
+  gsize chunks_a_job = WS_MAX_TASKS / WS_CHUNK_TASKS + 1;
+  return GSIZE_TO_POINTER((gsize)release->job * chunks_a_job + release->task / WS_CHUNK_TASKS + 1);
+}
+
+static gint64
+get_sum(GHashTable *sums, gpointer key)
+{
+  return (gint64)GPOINTER_TO_SIZE(g_hash_table_lookup(sums, key));
+}
+
+static void
+add_to_sum(GHashTable *sums, gpointer key, gint64 amount)
+{
+  g_hash_table_insert(sums, key, GSIZE_TO_POINTER((gsize)(get_sum(sums, key) + amount)));
+}
+
+static void
+sums_init(Sums *sums, const WsSettings *settings)
+{
+  sums->of_chunk = g_hash_table_new(NULL, NULL);
+  sums->known_of_job = g_hash_table_new(NULL, NULL);
+  sums->done_of_job = g_hash_table_new(NULL, NULL);
+  sums->of_team_use = g_new0(gint64, ws_team_use_groups(settings));
+}
+
+static void
+sums_clear(Sums *sums)
+{
+  g_hash_table_unref(sums->of_chunk);
+  g_hash_table_unref(sums->known_of_job);
+  g_hash_table_unref(sums->done_of_job);
+  g_free(sums->of_team_use);
+}
+
+static void
+sums_add(Sums *sums, const WsCore *core, const WsPendingRelease *pending, const WsJob *job)
+{
+  gint64 weight = LEAST_WEIGHT_MS + core->now - pending->known_ms;
+  gpointer job_key = GUINT_TO_POINTER(job->index);
+  add_to_sum(sums->known_of_job, job_key, 1);
+  add_to_sum(sums->done_of_job, job_key, pending->release.done ? 1 : 0);
+  add_to_sum(sums->of_chunk, chunk_key(&pending->release), weight);
+  if (job->team != WS_NONE)
+    sums->of_team_use[ws_team_use_group(core->settings, job->team)] += weight;
+}
+
+/* Whether the pending releases of the job leave it with nothing to do. */
+static gboolean
+would_end(const Sums *sums, const WsJob *job)
+{
+  gpointer key = GUINT_TO_POINTER(job->index);
+  if (job->spec == NULL)
+    return FALSE;
+  return job->state == WS_JOB_ACTIVE
+             ? job->done_count + get_sum(sums->done_of_job, key) == job->tasks
+             : job->on_count == get_sum(sums->known_of_job, key);
+}
+
+static gint
+by_weight(gconstpointer a, gconstpointer b)
+{
+  const WsPendingEnd *first = a, *second = b;
+  if (first->ends_job != second->ends_job)
+    return first->ends_job ? -1 : 1;
+  if (first->ends_job && first->accepted_ms != second->accepted_ms)
+    return first->accepted_ms < second->accepted_ms ? -1 : 1;
+  if (first->of_team_use != second->of_team_use)
+    return first->of_team_use > second->of_team_use ? -1 : 1;
+  if (first->of_chunk != second->of_chunk)
+    return first->of_chunk > second->of_chunk ? -1 : 1;
+  if (first->release.job != second->release.job)
+    return first->release.job < second->release.job ? -1 : 1;
+  return first->release.task < second->release.task ? -1
+                                                    : first->release.task > second->release.task;
+}
+
+GArray *
+ws_release_order(const WsCore *core, GHashTable *pending)
+{
+  GArray *ends = g_array_new(FALSE, FALSE, sizeof(WsPendingEnd));
+  Sums sums;
+  sums_init(&sums, core->settings);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init(&iter, pending);
+  while (g_hash_table_iter_next(&iter, NULL, &value)) {
+    const WsPendingRelease *known = value;
+    const WsJob *job = ws_replica_job(core->replica, known->release.job);
+    WsPendingEnd end = { .release = known->release, .accepted_ms = job->at_ms };
+    g_array_append_val(ends, end);
+    sums_add(&sums, core, known, job);
+  }
+  for (guint i = 0; i < ends->len; i++) {
+    WsPendingEnd *end = &g_array_index(ends, WsPendingEnd, i);
+    const WsJob *job = ws_replica_job(core->replica, end->release.job);
+    end->ends_job = would_end(&sums, job);
+    end->of_chunk = get_sum(sums.of_chunk, chunk_key(&end->release));
+    if (job->team != WS_NONE)
+      end->of_team_use = sums.of_team_use[ws_team_use_group(core->settings, job->team)];
+  }
+  sums_clear(&sums);
+  g_array_sort(ends, by_weight);
+  return ends;
+}
