--- a/tests/test-combined-faults.c
+++ b/tests/test-combined-faults.c
@@ -755,40 +755,61 @@
 }
 
 /* The checks themselves: a rule that is broken on purpose is objected to. */
-static void
-test_objects_twice(void)
+
+/* TRUE in the parent, which sees that its child ends with the objection. */
+static gboolean
+is_parent_of_objection(const char *pattern)
 {
-  if (!g_test_subprocess()) {
-    g_test_trap_subprocess(NULL, 0, G_TEST_SUBPROCESS_DEFAULT);
-    g_test_trap_assert_failed();
-    g_test_trap_assert_stderr("*ran_twice*");
-    return;
-  }
-  static const SimJob ONE = { .tasks = 1, .team = "red", .priority = "standard", .run_s = 90.0 };
-  static const SimJob FOUR = { .tasks = 4, .team = "blue", .priority = "standard", .run_s = 90.0 };
-  Sim *sim = sim_new(700);
+  if (g_test_subprocess())
+    return FALSE;
+  g_test_trap_subprocess(NULL, 0, G_TEST_SUBPROCESS_DEFAULT);
+  g_test_trap_assert_failed();
+  g_test_trap_assert_stderr(pattern);
+  return TRUE;
+}
+
+/* A world in which the jobs run. */
+static Sim *
+running_world(guint32 seed, const SimJob *first, const SimJob *second, guint tasks)
+{
+  Sim *sim = sim_new(seed);
   sim_run(sim, 3.0);
-  sim_submit(sim, &ONE);
-  sim_submit(sim, &FOUR);
-  for (guint i = 0; i < 60 && sim_running(sim, 0) + sim_running(sim, 1) < 5; i++)
+  sim_submit(sim, first);
+  sim_submit(sim, second);
+  for (guint i = 0; i < 60 && sim_running(sim, 0) + sim_running(sim, 1) < tasks; i++)
     sim_run(sim, 1.0);
+  return sim;
+}
+
+/* The task of the first job begins on every machine but its own. */
+static void
+start_everywhere(Sim *sim, guint task)
+{
   for (guint machine = 0; machine < sim_machines(sim); machine++)
     if (machine != sim_machine_of(sim, 0))
-      sim_start_by_hand(sim, machine, 0, 0);
+      sim_start_by_hand(sim, machine, 0, task);
   sim_run(sim, 1.0);
+}
+
+static const SimJob ONE = { .tasks = 1, .team = "red", .priority = "standard", .run_s = 90.0 };
+static const SimJob FOUR = { .tasks = 4, .team = "blue", .priority = "standard", .run_s = 90.0 };
+
+static void
+test_objects_twice(void)
+{
+  if (is_parent_of_objection("*ran_twice*"))
+    return;
+  Sim *sim = running_world(700, &ONE, &FOUR, 5);
+  start_everywhere(sim, 0);
   sim_free(sim);
 }
 
 static void
 test_objects_quota(void)
 {
-  if (!g_test_subprocess()) {
-    g_test_trap_subprocess(NULL, 0, G_TEST_SUBPROCESS_DEFAULT);
-    g_test_trap_assert_failed();
-    g_test_trap_assert_stderr("*quota of blue*");
-    return;
-  }
   static const SimJob WIDE = { .tasks = 9, .team = "blue", .priority = "standard", .run_s = 60.0 };
+  if (is_parent_of_objection("*quota of blue*"))
+    return;
   Sim *sim = sim_new(701);
   sim_run(sim, 3.0);
   sim_submit(sim, &WIDE);
@@ -800,6 +821,51 @@
   sim_free(sim);
 }
 
+static void
+test_objects_place(void)
+{
+  static const SimJob IN_A
+      = { .tasks = 2, .team = "blue", .priority = "standard", .zone = "a", .run_s = 90.0 };
+  static const SimJob IN_B
+      = { .tasks = 1, .team = "red", .priority = "standard", .zone = "b", .run_s = 90.0 };
+  if (is_parent_of_objection("*wrong_place*"))
+    return;
+  Sim *sim = running_world(702, &IN_A, &FOUR, 6);
+  guint in_a = sim_machine_of(sim, 0);
+  g_assert_cmpuint(in_a, !=, G_MAXUINT);
+  sim_submit(sim, &IN_B);
+  sim_start_by_hand(sim, in_a, 2, 0);
+  sim_run(sim, 1.0);
+  sim_free(sim);
+}
+
+static void
+test_objects_cancelled(void)
+{
+  if (is_parent_of_objection("*ran_cancelled*"))
+    return;
+  Sim *sim = running_world(703, &ONE, &FOUR, 5);
+  sim_cancel(sim, 0);
+  sim_run(sim, 35.0);
+  g_assert_true(sim_told_cancelled(sim, 0));
+  sim_start_by_hand(sim, sim_any_machine(sim), 0, 0);
+  sim_run(sim, 1.0);
+  sim_free(sim);
+}
+
+static void
+test_objects_forgotten(void)
+{
+  if (is_parent_of_objection("*forgotten: nothing is heard*"))
+    return;
+  Sim *sim = running_world(704, &ONE, &FOUR, 5);
+  sim_calm(sim);
+  for (guint node = 0; node < SIM_NODES; node++)
+    sim_crash(sim, node, 1000.0);
+  sim_run(sim, 90.0);
+  sim_free(sim);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -816,6 +882,9 @@
   g_test_add_func("/combined-faults/mute-is-unused", test_mute_is_unused);
   g_test_add_func("/combined-faults/objects-twice", test_objects_twice);
   g_test_add_func("/combined-faults/objects-quota", test_objects_quota);
+  g_test_add_func("/combined-faults/objects-place", test_objects_place);
+  g_test_add_func("/combined-faults/objects-cancelled", test_objects_cancelled);
+  g_test_add_func("/combined-faults/objects-forgotten", test_objects_forgotten);
   g_test_add_func("/combined-faults/waits-beside-room", test_waits_beside_room);
   g_test_add_func("/combined-faults/drawn", test_drawn);
   return g_test_run();
