--- a/tests/test-combined-faults.c
+++ b/tests/test-combined-faults.c
@@ -435,11 +435,11 @@
 static void
 test_combined_faults(gconstpointer data)
 {
-  const CombinedFaults *meeting = data;
+  const CombinedFaults *faults = data;
   for (guint32 seed = 600; seed < 600 + seeds(3); seed++) {
-    g_test_message("%s, seed %u", meeting->name, seed);
+    g_test_message("%s, seed %u", faults->name, seed);
     Sim *sim = loaded_world(seed);
-    meeting->play(sim);
+    faults->play(sim);
     serve_all(sim);
     sim_free(sim);
   }
--- a/tests/test-regressions.c
+++ b/tests/test-regressions.c
@@ -739,6 +739,17 @@
   rig_free(rig);
 }
 
+/* Empty machines report until they have shown the token. */
+static void
+show_machines(Rig *rig, const char *const *names, guint count)
+{
+  for (guint64 seq = 1; seq <= 2; seq++)
+    for (guint m = 0; m < count; m++) {
+      rig_report_now(rig, names[m], seq - 1, seq, json_array());
+      rig_run(rig, 0.3);
+    }
+}
+
 /* Whether a less urgent task of a team at its limit is stopped for an urgent job of the team that
    is bound to the zone; all machines are in zone a. */
 static gboolean
@@ -746,11 +757,7 @@
 {
   static const char *const MACHINES[] = { "m-1", "m-2" };
   Rig *rig = rig_bare(TRUE);
-  for (guint64 seq = 1; seq <= 2; seq++)
-    for (guint m = 0; m < G_N_ELEMENTS(MACHINES); m++) {
-      rig_report_now(rig, MACHINES[m], seq - 1, seq, json_array());
-      rig_run(rig, 0.3);
-    }
+  show_machines(rig, MACHINES, G_N_ELEMENTS(MACHINES));
   json_t *filling = rig_submission();
   json_object_set_new(filling, "kusy", json_integer(6));
   json_object_set_new(filling, "prednost", json_string("best_effort"));
@@ -863,11 +870,7 @@
   Rig *rig = rig_bare(TRUE);
   rig->settings->state_txn_ops = 3; /* the teams' use and two jobs that end */
   rig_lift_limits(rig);
-  for (guint64 seq = 1; seq <= 2; seq++)
-    for (guint m = 0; m < G_N_ELEMENTS(MACHINES); m++) {
-      rig_report_now(rig, MACHINES[m], seq - 1, seq, json_array());
-      rig_run(rig, 0.3);
-    }
+  show_machines(rig, MACHINES, G_N_ELEMENTS(MACHINES));
   for (guint i = 1; i <= MANY; i++)
     submit_number(rig, i);
   rig_run(rig, 2.0);
