Records and transactions fit the limits that the state service will have (state.next)

Now everything is sized by the lower limits from the first write on: transactions, chunks of tasks (times of assignments are left out where the record is full, and no more tasks are placed than it takes), rental batches, mailboxes. A chunk that an older version left larger keeps its ends back until what is left fits. What both versions compute (grouping of the teams' use) still follows value_kb. A refusal for size is logged with its key.

--- a/src/core/ws-batch.c
+++ b/src/core/ws-batch.c
@@ -223,11 +223,8 @@
   use_team(batch, job, -1);
   if (job->spec->kind == WS_KIND_GANG && !release->done)
     chunk->attempts++;
-  guint bit = release->task % WS_CHUNK_TASKS;
-  if (release->done) {
-    chunk->done[bit / 8] |= (guint8)(1u << (bit % 8));
-    chunk->done_count++;
-  }
+  if (release->done)
+    ws_chunk_set_done(chunk, release->task);
   return WS_BATCH_TAKEN;
 }
 
@@ -285,6 +282,14 @@
   return ws_zone_allowed(job, counts, zones, zone);
 }
 
+/* Whether the record of the task's chunk takes one more assignment. */
+static gboolean
+record_has_place(const WsBatch *batch, const WsJob *job, guint task)
+{
+  return ws_chunk_free_places(chunk_after(batch, job, task / WS_CHUNK_TASKS), batch->core->replica)
+         > 0;
+}
+
 static gboolean
 still_wanted(WsBatch *batch, const WsJob *job, const WsProposal *proposal)
 {
@@ -296,7 +301,8 @@
          && ws_chunk_find(chunk_after(batch, job, proposal->task / WS_CHUNK_TASKS), proposal->task)
                 == NULL
          && ws_job_assignment(job, proposal->task) == NULL && !ws_job_is_broken_gang(job)
-         && machine->stored && !machine->marked && !machine->marking
+         && record_has_place(batch, job, proposal->task) && machine->stored && !machine->marked
+         && !machine->marking
          && ws_plan_allowed(batch->core->replica, job->spec, job->zone, machine)
          && machine_has_room(batch, machine, job)
          && ws_team_has_room(batch->core->settings, job->team, &batch->use[job->team],
--- a/src/core/ws-cloud-list.c
+++ b/src/core/ws-cloud-list.c
@@ -5,8 +5,6 @@
 
 #include <string.h>
 
-#define MOST_A_BATCH 50
-
 struct _WsCloudList {
   gint64 next_ms;
   gboolean listing;
@@ -77,7 +75,8 @@
   for (guint i = first->index; i < core->replica->machines->len; i++) {
     WsMachine *machine = ws_replica_machine(core->replica, i);
     if (!machine->adopt || machine->zone != first->zone || !belongs(lot, machine)
-        || lot->machines->len >= MOST_A_BATCH)
+        || lot->machines->len >= ws_lot_most_machines(core->settings)
+        || !ws_lot_has_place(lot, core->replica, machine->name))
       continue;
     machine->adopt = FALSE;
     machine->marking = TRUE;
--- a/src/core/ws-estimator.c
+++ b/src/core/ws-estimator.c
@@ -24,7 +24,9 @@
 void
 ws_estimator_add(WsCore *core, const WsJob *job, const WsAssignment *assignment)
 {
-  if (job->spec->estimate_s <= 0.0 || core->replica->catalog == NULL)
+  /* A large record leaves out when its tasks were assigned. */
+  gboolean is_timed = assignment->at_ms > 0;
+  if (job->spec->estimate_s <= 0.0 || !is_timed || core->replica->catalog == NULL)
     return;
   ClassRunTimes *learned = g_hash_table_lookup(core->run_times, job->spec->class_name);
   if (learned == NULL) {
--- a/src/core/ws-peer-requests.c
+++ b/src/core/ws-peer-requests.c
@@ -230,9 +230,39 @@
   (void)data;
 }
 
+/* Halves the lists of what each node is asked. */
+static void
+halve_lists(json_t *letter)
+{
+  const char *node, *name;
+  json_t *requests, *list;
+  json_object_foreach(letter, node, requests)
+  {
+    json_object_foreach(requests, name, list)
+    {
+      size_t half = json_array_size(list) / 2;
+      while (json_array_size(list) > half)
+        json_array_remove(list, json_array_size(list) - 1);
+    }
+  }
+}
+
+/* A record has room for so much only; whoever asked asks again for what is left out. */
+static void
+fit_record(const WsCore *core, json_t *letter)
+{
+  for (guint items = MOST_ITEMS; items > 0; items /= 2) {
+    g_autofree char *text = ws_json_text(letter);
+    if (strlen(text) <= core->settings->state_record_bytes)
+      return;
+    halve_lists(letter);
+  }
+}
+
 static void
 mail(WsCore *core, json_t *letter /* taken */)
 {
+  fit_record(core, letter);
   g_autofree char *key
       = ws_key(WS_KEYS_MAILBOX, ws_settings_node(core->settings, core->settings->self)->name);
   WsTxn *txn = ws_txn_new();
--- a/src/core/ws-plan.c
+++ b/src/core/ws-plan.c
@@ -225,18 +225,32 @@
     job->unplaced_ms = core->now;
 }
 
+/* Adds waiting tasks of one chunk, as many as its record has places for. */
+static void
+add_waiting_tasks(const WsCore *core, const WsJob *job, guint index, guint most, GArray *tasks)
+{
+  guint first = index * WS_CHUNK_TASKS;
+  guint end = MIN(first + WS_CHUNK_TASKS, job->tasks);
+  const WsChunk *chunk = ws_job_chunk(job, first);
+  guint places = ws_chunk_free_places(chunk, core->replica);
+  if (chunk != NULL && chunk->done_count + chunk->on->len == WS_CHUNK_TASKS)
+    return;
+  for (guint task = first; task < end && places > 0 && tasks->len < most; task++) {
+    if (ws_assign_pending(core, job->index, task)) {
+      places--;
+    } else if (is_waiting(core, job, task)) {
+      g_array_append_val(tasks, task);
+      places--;
+    }
+  }
+}
+
 static GArray *
 waiting_tasks(const WsCore *core, const WsJob *job, guint most)
 {
   GArray *tasks = g_array_new(FALSE, FALSE, sizeof(guint));
-  for (guint task = 0; task < job->tasks && tasks->len < most; task++) {
-    const WsChunk *chunk = ws_job_chunk(job, task);
-    if (chunk != NULL && task % WS_CHUNK_TASKS == 0
-        && chunk->done_count + chunk->on->len == WS_CHUNK_TASKS)
-      task += WS_CHUNK_TASKS - 1; /* the last one of a chunk where none waits */
-    else if (is_waiting(core, job, task))
-      g_array_append_val(tasks, task);
-  }
+  for (guint c = 0; c < ws_job_chunk_count(job) && tasks->len < most; c++)
+    add_waiting_tasks(core, job, c, most, tasks);
   return tasks;
 }
 
--- a/src/core/ws-release-order.c
+++ b/src/core/ws-release-order.c
@@ -92,6 +92,45 @@
                                                     : first->release.task > second->release.task;
 }
 
+static gboolean
+is_same_chunk(const WsRelease *first, const WsRelease *second)
+{
+  return first->job == second->job && first->task / WS_CHUNK_TASKS == second->task / WS_CHUNK_TASKS;
+}
+
+/* Whether the chunk's record is one that the state service takes, once the pending ends are off it.
+   An older version of the program may have left it larger than may be written now: then its ends
+   wait until there are enough of them. */
+static gboolean
+can_be_written(const WsCore *core, const GArray *ends, const WsPendingEnd *end)
+{
+  const WsJob *job = ws_replica_job(core->replica, end->release.job);
+  const WsChunk *chunk = job->spec != NULL ? ws_job_chunk(job, end->release.task) : NULL;
+  if (end->ends_job || chunk == NULL || ws_chunk_fits_record(chunk, core->replica))
+    return TRUE;
+  WsChunk *rest = ws_chunk_copy(chunk);
+  for (guint i = 0; i < ends->len; i++) {
+    const WsRelease *other = &g_array_index(ends, WsPendingEnd, i).release;
+    if (is_same_chunk(other, &end->release))
+      ws_chunk_remove(rest, other->task);
+  }
+  gboolean fits = ws_chunk_fits_record(rest, core->replica);
+  ws_chunk_free(rest);
+  return fits;
+}
+
+/* Leaves out the ends that can't be written yet. */
+static void
+hold_back(const WsCore *core, GArray *ends)
+{
+  g_autofree gboolean *held = g_new0(gboolean, MAX(ends->len, 1u));
+  for (guint i = 0; i < ends->len; i++)
+    held[i] = !can_be_written(core, ends, &g_array_index(ends, WsPendingEnd, i));
+  for (guint i = ends->len; i-- > 0;)
+    if (held[i])
+      g_array_remove_index(ends, i);
+}
+
 GArray *
 ws_release_order(const WsCore *core, GHashTable *pending)
 {
@@ -117,6 +156,7 @@
       end->of_team_use = sums.of_team_use[ws_team_use_group(core->settings, job->team)];
   }
   sums_clear(&sums);
+  hold_back(core, ends);
   g_array_sort(ends, by_weight);
   return ends;
 }
--- a/src/core/ws-rentals.c
+++ b/src/core/ws-rentals.c
@@ -12,8 +12,6 @@
 #define VAIN_RENTALS_PART 0.03
 #define CHANGES_A_RENTAL 2.0
 #define RETRY_MS 1500
-/* As many as the cloud gives at once. */
-#define MOST_A_RENTAL 50
 
 /* Until when a kind of machine isn't asked for, since the cloud had none. */
 typedef struct {
@@ -142,10 +140,11 @@
     rentals->intent = ws_txn_new();
     ws_txn_if(rentals->intent, core->replica, WS_KEY_EPOCH);
   }
+  guint most = ws_lot_most_machines(core->settings);
   for (guint left = machines;
        left > 0 && ws_txn_ops(rentals->intent) < core->settings->state_txn_ops;
-       left -= MIN(left, MOST_A_RENTAL))
-    intend_one(core, type, zone, spot, MIN(left, MOST_A_RENTAL));
+       left -= MIN(left, most))
+    intend_one(core, type, zone, spot, MIN(left, most));
 }
 
 void
@@ -188,31 +187,53 @@
   g_free(request);
 }
 
-/* The intent goes and the machines get their lot in one transaction. */
-static void
-close_rent(WsCore *core, const WsRent *rent, GPtrArray *names)
+/* Adds the first machines of the names to the transaction as one lot. Returns how many names were
+   used up. */
+static guint
+add_lot(WsCore *core, WsTxn *txn, const WsRent *rent, guint number, GPtrArray *names, guint first)
 {
-  g_autofree char *key = ws_key(WS_KEYS_RENT, rent->request);
-  g_autofree char *lot_key = ws_key(WS_KEYS_LOT, rent->request);
+  g_autofree char *name
+      = number == 0 ? g_strdup(rent->request) : g_strdup_printf("%s.%u", rent->request, number);
+  g_autofree char *key = ws_key(WS_KEYS_LOT, name);
   g_autoptr(GArray) machines = g_array_new(FALSE, FALSE, sizeof(guint));
-  for (guint i = 0; names != NULL && i < names->len; i++) {
-    const char *name = g_ptr_array_index(names, i);
-    guint machine = ws_replica_get_machine(core->replica, name)->index;
-    if (!ws_returns_is_confirmed(core, name))
-      g_array_append_val(machines, machine);
-  }
   WsLot lot = { .type = rent->type,
                 .zone = rent->zone,
                 .spot = rent->spot,
                 .at_ms = core->wall,
                 .machines = machines };
+  guint next = first;
+  for (; next < names->len; next++) {
+    const char *machine = g_ptr_array_index(names, next);
+    guint index = ws_replica_get_machine(core->replica, machine)->index;
+    if (ws_returns_is_confirmed(core, machine))
+      continue;
+    if (!ws_lot_has_place(&lot, core->replica, machine))
+      break;
+    g_array_append_val(machines, index);
+  }
+  if (machines->len > 0)
+    ws_txn_set(txn, key, ws_lot_encode(&lot, core->replica));
+  return next - first;
+}
+
+/* The intent goes and the machines get their lot in one transaction; more lots than one, where
+   their names are long. What doesn't fit is found in the cloud's list. */
+static void
+close_rent(WsCore *core, const WsRent *rent, GPtrArray *names)
+{
+  g_autofree char *key = ws_key(WS_KEYS_RENT, rent->request);
   WsTxn *txn = ws_txn_new();
   ws_txn_if(txn, core->replica, WS_KEY_EPOCH);
   /* Carried out late, after the lot has shrunk, it would bring returned machines back. */
   ws_txn_if(txn, core->replica, key);
   ws_txn_remove(txn, key);
-  if (machines->len > 0)
-    ws_txn_set(txn, lot_key, ws_lot_encode(&lot, core->replica));
+  guint used = 0, step = 1;
+  for (guint lot = 0; names != NULL && step > 0 && used < names->len
+                      && ws_txn_ops(txn) < core->settings->state_txn_ops;
+       lot++) {
+    step = add_lot(core, txn, rent, lot, names, used);
+    used += step;
+  }
   ws_txn_commit(core, txn, WS_FIRST_TASK, on_rent_closed, g_strdup(rent->request));
 }
 
--- a/src/core/ws-txn.c
+++ b/src/core/ws-txn.c
@@ -81,6 +81,24 @@
   }
 }
 
+/* Names what the state service refuses for its size: a fault of this program. */
+static void
+warn_of_size(const WsCore *core, const WsTxn *txn)
+{
+  size_t i;
+  const json_t *change;
+  if (ws_txn_ops(txn) > core->settings->state_txn_ops)
+    g_warning("a transaction has %u changes", ws_txn_ops(txn));
+  json_array_foreach(txn->changes, i, change)
+  {
+    const char *key;
+    g_autofree char *text = ws_json_text(json_object_get(change, "value"));
+    if (text != NULL && ws_json_string(change, "set", &key)
+        && strlen(text) > core->settings->state_record_bytes)
+      g_warning("the record %s has %zu bytes", key, strlen(text));
+  }
+}
+
 static void
 on_reply(WsCore *core, guint status, const json_t *body, gpointer data)
 {
@@ -98,8 +116,10 @@
     (void)ws_json_string(body, "error", &error);
     if (status == 400 && strcmp(error, "no such lease") == 0)
       g_info("a write came after its lease had ended");
-    else if (status == 400)
+    else if (status == 400) {
       g_warning("the state service refused a transaction: %s", error);
+      warn_of_size(core, txn);
+    }
   }
   txn->done(core, result, txn->data);
   ws_txn_free(txn);
--- a/src/protocol/ws-settings.c
+++ b/src/protocol/ws-settings.c
@@ -7,6 +7,15 @@
 #define MOST_NODES 31u
 /* A record of 128 tasks or of 50 machines fits in so much. */
 #define LEAST_VALUE_KB 8.0
+/* Under lower limits to come a record holds fewer tasks or machines; a submission, a team's use and
+   a few tasks must fit, and a transaction must take a task, its job, a team's use and one more. */
+#define LEAST_NEXT_VALUE_KB 1.0
+#define LEAST_TXN_OPS 4
+/* Kept free in each record, since the state service may count a value's bytes in another form. */
+#define RECORD_MARGIN_PART 0.03
+/* Where the settings don't say, none of the service's jobs are gangs. */
+#define DEFAULT_GANG_WAIT_S 30.0
+#define DEFAULT_GANG_PEER_S 5.0
 
 static void
 node_free(gpointer data)
@@ -148,6 +157,59 @@
   return NULL;
 }
 
+static gboolean
+is_absent(const json_t *object, const char *name)
+{
+  const json_t *member = json_object_get(object, name);
+  return member == NULL || json_is_null(member);
+}
+
+/* Lowers the limit to the one that is announced, if one is. */
+static gboolean
+lower(const json_t *next, const char *name, double least, double *limit)
+{
+  double announced = 0.0;
+  if (is_absent(next, name))
+    return TRUE;
+  if (!positive(next, name, &announced) || announced < least)
+    return FALSE;
+  *limit = MIN(*limit, announced);
+  return TRUE;
+}
+
+/* The limits that the state service will have from some later moment, without notice. */
+static const char *
+read_next_limits(WsSettings *settings, const json_t *next)
+{
+  double value_kb = settings->state_value_kb, ops = (double)settings->state_txn_ops;
+  const char *bad
+      = next != NULL && !json_is_null(next) && !json_is_object(next) ? "params.state.next"
+        : !lower(next, "rps", 0.0, &settings->state_rps)             ? "params.state.next.rps"
+        : !lower(next, "write_rps", 0.0, &settings->state_write_rps) ? "params.state.next.write_rps"
+        : !lower(next, "value_kb", LEAST_NEXT_VALUE_KB, &value_kb)
+            ? "params.state.next.value_kb (1 is the least)"
+        : !lower(next, "txn_ops", LEAST_TXN_OPS, &ops)
+            ? "params.state.next.txn_ops (4 is the least)"
+            : NULL;
+  settings->state_txn_ops = (guint64)ops;
+  settings->state_record_bytes = (guint64)(value_kb * 1024.0 * (1.0 - RECORD_MARGIN_PART));
+  return bad;
+}
+
+static const char *
+read_gang_times(WsSettings *settings, const json_t *workers)
+{
+  settings->gang_wait_s = DEFAULT_GANG_WAIT_S;
+  settings->gang_peer_s = DEFAULT_GANG_PEER_S;
+  if (!is_absent(workers, "gang_wait_s")
+      && !positive(workers, "gang_wait_s", &settings->gang_wait_s))
+    return "params.workers.gang_wait_s";
+  if (!is_absent(workers, "gang_peer_s")
+      && !positive(workers, "gang_peer_s", &settings->gang_peer_s))
+    return "params.workers.gang_peer_s";
+  return NULL;
+}
+
 static const char *
 read_params(WsSettings *s, const json_t *params)
 {
@@ -156,21 +218,24 @@
   const json_t *cloud = json_object_get(params, "cloud");
   const json_t *limits = json_object_get(params, "limits");
   const char *bad = read_lists(s, params);
+  if (bad == NULL)
+    bad = read_gang_times(s, workers);
   if (bad != NULL)
     return bad;
-  return !positive(workers, "report_s", &s->report_s)         ? "params.workers.report_s"
-         : !positive(workers, "lease_s", &s->lease_s)         ? "params.workers.lease_s"
-         : !positive(workers, "cancel_s", &s->cancel_s)       ? "params.workers.cancel_s"
-         : !positive(state, "rps", &s->state_rps)             ? "params.state.rps"
-         : !positive(state, "write_rps", &s->state_write_rps) ? "params.state.write_rps"
-         : !positive(state, "value_kb", &s->state_value_kb) || s->state_value_kb < LEAST_VALUE_KB
-             ? "params.state.value_kb (8 is the least)"
-         : !ws_json_count(state, "txn_ops", &s->state_txn_ops) || s->state_txn_ops < 4
-             ? "params.state.txn_ops"
-         : !positive(cloud, "rps", &s->cloud_rps)                 ? "params.cloud.rps"
-         : !positive(cloud, "list_lag_s", &s->list_lag_s)         ? "params.cloud.list_lag_s"
-         : !ws_json_count(limits, "max_sockets", &s->max_sockets) ? "params.limits.max_sockets"
-                                                                  : NULL;
+  bad = !positive(workers, "report_s", &s->report_s)         ? "params.workers.report_s"
+        : !positive(workers, "lease_s", &s->lease_s)         ? "params.workers.lease_s"
+        : !positive(workers, "cancel_s", &s->cancel_s)       ? "params.workers.cancel_s"
+        : !positive(state, "rps", &s->state_rps)             ? "params.state.rps"
+        : !positive(state, "write_rps", &s->state_write_rps) ? "params.state.write_rps"
+        : !positive(state, "value_kb", &s->state_value_kb) || s->state_value_kb < LEAST_VALUE_KB
+            ? "params.state.value_kb (8 is the least)"
+        : !ws_json_count(state, "txn_ops", &s->state_txn_ops) || s->state_txn_ops < LEAST_TXN_OPS
+            ? "params.state.txn_ops"
+        : !positive(cloud, "rps", &s->cloud_rps)                 ? "params.cloud.rps"
+        : !positive(cloud, "list_lag_s", &s->list_lag_s)         ? "params.cloud.list_lag_s"
+        : !ws_json_count(limits, "max_sockets", &s->max_sockets) ? "params.limits.max_sockets"
+                                                                 : NULL;
+  return bad != NULL ? bad : read_next_limits(s, json_object_get(state, "next"));
 }
 
 static const char *
--- a/src/protocol/ws-settings.h
+++ b/src/protocol/ws-settings.h
@@ -36,10 +36,17 @@
   double report_s;
   double lease_s;
   double cancel_s;
+  double gang_wait_s; /* how long a gang's task waits for the others */
+  double gang_peer_s; /* within which a gang notices a loss, and must hear of an orderly stop */
+  /* Limits of the state service. Where the settings announce lower ones (state.next), these are the
+     lower ones already: nothing is written that couldn't be rewritten under them. */
   double state_rps;
   double state_write_rps;
-  double state_value_kb;
   guint64 state_txn_ops;
+  guint64 state_record_bytes; /* the largest value */
+  /* The largest value before state.next. The grouping of records is computed from it, alike by all
+     versions of the program that share the store. */
+  double state_value_kb;
   double cloud_rps;
   double list_lag_s;
   guint64 max_sockets;
--- a/src/storage/ws-records.c
+++ b/src/storage/ws-records.c
@@ -3,16 +3,65 @@
 
 #include <string.h>
 
+/* Punctuation of an assignment in a chunk's record, and of the record around them. */
+#define BYTES_AROUND_ASSIGNMENT 7
+#define BYTES_AROUND_CHUNK 24
+/* Digits of a time of day in milliseconds, and its comma. */
+#define BYTES_OF_TIME 14
+/* An assignment on a machine with a long name, for the count of free places. */
+#define BYTES_OF_LONG_ASSIGNMENT 44
+
+static gsize
+count_digits(guint64 number)
+{
+  gsize digits = 1;
+  for (; number >= 10; number /= 10)
+    digits++;
+  return digits;
+}
+
+/* Bytes of the chunk's record without the times of its assignments. */
+static gsize
+bytes_without_times(const WsChunk *chunk, const WsReplica *replica)
+{
+  gsize bytes = BYTES_AROUND_CHUNK + count_digits(chunk->attempts) + 2 * sizeof chunk->done;
+  for (guint i = 0; i < chunk->on->len; i++) {
+    const WsAssignment *assignment = &g_array_index(chunk->on, WsAssignment, i);
+    const char *machine = ws_replica_machine(replica, assignment->machine)->name;
+    bytes += BYTES_AROUND_ASSIGNMENT + count_digits(assignment->task)
+             + count_digits(assignment->attempt) + strlen(machine);
+  }
+  return bytes;
+}
+
+gboolean
+ws_chunk_fits_record(const WsChunk *chunk, const WsReplica *replica)
+{
+  return bytes_without_times(chunk, replica) <= replica->settings->state_record_bytes;
+}
+
+guint
+ws_chunk_free_places(const WsChunk *chunk, const WsReplica *replica)
+{
+  gsize most = replica->settings->state_record_bytes;
+  gsize used = chunk != NULL ? bytes_without_times(chunk, replica) : BYTES_AROUND_CHUNK;
+  return used < most ? (guint)((most - used) / BYTES_OF_LONG_ASSIGNMENT) : 0;
+}
+
 json_t *
 ws_chunk_encode(const WsChunk *chunk, const WsReplica *replica)
 {
   json_t *on = json_array();
+  gboolean has_times = bytes_without_times(chunk, replica) + (gsize)BYTES_OF_TIME * chunk->on->len
+                       <= replica->settings->state_record_bytes;
   for (guint i = 0; i < chunk->on->len; i++) {
     const WsAssignment *assignment = &g_array_index(chunk->on, WsAssignment, i);
-    json_array_append_new(on, json_pack("[i, s, I, I]", (int)assignment->task,
-                                        ws_replica_machine(replica, assignment->machine)->name,
-                                        (json_int_t)assignment->attempt,
-                                        (json_int_t)assignment->at_ms));
+    json_t *item = json_pack("[i, s, I]", (int)assignment->task,
+                             ws_replica_machine(replica, assignment->machine)->name,
+                             (json_int_t)assignment->attempt);
+    if (has_times)
+      json_array_append_new(item, json_integer((json_int_t)assignment->at_ms));
+    json_array_append_new(on, item);
   }
   char hex[2 * sizeof chunk->done + 1];
   for (guint i = 0; i < sizeof chunk->done; i++)
@@ -168,6 +217,31 @@
   return json_pack("{s:I, s:I}", "c", (json_int_t)amount->cpus, "g", (json_int_t)amount->gpus);
 }
 
+/* A lot's record but for its type, its zone and the names of its machines. */
+#define BYTES_AROUND_LOT 90
+/* Quotation marks and comma around a name, and an ordinary name. */
+#define BYTES_AROUND_NAME 3
+#define BYTES_OF_ORDINARY_NAME 20
+#define MOST_MACHINES_A_LOT 50
+
+gboolean
+ws_lot_has_place(const WsLot *lot, const WsReplica *replica, const char *machine)
+{
+  gsize bytes = BYTES_AROUND_LOT + strlen(lot->type) + strlen(lot->zone) + strlen(machine)
+                + BYTES_AROUND_NAME;
+  for (guint i = 0; i < lot->machines->len; i++)
+    bytes += strlen(ws_replica_machine(replica, g_array_index(lot->machines, guint, i))->name)
+             + BYTES_AROUND_NAME;
+  return bytes <= replica->settings->state_record_bytes;
+}
+
+guint
+ws_lot_most_machines(const WsSettings *settings)
+{
+  gsize left = (gsize)settings->state_record_bytes - (gsize)2 * BYTES_AROUND_LOT;
+  return MIN((guint)(left / (BYTES_AROUND_NAME + BYTES_OF_ORDINARY_NAME)), MOST_MACHINES_A_LOT);
+}
+
 json_t *
 ws_lot_encode(const WsLot *lot, const WsReplica *replica)
 {
--- a/src/storage/ws-replica.c
+++ b/src/storage/ws-replica.c
@@ -225,58 +225,6 @@
 
 /* Jobs and their chunks. */
 
-WsChunk *
-ws_chunk_copy(const WsChunk *chunk)
-{
-  WsChunk *copy = g_new0(WsChunk, 1);
-  if (chunk != NULL) {
-    *copy = *chunk;
-    copy->on = g_array_copy(chunk->on);
-  } else {
-    copy->on = g_array_new(FALSE, FALSE, sizeof(WsAssignment));
-  }
-  return copy;
-}
-
-/* A task has one assignment at most: a second one takes the place of the first. */
-void
-ws_chunk_add(WsChunk *chunk, const WsAssignment *assignment)
-{
-  ws_chunk_remove(chunk, assignment->task);
-  g_array_append_vals(chunk->on, assignment, 1);
-  chunk->at[assignment->task % WS_CHUNK_TASKS] = (guint8)chunk->on->len;
-}
-
-void
-ws_chunk_remove(WsChunk *chunk, guint task)
-{
-  guint8 *at = &chunk->at[task % WS_CHUNK_TASKS];
-  if (*at == 0)
-    return;
-  guint index = *at - 1u;
-  *at = 0;
-  g_array_remove_index_fast(chunk->on, index);
-  if (index < chunk->on->len)
-    chunk->at[g_array_index(chunk->on, WsAssignment, index).task % WS_CHUNK_TASKS]
-        = (guint8)(index + 1);
-}
-
-WsAssignment *
-ws_chunk_find(const WsChunk *chunk, guint task)
-{
-  guint8 at = chunk != NULL ? chunk->at[task % WS_CHUNK_TASKS] : 0;
-  return at != 0 ? &g_array_index(chunk->on, WsAssignment, at - 1u) : NULL;
-}
-
-void
-ws_chunk_free(WsChunk *chunk)
-{
-  if (chunk == NULL)
-    return;
-  g_array_unref(chunk->on);
-  g_free(chunk);
-}
-
 guint
 ws_job_chunk_count(const WsJob *job)
 {
@@ -339,9 +287,7 @@
 gboolean
 ws_job_task_done(const WsJob *job, guint task)
 {
-  const WsChunk *chunk = ws_job_chunk(job, task);
-  guint bit = task % WS_CHUNK_TASKS;
-  return chunk != NULL && (chunk->done[bit / 8] >> (bit % 8) & 1) != 0;
+  return ws_chunk_is_done(ws_job_chunk(job, task), task);
 }
 
 static void
--- a/src/storage/ws-replica.h
+++ b/src/storage/ws-replica.h
@@ -5,36 +5,13 @@
    they are answered and the watch may repeat them later. */
 #pragma once
 
+#include "storage/ws-chunk.h"
 #include "storage/ws-keys.h"
 #include "coordination/ws-epoch.h"
 #include "protocol/ws-cloud.h"
-#include "protocol/ws-report.h"
-
-#define WS_CHUNK_TASKS 128
 
 typedef enum { WS_JOB_ACTIVE, WS_JOB_DONE, WS_JOB_CANCELLED } WsJobState;
 
-typedef struct {
-  guint task;
-  guint machine;
-  guint64 attempt;
-  gint64 at_ms; /* wall clock of the assignment */
-  /* soft: */
-  WsTaskState state;
-  gboolean seen_gone;   /* the worker has shown that a cancelled task's attempt is not there */
-  gint64 stop_asked_ms; /* when another owner was last asked to stop it */
-  gboolean told;        /* its launch was in an answer to a report */
-  gboolean stopping;    /* a stop is wanted, so that something else gets the room or the machine */
-} WsAssignment;
-
-typedef struct {
-  guint64 attempts;          /* the last attempt number given out */
-  GArray *on;                /* of WsAssignment; see ws_chunk_add */
-  guint8 at[WS_CHUNK_TASKS]; /* of each task: 0, or one more than its place among the assignments */
-  guint8 done[WS_CHUNK_TASKS / 8];
-  guint done_count;
-} WsChunk;
-
 typedef struct {
   guint index;
   char *id;
@@ -223,14 +200,20 @@
 json_t *ws_job_encode(const WsJob *job, WsJobState state, const char *home);
 json_t *ws_job_encode_final(const WsJob *job, WsJobState state);
 
-WsChunk *ws_chunk_copy(const WsChunk *chunk); /* NULL: an empty one */
-void ws_chunk_add(WsChunk *chunk, const WsAssignment *assignment);
-void ws_chunk_remove(WsChunk *chunk, guint task);
-WsAssignment *ws_chunk_find(const WsChunk *chunk, guint task);
-void ws_chunk_free(WsChunk *chunk);
+/* The record of a chunk. Where it would be larger than the state service takes, the times of the
+   assignments are left out. */
 json_t *ws_chunk_encode(const WsChunk *chunk, const WsReplica *replica);
+/* Whether the chunk's record is one that the state service takes. */
+gboolean ws_chunk_fits_record(const WsChunk *chunk, const WsReplica *replica);
+/* How many more tasks may be assigned in the chunk before its record is too large, whatever their
+   machines are called. chunk: NULL for an empty one. */
+guint ws_chunk_free_places(const WsChunk *chunk, const WsReplica *replica);
 json_t *ws_amount_encode(const WsAmount *amount);
 json_t *ws_lot_encode(const WsLot *lot, const WsReplica *replica);
+/* Whether the lot's record takes one more machine of the name. */
+gboolean ws_lot_has_place(const WsLot *lot, const WsReplica *replica, const char *machine);
+/* How many machines of ordinary names a lot's record takes; the cloud gives 50 at once. */
+guint ws_lot_most_machines(const WsSettings *settings);
 void ws_lot_free(WsLot *lot);
 json_t *ws_rent_encode(const WsRent *rent);
 json_t *ws_mark_encode(const char *why, gboolean now);
