--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -3,6 +3,7 @@
    A task is assigned there before it is launched, and its team's use is counted in the same
    transaction; a task is released only when ws-workers.c or ws-returns.c knows that it is gone. The
    leader writes for everybody, one transaction at a time; the other nodes hand theirs in. */
+#include "core/ws-direct.h"
 #include "core/ws-release-order.h"
 
 #define GATHER_MS 50
@@ -374,7 +375,7 @@
       g_info("task %s/%u goes to %s", ws_replica_job(core->replica, proposal->job)->id,
              proposal->task, machine->name);
     }
-    ws_workers_launch_now(core, machine, tasks);
+    ws_direct_launch(core, machine, tasks);
   }
 }
 
--- a/src/core/ws-batch.c
+++ b/src/core/ws-batch.c
@@ -5,6 +5,7 @@
 #include "core/ws-batch.h"
 
 #include "storage/ws-team-use.h"
+#include "core/ws-gang.h"
 #include "core/ws-reservation.h"
 
 /* The state service takes 64 KiB; the rest is for the job's own records and for conditions. */
@@ -203,9 +204,44 @@
 {
   guint on;
   guint done_after = count_after(batch, job, &on) + (done ? 1 : 0);
+  if (ws_job_is_gang(job) && done && job->state == WS_JOB_ACTIVE)
+    return TRUE; /* a gang's tasks are done together */
   return job->state == WS_JOB_ACTIVE ? done_after == job->tasks : on == 1;
 }
 
+/* The last attempt of the job as the batch leaves it. */
+static guint64
+last_attempt(const WsBatch *batch, const WsJob *job)
+{
+  guint64 last = 0;
+  for (guint c = 0; c < ws_job_chunk_count(job); c++) {
+    const WsChunk *chunk = chunk_after(batch, job, c);
+    last = MAX(last, chunk != NULL ? chunk->attempts : 0);
+  }
+  return last;
+}
+
+static void
+release_task(WsBatch *batch, const WsJob *job, WsChunk *chunk, guint task, guint machine)
+{
+  ws_amount_add(taken(batch, machine), &job->spec->need, -1);
+  ws_chunk_remove(chunk, task);
+  use_team(batch, job, -1);
+}
+
+/* The tasks of a gang complete together: when one is done, all are. */
+static void
+finish_gang(WsBatch *batch, const WsJob *job)
+{
+  for (guint task = 0; task < job->tasks; task++) {
+    WsChunk *chunk = open_chunk(batch, job, task);
+    const WsAssignment *assignment = ws_chunk_find(chunk, task);
+    if (assignment != NULL)
+      release_task(batch, job, chunk, task, assignment->machine);
+    ws_chunk_set_done(chunk, task);
+  }
+}
+
 WsBatchResult
 ws_batch_release(WsBatch *batch, const WsRelease *release)
 {
@@ -217,12 +253,14 @@
     return WS_BATCH_TAKEN; /* by this very transaction: its use is given back once */
   if (!reserve(batch, job, release->task, NULL, ends_job(batch, job, release->done)))
     return WS_BATCH_FULL;
+  if (ws_job_is_gang(job) && release->done && job->state == WS_JOB_ACTIVE) {
+    finish_gang(batch, job);
+    return WS_BATCH_TAKEN;
+  }
   WsChunk *chunk = open_chunk(batch, job, release->task);
-  ws_amount_add(taken(batch, assignment->machine), &job->spec->need, -1);
-  ws_chunk_remove(chunk, release->task);
-  use_team(batch, job, -1);
-  if (job->spec->kind == WS_KIND_GANG && !release->done)
-    chunk->attempts++;
+  release_task(batch, job, chunk, release->task, assignment->machine);
+  if (ws_job_is_gang(job))
+    chunk->attempts = last_attempt(batch, job) + 1;
   if (release->done)
     ws_chunk_set_done(chunk, release->task);
   return WS_BATCH_TAKEN;
@@ -300,7 +338,7 @@
          /* not even in this very transaction: two nodes may ask for the same task */
          && ws_chunk_find(chunk_after(batch, job, proposal->task / WS_CHUNK_TASKS), proposal->task)
                 == NULL
-         && ws_job_assignment(job, proposal->task) == NULL && !ws_job_is_broken_gang(job)
+         && ws_job_assignment(job, proposal->task) == NULL && !ws_gang_is_ending(job)
          && record_has_place(batch, job, proposal->task) && machine->stored && !machine->marked
          && !machine->marking
          && ws_plan_allowed(batch->core->replica, job->spec, job->zone, machine)
@@ -310,6 +348,18 @@
          && zone_has_room(batch, job, machine->zone) && leaves_reserved(batch, machine, job);
 }
 
+/* A gang's tasks share their attempt: that of the tasks which have machines already, or else a new
+   one. */
+static guint64
+next_attempt(const WsBatch *batch, const WsJob *job, const WsChunk *chunk)
+{
+  guint on;
+  if (!ws_job_is_gang(job))
+    return chunk->attempts + 1;
+  (void)count_after(batch, job, &on);
+  return last_attempt(batch, job) + (on == 0 ? 1 : 0);
+}
+
 WsBatchResult
 ws_batch_assign(WsBatch *batch, const WsProposal *proposal)
 {
@@ -321,9 +371,8 @@
     return WS_BATCH_FULL;
   WsChunk *chunk = open_chunk(batch, job, proposal->task);
   WsAssignment assignment = { .task = proposal->task, .machine = proposal->machine };
-  if (job->spec->kind != WS_KIND_GANG || chunk->on->len == 0)
-    chunk->attempts++;
-  assignment.attempt = chunk->attempts;
+  assignment.attempt = next_attempt(batch, job, chunk);
+  chunk->attempts = assignment.attempt;
   assignment.at_ms = batch->core->wall;
   ws_chunk_add(chunk, &assignment);
   ws_amount_add(taken(batch, proposal->machine), &job->spec->need, 1);
--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -155,13 +155,9 @@
                       gsize length, gpointer request);
 
 /* ws-workers.c */
-/* Tells the worker our token, so that it drops the answers of whoever has an older one. */
-void ws_workers_raise(WsCore *core, WsMachine *machine);
 void ws_workers_report(WsCore *core, const char *body, gsize length, gpointer request);
 /* The answer to a report of a machine that this node owns. */
 json_t *ws_workers_process(WsCore *core, const WsReport *report);
-void ws_workers_launch_now(WsCore *core, WsMachine *machine, GArray *tasks /* of WsTaskRef */);
-void ws_workers_halt_now(WsCore *core, WsJob *job, WsAssignment *assignment);
 /* Believes what a message says of tasks that are there; concludes nothing from absence. */
 /* Returns FALSE for a message older than one that was seen before. */
 gboolean ws_workers_presence(WsCore *core, WsMachine *machine, const WsReport *report);
@@ -277,6 +273,8 @@
 typedef struct _WsDemand WsDemand;
 WsDemand *ws_demand_new(WsCore *core);
 void ws_demand_add(WsDemand *demand, const WsJob *job, guint tasks);
+/* The same for a gang: all its machines are in one zone, where that is asked for. */
+void ws_demand_add_gang(WsDemand *demand, const WsJob *job, guint tasks);
 void ws_demand_end(WsDemand *demand); /* takes it */
 /* Whether the places kept for critical jobs are there without the machine too. */
 gboolean ws_spare_without(const WsCore *core, const WsMachine *machine);
--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -1,5 +1,6 @@
 #include "core/ws-cloud-list.h"
 #include "core/ws-fleet.h"
+#include "core/ws-gang.h"
 #include "core/ws-rentals.h"
 #include "core/ws-reservation.h"
 #include "core/ws-returns.h"
@@ -267,6 +268,7 @@
     core->upkeep_ms = core->now + 250;
     ws_failure_detector_tick(core);
     ws_termination_tick(core);
+    ws_gang_tick(core);
     ws_fleet_tick(core);
     ws_cloud_list_reconcile_tick(core);
     ws_garbage_tick(core);
--- a/src/core/ws-demand.c
+++ b/src/core/ws-demand.c
@@ -30,6 +30,7 @@
   WsCore *core;
   GArray *machines; /* of Virtual: booting, on order, or wanted */
   guint *by_zone;   /* machines there are, by zone */
+  guint only_zone;  /* that the job at hand must be in; WS_NONE: any */
 };
 
 static Virtual *
@@ -90,6 +91,7 @@
   const WsReplica *replica = core->replica;
   WsDemand *demand = g_new0(WsDemand, 1);
   demand->core = core;
+  demand->only_zone = WS_NONE;
   demand->machines = g_array_new(FALSE, FALSE, sizeof(Virtual));
   demand->by_zone = g_new0(guint, core->settings->zones->len);
   for (guint i = 0; i < replica->machines->len; i++) {
@@ -154,9 +156,10 @@
 }
 
 static gboolean
-zone_fits(const WsJob *job, guint zone)
+zone_fits(const WsDemand *demand, const WsJob *job, guint zone)
 {
-  return job->spec->zone == NULL || job->zone == zone;
+  return (job->spec->zone == NULL || job->zone == zone)
+         && (demand->only_zone == WS_NONE || demand->only_zone == zone);
 }
 
 /* Without a deadline of its own, a job that can't wait until a running task is half done doesn't
@@ -178,7 +181,7 @@
   for (guint i = 0; i < demand->machines->len; i++) {
     Virtual *machine = &g_array_index(demand->machines, Virtual, i);
     if ((machine->spot && !job->spec->spot) || (machine->is_running && !waits)
-        || !zone_fits(job, machine->zone)
+        || !zone_fits(demand, job, machine->zone)
         || (machine->is_running
             && ws_replica_type(demand->core->replica, machine->type)->room.cpus > smallest)
         || !ws_type_allowed(job->spec, ws_replica_type(demand->core->replica, machine->type)))
@@ -199,7 +202,7 @@
   char **zones = ws_replica_type(demand->core->replica, type)->zones;
   for (; *zones != NULL; zones++) {
     guint zone = ws_replica_find_zone(demand->core->replica, *zones);
-    if (zone == WS_NONE || !zone_fits(job, zone) || ws_zone_partitioned(demand->core, zone)
+    if (zone == WS_NONE || !zone_fits(demand, job, zone) || ws_zone_partitioned(demand->core, zone)
         || ws_rentals_no_capacity(demand->core, type, zone, spot))
       continue;
     if (best == WS_NONE || demand->by_zone[zone] < demand->by_zone[best])
@@ -252,6 +255,56 @@
   }
 }
 
+/* How many tasks of the job the machines that boot or are on order in the zone have room for. */
+static guint
+count_fitting(const WsDemand *demand, const WsJob *job, guint zone)
+{
+  guint count = 0;
+  for (guint i = 0; i < demand->machines->len; i++) {
+    const Virtual *machine = &g_array_index(demand->machines, Virtual, i);
+    const WsType *type = ws_replica_type(demand->core->replica, machine->type);
+    if (machine->is_running || machine->zone != zone || (machine->spot && !job->spec->spot)
+        || !ws_type_allowed(job->spec, type))
+      continue;
+    for (WsAmount room = machine->room; ws_amount_fits(&job->spec->need, &room); count++)
+      ws_amount_add(&room, &job->spec->need, -1);
+  }
+  return count;
+}
+
+/* The zone for all tasks of the gang: one where enough is coming already, so that the same zone is
+   chosen again while its machines boot, or else one where machines can be had. */
+static guint
+zone_for_gang(const WsDemand *demand, const WsJob *job, guint tasks)
+{
+  const WsReplica *replica = demand->core->replica;
+  for (guint zone = 0; zone < demand->core->settings->zones->len; zone++)
+    if (zone_fits(demand, job, zone) && count_fitting(demand, job, zone) >= tasks)
+      return zone;
+  for (guint t = 0; t < replica->catalog->len; t++) {
+    const WsType *type = ws_replica_type(replica, t);
+    if (!ws_type_allowed(job->spec, type) || !ws_amount_fits(&job->spec->need, &type->room))
+      continue;
+    guint zone = pick_zone(demand, job, t, FALSE);
+    if (zone == WS_NONE && job->spec->spot)
+      zone = pick_zone(demand, job, t, TRUE);
+    if (zone != WS_NONE)
+      return zone;
+  }
+  return WS_NONE;
+}
+
+void
+ws_demand_add_gang(WsDemand *demand, const WsJob *job, guint tasks)
+{
+  guint zone = job->spec->one_zone ? zone_for_gang(demand, job, tasks) : WS_NONE;
+  if (job->spec->one_zone && zone == WS_NONE)
+    return;
+  demand->only_zone = zone;
+  ws_demand_add(demand, job, tasks);
+  demand->only_zone = WS_NONE;
+}
+
 /* Room on a machine that is wanted anyway. */
 static gboolean
 put_in_new(WsDemand *demand, const WsJob *job)
--- /dev/null
+++ b/src/core/ws-direct.c
@@ -0,0 +1,127 @@
+#include "core/ws-direct.h"
+
+#include "core/ws-gang.h"
+
+#include <string.h>
+
+/* Launches on their way at once; the others go with the answers to reports. Those of critical tasks
+   and of gangs always go. */
+#define MOST_DIRECT_CALLS 48
+/* What an orderly stop may take beyond the time for saving. */
+#define GRACE_MARGIN_S 1.0
+
+typedef struct {
+  guint machine;
+  guint64 token;
+  guint64 session;
+  gboolean launches;
+} Direct;
+
+static void
+on_direct(WsCore *core, guint status, const json_t *body, gpointer data)
+{
+  Direct *direct = data;
+  WsMachine *machine = ws_replica_machine(core->replica, direct->machine);
+  core->direct_calls--;
+  /* Without an answer the launch may still be carried out minutes later, so the doubt stays until
+     the worker has seen a higher token or begun a new session. */
+  if (status != 0 && direct->launches && machine->doubts > 0
+      && machine->doubt_token == direct->token && machine->doubt_session == direct->session)
+    machine->doubts--;
+  g_autofree char *reason = NULL;
+  g_autoptr(WsReport) report
+      = status == 200 || status == 409 ? ws_report_parse(body, &reason) : NULL;
+  if (report != NULL && strcmp(report->machine, machine->name) == 0 && ws_owns(core, machine))
+    ws_workers_presence(core, machine, report);
+  g_free(direct);
+}
+
+static void
+send_direct(WsCore *core, WsMachine *machine, json_t *commands, gboolean launches)
+{
+  Direct *direct = g_new0(Direct, 1);
+  *direct = (Direct){ machine->index, core->replica->epoch.number, machine->session, launches };
+  core->direct_calls++;
+  if (launches) {
+    if (machine->doubts == 0)
+      machine->doubt_ms = core->now;
+    machine->doubts++;
+    machine->doubt_token = direct->token;
+    machine->doubt_session = direct->session;
+  }
+  ws_call(core, "POST", machine->endpoint, "/commands",
+          ws_commands_direct(direct->token, direct->session, commands), 2000, on_direct, direct);
+}
+
+gboolean
+ws_direct_can_send(const WsCore *core, const WsMachine *machine)
+{
+  return machine->endpoint != NULL && machine->token == core->replica->epoch.number
+         && ws_machine_up(core, machine) && !core->unheard && ws_entitled(core);
+}
+
+void
+ws_direct_raise_token(WsCore *core, WsMachine *machine)
+{
+  send_direct(core, machine, json_array(), FALSE);
+}
+
+/* Somebody waits for a critical task, and the other tasks of a gang wait for each of it. */
+static gboolean
+any_urgent(const WsCore *core, const GArray *tasks)
+{
+  for (guint i = 0; i < tasks->len; i++) {
+    const WsJob *job = ws_replica_job(core->replica, g_array_index(tasks, WsTaskRef, i).job);
+    if (job->spec != NULL && (job->spec->priority == WS_CRITICAL || ws_job_is_gang(job)))
+      return TRUE;
+  }
+  return FALSE;
+}
+
+void
+ws_direct_launch(WsCore *core, WsMachine *machine, GArray *tasks)
+{
+  if (!ws_direct_can_send(core, machine) || !ws_knows_all_cancellations(core)
+      || (core->direct_calls >= MOST_DIRECT_CALLS && !any_urgent(core, tasks)))
+    return;
+  json_t *commands = json_array();
+  for (guint i = 0; i < tasks->len; i++) {
+    const WsTaskRef *ref = &g_array_index(tasks, WsTaskRef, i);
+    const WsJob *job = ws_replica_job(core->replica, ref->job);
+    WsAssignment *assignment = ws_job_assignment(job, ref->task);
+    if (assignment == NULL || job->state != WS_JOB_ACTIVE || ws_cancel_is_known(core, job))
+      continue;
+    json_array_append_new(commands, ws_command_encode(WS_OP_LAUNCH, job->id, assignment->task,
+                                                      assignment->attempt, 0.0));
+  }
+  if (json_array_size(commands) > 0)
+    send_direct(core, machine, commands, TRUE);
+  else
+    json_decref(commands);
+}
+
+double
+ws_direct_grace_s(const WsCore *core, const WsJob *job, const WsAssignment *assignment)
+{
+  if (ws_cancel_is_known(core, job) || job->spec->checkpoint_s <= 0.0)
+    return 0.0;
+  if (!ws_job_is_gang(job))
+    return job->spec->save_s + GRACE_MARGIN_S;
+  /* Once a task is lost the others can save nothing. */
+  if (ws_gang_is_ending(job) && !assignment->stopping)
+    return 0.0;
+  return job->spec->save_s + core->settings->gang_peer_s + GRACE_MARGIN_S;
+}
+
+void
+ws_direct_halt(WsCore *core, WsJob *job, WsAssignment *assignment)
+{
+  WsMachine *machine = ws_replica_machine(core->replica, assignment->machine);
+  if (!ws_direct_can_send(core, machine))
+    return;
+  json_t *commands = json_array();
+  json_array_append_new(commands, ws_command_encode(WS_OP_HALT, job->id, assignment->task,
+                                                    assignment->attempt,
+                                                    ws_direct_grace_s(core, job, assignment)));
+  send_direct(core, machine, commands, FALSE);
+}
--- a/src/core/ws-failure-detector.c
+++ b/src/core/ws-failure-detector.c
@@ -1,5 +1,5 @@
 /* Machines that say nothing: which are asked, which are waited for, and which are given up. */
-#include "core/ws-core-private.h"
+#include "core/ws-direct.h"
 
 #include <string.h>
 
@@ -106,7 +106,7 @@
   }
   /* It is there and reports to somebody else, maybe to a node whose epoch is over. */
   if (report->token < core->replica->epoch.number)
-    ws_workers_raise(core, machine);
+    ws_direct_raise_token(core, machine);
 }
 
 static gboolean
--- /dev/null
+++ b/src/core/ws-gang-place.h
@@ -0,0 +1,16 @@
+/**
+ * Where the tasks of a gang go: all of them, or none.
+ */
+#pragma once
+
+#include "core/ws-place.h"
+
+/**
+ * Finds machines for @tasks tasks of the gang and takes the room on the map.
+ *
+ * A gang that must be in one zone gets the zone where fewest of its machines would have to fetch
+ * the image, and of these the one with fewest machines: the slowest machine sets the pace, and the
+ * loss of any one ends the attempt. @counts: its tasks that have machines, by zone. Returns indices
+ * of machines (of guint), or NULL if there isn't room for every task.
+ */
+GArray *ws_gang_place(WsRoomMap *map, const WsJob *job, guint tasks, guint *counts);
--- /dev/null
+++ b/src/core/ws-gang.c
@@ -0,0 +1,199 @@
+#include "core/ws-gang.h"
+
+#include "core/ws-direct.h"
+
+/* Halts are repeated at this pace: the tasks of a gang must all hear of a stop within a few seconds
+   of the first one. */
+#define HALT_AGAIN_MS 700
+
+gboolean
+ws_job_is_gang(const WsJob *job)
+{
+  return job->spec != NULL && job->spec->kind == WS_KIND_GANG;
+}
+
+typedef gboolean (*AssignmentTest)(const WsAssignment *assignment, guint64 last_attempt);
+
+static gboolean
+is_of_older_attempt(const WsAssignment *assignment, guint64 last_attempt)
+{
+  return assignment->attempt < last_attempt;
+}
+
+static gboolean
+is_stopping(const WsAssignment *assignment, guint64 last_attempt)
+{
+  (void)last_attempt;
+  return assignment->stopping || assignment->state == WS_TASK_SAVING;
+}
+
+static gboolean
+is_running(const WsAssignment *assignment, guint64 last_attempt)
+{
+  (void)last_attempt;
+  return assignment->state == WS_TASK_RUNNING;
+}
+
+static gboolean
+is_not_ready(const WsAssignment *assignment, guint64 last_attempt)
+{
+  (void)last_attempt;
+  return assignment->state < WS_TASK_GATHERING;
+}
+
+static gboolean
+has_any(const WsJob *job, AssignmentTest test)
+{
+  guint64 last_attempt = ws_job_last_attempt(job);
+  for (guint c = 0; c < job->chunks->len; c++) {
+    const WsChunk *chunk = g_ptr_array_index(job->chunks, c);
+    for (guint i = 0; chunk != NULL && i < chunk->on->len; i++)
+      if (test(&g_array_index(chunk->on, WsAssignment, i), last_attempt))
+        return TRUE;
+  }
+  return FALSE;
+}
+
+WsGangPhase
+ws_gang_phase(const WsJob *job)
+{
+  if (job->on_count == 0)
+    return WS_GANG_WAITING;
+  if (has_any(job, is_of_older_attempt))
+    return WS_GANG_ENDING;
+  if (has_any(job, is_stopping))
+    return WS_GANG_STOPPING;
+  if (has_any(job, is_running))
+    return WS_GANG_RUNNING;
+  return job->on_count < job->tasks || has_any(job, is_not_ready) ? WS_GANG_LAUNCHED
+                                                                  : WS_GANG_GATHERING;
+}
+
+gboolean
+ws_gang_is_ending(const WsJob *job)
+{
+  return ws_job_is_gang(job) && has_any(job, is_of_older_attempt);
+}
+
+/* Whether the machine hears a halt now, from this node or from its owner. */
+static gboolean
+is_reachable(const WsCore *core, const WsMachine *machine)
+{
+  if (ws_owns(core, machine))
+    return ws_direct_can_send(core, machine) && !ws_machine_outbound_unreachable(core, machine);
+  return machine->owner != WS_NONE && ws_mesh_reaches(core, machine->owner)
+         && ws_machine_up(core, machine);
+}
+
+static gboolean
+all_reachable(const WsCore *core, const WsJob *job)
+{
+  for (guint c = 0; c < job->chunks->len; c++) {
+    const WsChunk *chunk = g_ptr_array_index(job->chunks, c);
+    for (guint i = 0; chunk != NULL && i < chunk->on->len; i++) {
+      guint machine = g_array_index(chunk->on, WsAssignment, i).machine;
+      if (!is_reachable(core, ws_replica_machine(core->replica, machine)))
+        return FALSE;
+    }
+  }
+  return TRUE;
+}
+
+static void
+stop_task(WsCore *core, WsJob *job, WsAssignment *assignment)
+{
+  const WsMachine *machine = ws_replica_machine(core->replica, assignment->machine);
+  assignment->stopping = TRUE;
+  assignment->stop_asked_ms = core->now;
+  if (ws_owns(core, machine))
+    ws_direct_halt(core, job, assignment);
+  else
+    ws_peer_request_stop(core, machine->owner, job, assignment);
+}
+
+gboolean
+ws_gang_stop(WsCore *core, WsJob *job)
+{
+  if (!all_reachable(core, job))
+    return FALSE;
+  g_info("gang %s stops: %u tasks save their progress", job->id, job->on_count);
+  for (guint c = 0; c < job->chunks->len; c++) {
+    const WsChunk *chunk = g_ptr_array_index(job->chunks, c);
+    for (guint i = 0; chunk != NULL && i < chunk->on->len; i++)
+      stop_task(core, job, &g_array_index(chunk->on, WsAssignment, i));
+  }
+  return TRUE;
+}
+
+/* Whether the task runs on a machine of this node that is being drained. */
+static gboolean
+is_to_be_drained(const WsCore *core, const WsAssignment *assignment)
+{
+  const WsMachine *machine = ws_replica_machine(core->replica, assignment->machine);
+  return machine->marked && !machine->mark_now && ws_owns(core, machine)
+         && assignment->state == WS_TASK_RUNNING;
+}
+
+static gboolean
+must_be_drained(const WsCore *core, const WsJob *job)
+{
+  for (guint c = 0; c < job->chunks->len; c++) {
+    const WsChunk *chunk = g_ptr_array_index(job->chunks, c);
+    for (guint i = 0; chunk != NULL && i < chunk->on->len; i++)
+      if (is_to_be_drained(core, &g_array_index(chunk->on, WsAssignment, i)))
+        return TRUE;
+  }
+  return FALSE;
+}
+
+/* One halt of each task on this node's machines, unless one was sent a moment ago. What saves has
+   heard it. */
+static void
+halt_again(WsCore *core, WsJob *job, gboolean all)
+{
+  for (guint c = 0; c < job->chunks->len; c++) {
+    const WsChunk *chunk = g_ptr_array_index(job->chunks, c);
+    for (guint i = 0; chunk != NULL && i < chunk->on->len; i++) {
+      WsAssignment *assignment = &g_array_index(chunk->on, WsAssignment, i);
+      const WsMachine *machine = ws_replica_machine(core->replica, assignment->machine);
+      if ((!all && !assignment->stopping) || !ws_owns(core, machine)
+          || assignment->state >= WS_TASK_SAVING || assignment->state == WS_TASK_ASSIGNED
+          || core->now - assignment->stop_asked_ms < HALT_AGAIN_MS)
+        continue;
+      assignment->stop_asked_ms = core->now;
+      ws_direct_halt(core, job, assignment);
+    }
+  }
+}
+
+static void
+tend(WsCore *core, WsJob *job)
+{
+  switch (ws_gang_phase(job)) {
+  case WS_GANG_ENDING:
+    halt_again(core, job, TRUE);
+    break;
+  case WS_GANG_STOPPING:
+    halt_again(core, job, FALSE);
+    break;
+  case WS_GANG_RUNNING:
+    if (must_be_drained(core, job))
+      (void)ws_gang_stop(core, job);
+    break;
+  case WS_GANG_WAITING:
+  case WS_GANG_LAUNCHED:
+  case WS_GANG_GATHERING:
+    break;
+  }
+}
+
+void
+ws_gang_tick(WsCore *core)
+{
+  for (guint i = 0; i < core->replica->active->len; i++) {
+    WsJob *job = g_ptr_array_index(core->replica->active, i);
+    if (ws_job_is_gang(job) && job->on_count > 0 && job->state == WS_JOB_ACTIVE
+        && !ws_cancel_is_known(core, job))
+      tend(core, job);
+  }
+}
--- a/src/core/ws-peer-requests.c
+++ b/src/core/ws-peer-requests.c
@@ -8,6 +8,7 @@
    An ask goes over the mesh or, where the other node can't be reached, through a key of this node
    in the state service. It may be lost: whoever asks notices that nothing came of it and asks
    again. It counts only in the epoch in which it was made. */
+#include "core/ws-direct.h"
 #include "core/ws-reservation.h"
 
 #include <string.h>
@@ -160,7 +161,7 @@
       || !ws_owns(core, ws_replica_machine(core->replica, assignment->machine)))
     return;
   assignment->stopping = TRUE;
-  ws_workers_halt_now(core, job, assignment);
+  ws_direct_halt(core, job, assignment);
 }
 
 static void
--- a/src/core/ws-place.c
+++ b/src/core/ws-place.c
@@ -16,6 +16,9 @@
 /* A machine of a larger type than the task needs, where there is a smaller one: larger tasks have
    nowhere else to go, and one small task keeps each of them out. */
 #define TOO_LARGE 150.0
+/* A machine on which a task without accelerators would take the processors that its free
+   accelerators need. */
+#define BLOCKS_ACCELERATORS 80.0
 /* Boots take up to half as long again as stated. */
 #define BOOT_PATIENCE 1.5
 /* Jobs of a plan, critical ones aside, for which victims are looked for: each looks at every
@@ -33,6 +36,7 @@
   WsRoomMap *map;
   const WsJob *job;
   guint *counts;
+  guint only_zone;              /* WS_NONE: any */
   gint64 smallest;              /* processors of the smallest type that has room for a task */
   GArray *kinds[WS_ROOM_KINDS]; /* of Candidate, the best first; NULL: not looked for yet */
 };
@@ -131,6 +135,17 @@
 
 /* What suits the job. */
 
+/* Whether the task would leave the machine's free accelerators with less than their share of its
+   processors or memory. */
+static gboolean
+blocks_accelerators(const WsAmount *room, const WsAmount *free, const WsAmount *need)
+{
+  if (need->gpus > 0 || free->gpus <= 0)
+    return FALSE;
+  return (free->cpus - need->cpus) * room->gpus < free->gpus * room->cpus
+         || (free->memory - need->memory) * room->gpus < free->gpus * room->memory;
+}
+
 static double
 worth(const WsPlaces *places, const WsMachine *machine)
 {
@@ -144,6 +159,8 @@
     value += SPOT;
   if (room->cpus > places->smallest)
     value -= TOO_LARGE;
+  if (blocks_accelerators(room, &slot->free, &job->spec->need))
+    value -= BLOCKS_ACCELERATORS;
   if (!is_service && slot->has_service)
     value += STAYS_ANYWAY; /* it stays rented anyway */
   if (room->gpus > 0)
@@ -321,6 +338,7 @@
   *places = (WsPlaces){ .map = map,
                         .job = job,
                         .counts = counts,
+                        .only_zone = WS_NONE,
                         .smallest = ws_smallest_room(map->core->replica, job->spec) };
   return places;
 }
@@ -356,6 +374,8 @@
     }
     seen_zone[zone] = TRUE;
     seen++;
+    if (places->only_zone != WS_NONE && zone != places->only_zone)
+      continue;
     double value = candidate->value - (is_service ? SAME_ZONE * places->counts[zone] : 0.0);
     if (!ws_zone_allowed(places->job, places->counts, zones, zone)
         || (best != NULL && value <= most))
@@ -411,6 +431,39 @@
   return machine;
 }
 
+void
+ws_places_keep_to_zone(WsPlaces *places, guint zone)
+{
+  places->only_zone = zone;
+}
+
+gboolean
+ws_places_take_again(WsPlaces *places, const WsMachine *machine)
+{
+  const WsReplica *replica = places->map->core->replica;
+  WsAmount *free = &places->map->slots[machine->index].free;
+  const WsAmount *need = &places->job->spec->need;
+  guint zones = places->map->core->settings->zones->len;
+  if (!ws_amount_fits(need, free)
+      || blocks_accelerators(&ws_replica_type(replica, machine->type)->room, free, need)
+      || !ws_zone_allowed(places->job, places->counts, zones, machine->zone))
+    return FALSE;
+  ws_amount_add(free, need, -1);
+  places->counts[machine->zone]++;
+  return TRUE;
+}
+
+void
+ws_places_put_back(WsPlaces *places, const GArray *machines)
+{
+  for (guint i = 0; i < machines->len; i++) {
+    guint index = g_array_index(machines, guint, i);
+    const WsMachine *machine = ws_replica_machine(places->map->core->replica, index);
+    ws_amount_add(&places->map->slots[index].free, &places->job->spec->need, 1);
+    places->counts[machine->zone]--;
+  }
+}
+
 gboolean
 ws_places_would_fit(const WsPlaces *places, const WsMachine *machine, const WsAmount *freed)
 {
--- a/src/core/ws-place.h
+++ b/src/core/ws-place.h
@@ -37,6 +37,13 @@
 WsMachine *ws_places_peek(WsPlaces *places, WsRoom kind);
 /* The same; the room for one task is taken, and counted in its zone. */
 WsMachine *ws_places_take(WsPlaces *places, WsRoom kind);
+/* From now on only machines of the zone are found; WS_NONE: of any. */
+void ws_places_keep_to_zone(WsPlaces *places, guint zone);
+/* Takes the room for one more task on a machine that was taken just now; FALSE: there is none, or
+   it would take the processors that the machine's free accelerators need. */
+gboolean ws_places_take_again(WsPlaces *places, const WsMachine *machine);
+/* Gives back the room for a task on each of the machines (of guint). */
+void ws_places_put_back(WsPlaces *places, const GArray *machines);
 /* Whether a task could go to the machine if so much more of it were free. */
 gboolean ws_places_would_fit(const WsPlaces *places, const WsMachine *machine,
                              const WsAmount *freed);
--- a/src/core/ws-plan.c
+++ b/src/core/ws-plan.c
@@ -3,11 +3,10 @@
    A node plans the jobs that it acts for: those whose home it is, on its own machines, and as
    leader those that no part could take, anywhere. What two nodes would place in the same room only
    one of them gets: the leader looks again when it writes. */
-#include "core/ws-place.h"
+#include "core/ws-gang.h"
+#include "core/ws-gang-place.h"
 #include "core/ws-reservation.h"
 
-#include <string.h>
-
 #define PAUSE_MS 100
 /* The pause after a plan grows with what it cost, so that plans take a small part of the processor
    whatever the size. */
@@ -254,19 +253,13 @@
   return tasks;
 }
 
-/* The machines for all waiting tasks of a gang, or NULL if there isn't room for every one. */
-static GArray *
-gang_machines(Run *run, WsPlaces *places, const WsJob *job, guint tasks)
+/* Whether the team's limit leaves room for so many tasks of the job. */
+static gboolean
+team_has_room_for(const Run *run, const WsJob *job, guint tasks)
 {
-  g_autoptr(GArray) machines = g_array_new(FALSE, FALSE, sizeof(guint));
-  for (guint i = 0; i < tasks; i++) {
-    const WsMachine *machine = within_team(run, job) ? ws_places_take(places, WS_ROOM_NOW) : NULL;
-    if (machine == NULL)
-      return NULL;
-    ws_amount_add(&run->use[job->team], &job->spec->need, 1);
-    g_array_append_val(machines, machine->index);
-  }
-  return g_steal_pointer(&machines);
+  WsAmount need = { 0 };
+  ws_amount_add(&need, &job->spec->need, tasks);
+  return ws_team_has_room(run->core->settings, job->team, &run->use[job->team], &need);
 }
 
 /* All of a gang's tasks or none: a few of them would only hold their places and wait. */
@@ -274,21 +267,19 @@
 place_gang(Run *run, WsJob *job, const GArray *tasks, guint *counts)
 {
   WsCore *core = run->core;
-  guint slots = MAX(core->replica->machines->len, 1u);
-  g_autofree WsSlot *before = g_memdup2(run->map.slots, sizeof(WsSlot) * slots);
-  g_autoptr(WsPlaces) places = ws_places_new(&run->map, job, counts);
-  if (tasks->len == 0 || ws_job_is_broken_gang(job))
+  gboolean all = tasks->len + job->on_count + job->done_count == job->tasks;
+  if (!all || ws_gang_is_ending(job) || !team_has_room_for(run, job, tasks->len))
     return;
-  g_autoptr(GArray) machines = gang_machines(run, places, job, tasks->len);
+  g_autoptr(GArray) machines = ws_gang_place(&run->map, job, tasks->len, counts);
   note_unplaced(core, job, machines == NULL);
-  for (guint i = 0; machines != NULL && i < tasks->len; i++)
+  if (machines == NULL && run->demand != NULL)
+    ws_demand_add_gang(run->demand, job, tasks->len);
+  if (machines == NULL)
+    return;
+  ws_amount_add(&run->use[job->team], &job->spec->need, tasks->len);
+  for (guint i = 0; i < tasks->len; i++)
     ws_assign_propose(core, job->index, g_array_index(tasks, guint, i),
                       g_array_index(machines, guint, i));
-  if (machines != NULL)
-    return;
-  memcpy(run->map.slots, before, sizeof(WsSlot) * slots);
-  if (run->demand != NULL)
-    ws_demand_add(run->demand, job, tasks->len);
 }
 
 static void
@@ -459,11 +450,13 @@
   spill(core);
 }
 
-/* The part with most room that fits the whole job, or WS_NONE. */
+/* The part with most room that fits the whole job, or WS_NONE. The attempt of a gang is planned and
+   written by one node, the leader. */
 guint
 ws_plan_home(WsCore *core, const WsSubmission *spec)
 {
-  if (!ws_entitled(core) || core->replica->catalog == NULL || spec->spread || spec->one_zone)
+  if (!ws_entitled(core) || core->replica->catalog == NULL || spec->spread || spec->one_zone
+      || spec->kind == WS_KIND_GANG)
     return WS_NONE;
   WsRoomMap map;
   ws_room_map_init(&map, core, &spec->need);
--- a/src/core/ws-preempt.c
+++ b/src/core/ws-preempt.c
@@ -1,5 +1,5 @@
 /* Which tasks may be stopped to make room, and which are cheapest to stop. */
-#include "core/ws-core-private.h"
+#include "core/ws-direct.h"
 
 /* How many times what is done in its place a victim may lose. */
 #define MOST_LOST 2.0
@@ -127,7 +127,7 @@
     ws_amount_add(&room, &victim->spec->need, 1);
     ws_amount_add(&slot->coming, &victim->spec->need, 1);
     if (ws_owns(core, machine))
-      ws_workers_halt_now(core, victim, assignment);
+      ws_direct_halt(core, victim, assignment);
   }
 }
 
@@ -202,7 +202,7 @@
     victim->assignment->stopping = TRUE;
     g_array_append_val(machines, victim->assignment->machine);
     if (ws_owns(core, ws_replica_machine(core->replica, victim->assignment->machine)))
-      ws_workers_halt_now(core, victim->job, victim->assignment);
+      ws_direct_halt(core, victim->job, victim->assignment);
   }
 }
 
--- a/src/core/ws-release-order.c
+++ b/src/core/ws-release-order.c
@@ -1,5 +1,6 @@
 #include "core/ws-release-order.h"
 
+#include "core/ws-gang.h"
 #include "storage/ws-team-use.h"
 
 /* What a release weighs at least; the longer it has been known, the more. */
@@ -69,6 +70,8 @@
   gpointer key = GUINT_TO_POINTER(job->index);
   if (job->spec == NULL)
     return FALSE;
+  if (job->state == WS_JOB_ACTIVE && ws_job_is_gang(job))
+    return get_sum(sums->done_of_job, key) > 0;
   return job->state == WS_JOB_ACTIVE
              ? job->done_count + get_sum(sums->done_of_job, key) == job->tasks
              : job->on_count == get_sum(sums->known_of_job, key);
--- a/src/core/ws-users.c
+++ b/src/core/ws-users.c
@@ -114,6 +114,17 @@
   }
 }
 
+/* Whether all tasks of a gang could ever run at once. */
+static gboolean
+can_gather(const WsCore *core, const WsSubmission *spec)
+{
+  if (spec->kind != WS_KIND_GANG)
+    return TRUE;
+  gboolean is_torn = spec->one_zone && spec->spread && spec->tasks > 1;
+  guint in_record = MIN(spec->tasks, WS_CHUNK_TASKS);
+  return !is_torn && in_record <= ws_chunk_free_places(NULL, core->replica);
+}
+
 static const WsTeamSettings *
 team_settings(const WsCore *core, guint team)
 {
@@ -150,6 +161,8 @@
     return "unknown zone";
   if (!fits_a_type(core, spec))
     return "a task fits no allowed machine type";
+  if (!can_gather(core, spec))
+    return "its tasks can't all run at the same time";
   if (!within_limit(spec, team_settings(core, team)))
     return "needs more than the team's limit";
   return NULL;
--- a/src/core/ws-workers.c
+++ b/src/core/ws-workers.c
@@ -4,6 +4,8 @@
    and its newest report. They are worked out by the machine's owner, who alone may release a task
    or let the worker forget one. */
 #include "core/ws-cloud-list.h"
+#include "core/ws-direct.h"
+#include "core/ws-gang.h"
 #include "core/ws-returns.h"
 
 #include <string.h>
@@ -12,9 +14,9 @@
 /* The part of its lease for which a worker that came back isn't sent away again. */
 #define KEPT_PART 0.6
 #define KNOWN_IMAGES 10
-/* Launches on their way at once; the others go with the answers to reports. Critical ones always
- * go. */
-#define MOST_DIRECT_CALLS 48
+/* The pause after a gang's attempt that was never complete doubles so often. */
+#define FIRST_GANG_BACKOFF_MS 500
+#define MOST_GANG_BACKOFFS 6u
 /* How often a worker is sent to a node that says that none reaches it. */
 #define TRY_UNHEARD_MS 2000
 
@@ -24,118 +26,6 @@
   return core->replica->epoch.number;
 }
 
-/* Direct commands. */
-
-typedef struct {
-  guint machine;
-  guint64 token;
-  guint64 session;
-  gboolean launches;
-} Direct;
-
-static void
-on_direct(WsCore *core, guint status, const json_t *body, gpointer data)
-{
-  Direct *direct = data;
-  WsMachine *machine = ws_replica_machine(core->replica, direct->machine);
-  core->direct_calls--;
-  /* Without an answer the launch may still be carried out minutes later, so the doubt stays until
-     the worker has seen a higher token or begun a new session. */
-  if (status != 0 && direct->launches && machine->doubts > 0
-      && machine->doubt_token == direct->token && machine->doubt_session == direct->session)
-    machine->doubts--;
-  g_autofree char *reason = NULL;
-  g_autoptr(WsReport) report
-      = status == 200 || status == 409 ? ws_report_parse(body, &reason) : NULL;
-  if (report != NULL && strcmp(report->machine, machine->name) == 0 && ws_owns(core, machine))
-    ws_workers_presence(core, machine, report);
-  g_free(direct);
-}
-
-static void
-send_direct(WsCore *core, WsMachine *machine, json_t *commands, gboolean launches)
-{
-  Direct *direct = g_new0(Direct, 1);
-  *direct = (Direct){ machine->index, token(core), machine->session, launches };
-  core->direct_calls++;
-  if (launches) {
-    if (machine->doubts == 0)
-      machine->doubt_ms = core->now;
-    machine->doubts++;
-    machine->doubt_token = direct->token;
-    machine->doubt_session = direct->session;
-  }
-  ws_call(core, "POST", machine->endpoint, "/commands",
-          ws_commands_direct(direct->token, direct->session, commands), 2000, on_direct, direct);
-}
-
-/* Only a machine that has shown our token is spoken to directly; the others learn it from the
-   answer to their next report, along with their commands. */
-static gboolean
-can_send_direct(const WsCore *core, const WsMachine *machine)
-{
-  return machine->endpoint != NULL && machine->token == token(core) && ws_machine_up(core, machine)
-         && !core->unheard && ws_entitled(core);
-}
-
-void
-ws_workers_raise(WsCore *core, WsMachine *machine)
-{
-  send_direct(core, machine, json_array(), FALSE);
-}
-
-static gboolean
-any_critical(const WsCore *core, const GArray *tasks)
-{
-  for (guint i = 0; i < tasks->len; i++) {
-    const WsJob *job = ws_replica_job(core->replica, g_array_index(tasks, WsTaskRef, i).job);
-    if (job->spec != NULL && job->spec->priority == WS_CRITICAL)
-      return TRUE;
-  }
-  return FALSE;
-}
-
-void
-ws_workers_launch_now(WsCore *core, WsMachine *machine, GArray *tasks)
-{
-  if (!can_send_direct(core, machine) || !ws_knows_all_cancellations(core)
-      || (core->direct_calls >= MOST_DIRECT_CALLS && !any_critical(core, tasks)))
-    return;
-  json_t *commands = json_array();
-  for (guint i = 0; i < tasks->len; i++) {
-    const WsTaskRef *ref = &g_array_index(tasks, WsTaskRef, i);
-    const WsJob *job = ws_replica_job(core->replica, ref->job);
-    WsAssignment *assignment = ws_job_assignment(job, ref->task);
-    if (assignment == NULL || job->state != WS_JOB_ACTIVE || ws_cancel_is_known(core, job))
-      continue;
-    json_array_append_new(commands, ws_command_encode(WS_OP_LAUNCH, job->id, assignment->task,
-                                                      assignment->attempt, 0.0));
-  }
-  if (json_array_size(commands) > 0)
-    send_direct(core, machine, commands, TRUE);
-  else
-    json_decref(commands);
-}
-
-static double
-grace(const WsCore *core, const WsJob *job)
-{
-  return !ws_cancel_is_known(core, job) && job->spec->checkpoint_s > 0.0 ? job->spec->save_s + 1.0
-                                                                         : 0.0;
-}
-
-void
-ws_workers_halt_now(WsCore *core, WsJob *job, WsAssignment *assignment)
-{
-  WsMachine *machine = ws_replica_machine(core->replica, assignment->machine);
-  if (!can_send_direct(core, machine))
-    return;
-  json_t *commands = json_array();
-  json_array_append_new(commands, ws_command_encode(WS_OP_HALT, job->id, assignment->task,
-                                                    assignment->attempt, grace(core, job)));
-  send_direct(core, machine, commands, FALSE);
-}
-
 /* What a message says about tasks that are there. */
 
 static void
@@ -168,6 +58,16 @@
   g_info("a task of job %s failed on %s", job->id, machine->name);
 }
 
+/* Its tasks didn't come together in time: that says nothing against a machine or the job, but the
+   next attempt waits, the longer the more often this has happened. */
+static void
+back_off_gang(WsCore *core, WsJob *job)
+{
+  job->incomplete = MIN(job->incomplete + 1, MOST_GANG_BACKOFFS);
+  job->retry_ms = core->now + FIRST_GANG_BACKOFF_MS * (gint64)(1u << job->incomplete);
+  g_info("gang %s was not complete in time", job->id);
+}
+
 static void
 note_exit(WsCore *core, WsMachine *machine, WsJob *job, WsAssignment *assignment, WsExit why)
 {
@@ -178,6 +78,8 @@
     note_error(core, machine, job);
   if (why == WS_EXIT_REFUSED)
     job->retry_ms = core->now + 500;
+  if (why == WS_EXIT_INCOMPLETE)
+    back_off_gang(core, job);
   if (why == WS_EXIT_DONE) {
     machine->bad_jobs = 0;
     machine->last_bad_job = WS_NONE;
@@ -213,7 +115,7 @@
   if (task->state != assignment->state)
     g_debug("task %s/%u on %s: state %d", job->id, assignment->task, machine->name, task->state);
   assignment->state = task->state;
-  if (assignment->state == WS_TASK_RUNNING)
+  if (assignment->state >= WS_TASK_GATHERING)
     remember_image(machine, job->image);
 }
 
@@ -299,6 +201,16 @@
   json_array_append_new(answer->commands, ws_command_encode(op, job, task, attempt, grace_s));
 }
 
+/* Whether the task is stopped because its machine is given back. A running gang is stopped as a
+   whole, see ws_gang_stop. */
+static gboolean
+is_drained(WsCore *core, WsMachine *machine, WsJob *job, const WsAssignment *assignment)
+{
+  if (!machine->marked || (ws_job_is_gang(job) && assignment->state >= WS_TASK_RUNNING))
+    return FALSE;
+  return ws_termination_may_stop(core, machine, job, assignment);
+}
+
 static void
 command_present(Answer *answer, const WsReportTask *task)
 {
@@ -317,9 +229,10 @@
   gboolean is_cancelled = ws_cancel_is_known(answer->core, job);
   if (task->state == WS_TASK_SAVING && !is_cancelled)
     return;
-  if (is_cancelled || assignment->stopping || ws_job_is_broken_gang(job)
-      || (machine->marked && ws_termination_may_stop(answer->core, machine, job, assignment)))
-    command(answer, WS_OP_HALT, task->job, task->task, task->attempt, grace(answer->core, job));
+  if (is_cancelled || assignment->stopping || ws_gang_is_ending(job)
+      || is_drained(answer->core, machine, job, assignment))
+    command(answer, WS_OP_HALT, task->job, task->task, task->attempt,
+            ws_direct_grace_s(answer->core, job, assignment));
 }
 
 static gboolean
@@ -340,7 +253,7 @@
 command_absent(Answer *answer, WsJob *job, WsAssignment *assignment)
 {
   gboolean unwanted = ws_cancel_is_known(answer->core, job) || assignment->stopping
-                      || answer->machine->marked || ws_job_is_broken_gang(job);
+                      || answer->machine->marked || ws_gang_is_ending(job);
   if (!unwanted && !ws_knows_all_cancellations(answer->core))
     return; /* it may be cancelled, and nobody could have told us */
   if (!unwanted) {
--- a/src/protocol/ws-field-names.h
+++ b/src/protocol/ws-field-names.h
@@ -25,6 +25,7 @@
 #define W_NOTICE "vypoved_s"
 #define W_ATTEMPT "pokus"
 #define W_WHY "duvod"
+#define W_SAVED "stored"
 #define W_COMMANDS "prikazy"
 #define W_OP "ukon"
 #define W_GRACE "lhuta_s"
--- a/src/protocol/ws-report.c
+++ b/src/protocol/ws-report.c
@@ -25,7 +25,7 @@
     const char *word;
     WsTaskState state;
   } STATES[] = { { "fetching", WS_TASK_FETCHING },
-                 { "gathering", WS_TASK_FETCHING },
+                 { "gathering", WS_TASK_GATHERING },
                  { "running", WS_TASK_RUNNING },
                  { "flushing", WS_TASK_SAVING },
                  { "exited", WS_TASK_EXITED } };
@@ -41,13 +41,19 @@
 static WsExit
 exit_reason(const char *word)
 {
-  if (g_strcmp0(word, "done") == 0)
-    return WS_EXIT_DONE;
-  if (g_strcmp0(word, "stopped") == 0)
-    return WS_EXIT_STOPPED;
-  if (g_strcmp0(word, "full") == 0 || g_strcmp0(word, "busy") == 0
-      || g_strcmp0(word, "no_such") == 0)
-    return WS_EXIT_REFUSED;
+  static const struct {
+    const char *word;
+    WsExit why;
+  } REASONS[] = { { "done", WS_EXIT_DONE },
+                  { "stopped", WS_EXIT_STOPPED },
+                  { "full", WS_EXIT_REFUSED },
+                  { "busy", WS_EXIT_REFUSED },
+                  { "no_such", WS_EXIT_REFUSED },
+                  { "peers", WS_EXIT_PEERS },
+                  { "incomplete", WS_EXIT_INCOMPLETE } };
+  for (gsize i = 0; i < G_N_ELEMENTS(REASONS); i++)
+    if (g_strcmp0(REASONS[i].word, word) == 0)
+      return REASONS[i].why;
   return WS_EXIT_ERROR;
 }
 
@@ -61,6 +67,7 @@
     return FALSE;
   if (task->state == WS_TASK_EXITED)
     task->why = exit_reason(why);
+  task->saved = json_is_true(json_object_get(item, W_SAVED));
   return TRUE;
 }
 
--- a/src/protocol/ws-report.h
+++ b/src/protocol/ws-report.h
@@ -6,12 +6,21 @@
 typedef enum {
   WS_TASK_ASSIGNED, /* recorded here; the worker has not shown it yet */
   WS_TASK_FETCHING,
+  WS_TASK_GATHERING, /* of a gang: it has its image, and waits for the other tasks */
   WS_TASK_RUNNING,
   WS_TASK_SAVING,
   WS_TASK_EXITED
 } WsTaskState;
 
-typedef enum { WS_EXIT_NONE, WS_EXIT_DONE, WS_EXIT_STOPPED, WS_EXIT_ERROR, WS_EXIT_REFUSED } WsExit;
+typedef enum {
+  WS_EXIT_NONE,
+  WS_EXIT_DONE,
+  WS_EXIT_STOPPED,
+  WS_EXIT_ERROR,
+  WS_EXIT_REFUSED,
+  WS_EXIT_PEERS,     /* of a gang: another of its tasks is gone */
+  WS_EXIT_INCOMPLETE /* of a gang: the others didn't come in time */
+} WsExit;
 
 typedef struct {
   char *job;
@@ -19,6 +28,7 @@
   guint64 attempt;
   WsTaskState state;
   WsExit why;
+  gboolean saved; /* of a task that was stopped: its progress is safe */
 } WsReportTask;
 
 typedef struct {
--- a/src/storage/ws-replica.c
+++ b/src/storage/ws-replica.c
@@ -272,16 +272,15 @@
   return job->spec->image_gb / MAX(ws_replica_type(replica, 0)->fetch_gb_per_s, 0.01);
 }
 
-gboolean
-ws_job_is_broken_gang(const WsJob *job)
+guint64
+ws_job_last_attempt(const WsJob *job)
 {
-  for (guint c = 0; job->spec->kind == WS_KIND_GANG && c < job->chunks->len; c++) {
+  guint64 last = 0;
+  for (guint c = 0; c < job->chunks->len; c++) {
     const WsChunk *chunk = g_ptr_array_index(job->chunks, c);
-    for (guint i = 0; chunk != NULL && i < chunk->on->len; i++)
-      if (g_array_index(chunk->on, WsAssignment, i).attempt < chunk->attempts)
-        return TRUE;
+    last = MAX(last, chunk != NULL ? chunk->attempts : 0);
   }
-  return FALSE;
+  return last;
 }
 
 gboolean
--- a/src/storage/ws-replica.h
+++ b/src/storage/ws-replica.h
@@ -29,6 +29,7 @@
   guint on_count;
   /* soft: */
   guint errors;
+  guint incomplete;    /* ends of a gang's tasks whose others didn't come in time */
   gboolean guaranteed; /* within its team's guarantee, with the team's earlier open jobs */
   gint64 retry_ms;
   gint64 unplaced_ms; /* since when its home could not place it; 0: it could */
@@ -190,9 +191,8 @@
 double ws_job_allowed_s(const WsReplica *replica, const WsJob *job);
 /* How long its image takes to fetch; the catalog must be known. */
 double ws_job_fetch_s(const WsReplica *replica, const WsJob *job);
-/* A gang of which a task has ended early: the others stop too, and all start again together. The
-   tasks of a gang share the attempt number, which rises when one of them ends early. */
-gboolean ws_job_is_broken_gang(const WsJob *job);
+/* The highest attempt number that was given out in any of the job's chunks. */
+guint64 ws_job_last_attempt(const WsJob *job);
 gboolean ws_job_task_done(const WsJob *job, guint task);
 /* The job's assigned tasks by zone. */
 void ws_job_count_zones(const WsReplica *replica, const WsJob *job, guint *counts);
--- a/tests/sim/sim-checker.c
+++ b/tests/sim/sim-checker.c
@@ -18,7 +18,7 @@
     const Machine *machine = g_ptr_array_index(sim->machines, i);
     for (guint k = 0; k < machine->worker->tasks->len; k++) {
       const SimTask *task = &g_array_index(machine->worker->tasks, SimTask, k);
-      if (strcmp(task->state, "running") != 0)
+      if (!sim_task_is_on(task))
         continue;
       const Job *other = sim_find_job(sim, task->job);
       count->same_task += other == job && task->task == number ? 1 : 0;
@@ -57,7 +57,7 @@
 check_cancelled(Sim *sim, const SimTask *task)
 {
   const Job *job = sim_find_job(sim, task->job);
-  if (job->told == TOLD_CANCELLED && strcmp(task->state, "running") == 0
+  if (job->told == TOLD_CANCELLED && sim_task_is_on(task)
       && sim->now_ms > job->cancelled_ms + CANCEL_MS)
     g_error("seed %u, %.1f s: ran_cancelled: %s/%u", sim->seed, sim_now_s(sim), job->id,
             task->task);
@@ -71,12 +71,19 @@
   if (sim->now_ms < task->next_ms || !sim_describe(sim, task->job, task->task, &run_s))
     return;
   if (strcmp(task->state, "fetching") == 0) {
+    gboolean is_gang = sim_find_job(sim, task->job)->spec.gang;
+    if (is_gang)
+      sim_check_one_attempt(sim, task);
     check_start(sim, machine, task);
+    if (is_gang) {
+      sim_gang_task_is_ready(sim, machine, task);
+      return;
+    }
     sim_find_job(sim, task->job)->begun = TRUE;
     task->state = "running";
     task->next_ms = run_s < 0.0 ? G_MAXINT64 : sim->now_ms + (gint64)(run_s * 1000.0);
     machine->report_ms = MIN(machine->report_ms, sim->now_ms + 500);
-  } else if (strcmp(task->state, "running") == 0) {
+  } else if (strcmp(task->state, "running") == 0 && !sim_find_job(sim, task->job)->spec.gang) {
     task->state = "exited";
     task->why = "done";
     Job *job = sim_find_job(sim, task->job);
@@ -191,7 +198,11 @@
 sim_start_by_hand(Sim *sim, guint machine, guint job, guint task)
 {
   const Job *started = g_ptr_array_index(sim->jobs, job);
-  SimTask begun = { g_strdup(started->id), task, 99, "fetching", NULL, sim->now_ms };
+  SimTask begun = { .job = g_strdup(started->id),
+                    .task = task,
+                    .attempt = 99,
+                    .state = "fetching",
+                    .next_ms = sim->now_ms };
   g_array_append_val(((Machine *)g_ptr_array_index(sim->machines, machine))->worker->tasks, begun);
 }
 
--- a/tests/sim/sim-faults.c
+++ b/tests/sim/sim-faults.c
@@ -63,12 +63,25 @@
     machine->hangs_until_ms = sim->now_ms + (gint64)(seconds * 1000.0);
 }
 
+static void
+give_notice(const Sim *sim, Machine *machine, double seconds)
+{
+  if (machine->worker->spot && machine->worker->notice_ms == 0)
+    machine->worker->notice_ms = sim->now_ms + (gint64)(seconds * 1000.0);
+}
+
 void
 sim_notice_machine(Sim *sim, double seconds)
 {
   Machine *machine = any_up(sim);
-  if (machine != NULL && machine->worker->spot && machine->worker->notice_ms == 0)
-    machine->worker->notice_ms = sim->now_ms + (gint64)(seconds * 1000.0);
+  if (machine != NULL)
+    give_notice(sim, machine, seconds);
+}
+
+void
+sim_notice(Sim *sim, guint machine, double seconds)
+{
+  give_notice(sim, g_ptr_array_index(sim->machines, machine), seconds);
 }
 
 void
--- a/tests/sim/sim-private.h
+++ b/tests/sim/sim-private.h
@@ -15,6 +15,19 @@
 
 typedef enum { TOLD_NOTHING, TOLD_ACCEPTED, TOLD_DONE, TOLD_CANCELLED } Told;
 
+/* What the world knows of a gang's attempt that has started. */
+typedef struct {
+  guint64 attempt;    /* 0: none has started */
+  gint64 started_ms;  /* when its tasks began to run together */
+  gint64 stopped_ms;  /* when the first of them was halted; 0: none was */
+  gint64 lost_ms;     /* when one of them was gone; 0: none is */
+  gint64 progress_ms; /* that is safe, of all attempts */
+  gboolean is_over;
+  guint starts;
+  guint losses;
+  guint saves;
+} Gang;
+
 typedef struct {
   char *id;
   SimJob spec;
@@ -27,6 +40,7 @@
   gint64 beside_ms; /* since when a task of it waits beside room; 0: none does */
   gboolean begun;
   guint8 *completed;
+  Gang gang;
 } Job;
 
 typedef struct {
@@ -121,6 +135,9 @@
 void sim_call_unref(Call *call);
 void sim_user_cancels(Sim *sim, Job *job);
 gboolean sim_chance(Sim *sim, double part);
+void sim_check_one_attempt(const Sim *sim, const SimTask *task);
+void sim_gang_task_is_ready(const Sim *sim, Machine *machine, SimTask *task);
+void sim_step_gang(Sim *sim, Job *job);
 void sim_check_known(const Sim *sim, const Job *job);
 void sim_check_waiting(const Sim *sim, Job *job);
 gboolean sim_describe(gpointer world, const char *id, guint task, double *run_s);
--- a/tests/sim/sim-users.c
+++ b/tests/sim/sim-users.c
@@ -147,11 +147,14 @@
       "{s:s, s:s, s:s, s:s, s:s, s:i, s:f, s:f, s:f, s:s, s:f, s:n, s:s?, s:b, s:b, s:b, s:f, s:f,"
       " s:f, s:n}",
       "id", job->id, "trida", spec->service ? "live" : "batch", "dilna", spec->team, "druh",
-      spec->service ? "service" : "sweep", "prednost", spec->priority, "kusy", (int)spec->tasks,
-      "cpus", 8.0, "accelerators", 1.0, "mem_gb", 16.0, "obraz", "img-1", "pull_gb", 2.0, "typy",
-      "hala", spec->zone, "one_zone", spec->one_zone, "scatter", spec->scatter, "vypujcky",
-      spec->spot, "odhad_s", spec->service ? 0.0 : spec->run_s, "zaloha_s", 0.0, "ulozeni_s", 0.0,
-      "termin_s");
+      spec->gang      ? "group"
+      : spec->service ? "service"
+                      : "sweep",
+      "prednost", spec->priority, "kusy", (int)spec->tasks, "cpus", 8.0, "accelerators", 1.0,
+      "mem_gb", 16.0, "obraz", "img-1", "pull_gb", 2.0, "typy", "hala", spec->zone, "one_zone",
+      spec->one_zone, "scatter", spec->scatter, "vypujcky", spec->spot, "odhad_s",
+      spec->service ? 0.0 : spec->run_s, "zaloha_s", spec->gang ? SIM_CHECKPOINT_S : 0.0,
+      "ulozeni_s", spec->gang ? SIM_SAVE_S : 0.0, "termin_s");
   g_assert_nonnull(job->message);
   job->next_ms = sim->now_ms;
   g_ptr_array_add(sim->jobs, job);
--- a/tests/sim/sim.c
+++ b/tests/sim/sim.c
@@ -47,6 +47,7 @@
     sim_step_machine(sim, g_ptr_array_index(sim->machines, i));
   for (guint i = 0; i < sim->jobs->len; i++) {
     sim_step_user(sim, g_ptr_array_index(sim->jobs, i));
+    sim_step_gang(sim, g_ptr_array_index(sim->jobs, i));
     sim_check_known(sim, g_ptr_array_index(sim->jobs, i));
     if (sim->now_ms % 1000 == 0)
       sim_check_waiting(sim, g_ptr_array_index(sim->jobs, i));
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -8,6 +8,8 @@
 #include "core/ws-core.h"
 
 #define SIM_NODES 3
+#define SIM_CHECKPOINT_S 10.0
+#define SIM_SAVE_S 2.0
 
 typedef struct _Sim Sim;
 
@@ -41,6 +43,7 @@
   gboolean scatter;
   gboolean spot;
   gboolean one_zone;
+  gboolean gang;    /* it saves every SIM_CHECKPOINT_S, and takes SIM_SAVE_S to save when stopped */
   const char *zone; /* the only one allowed; NULL: any */
   double run_s;
 } SimJob;
@@ -66,6 +69,11 @@
 /* Users ask about jobs that nobody submitted, cancel what is done, repeat submissions, and send
    some that can't run or lack a field: each must get its answer, or a refusal for now. */
 void sim_odd_requests(Sim *sim);
+/* How often attempts of the gang started, lost a task while they ran, and were stopped with their
+   progress saved. */
+guint sim_gang_starts(const Sim *sim, guint job);
+guint sim_gang_losses(const Sim *sim, guint job);
+guint sim_gang_saves(const Sim *sim, guint job);
 /* Breaks a rule on purpose: the task begins on the machine, whatever anybody decided. */
 void sim_start_by_hand(Sim *sim, guint machine, guint job, guint task);
 /* A machine with a running task of the job, by its place; G_MAXUINT: there is none. */
@@ -84,6 +92,7 @@
 void sim_kill_machine(Sim *sim);
 void sim_hang_machine(Sim *sim, double seconds);
 void sim_notice_machine(Sim *sim, double seconds);
+void sim_notice(Sim *sim, guint machine, double seconds); /* if it may be taken back */
 /* Its reports arrive, but neither answers nor commands reach it. */
 void sim_deafen_machine(Sim *sim, double seconds);
 /* It's back within a fraction of a second, in a new session. */
--- a/tests/sim/worker.c
+++ b/tests/sim/worker.c
@@ -54,6 +54,8 @@
     g_autofree char *name = g_strdup_printf("%s/%u", task->job, task->task);
     json_t *item = json_pack("{s:s, s:I, s:s}", "kus", name, "pokus", (json_int_t)task->attempt,
                              "stav", task->state);
+    if (task->saved)
+      json_object_set_new(item, "stored", json_true());
     if (task->why != NULL)
       json_object_set_new(item, "duvod", json_string(task->why));
     json_array_append_new(tasks, item);
@@ -68,6 +70,12 @@
                    notice, "kusy", tasks);
 }
 
+gboolean
+sim_task_is_on(const SimTask *task)
+{
+  return strcmp(task->state, "fetching") != 0 && strcmp(task->state, "exited") != 0;
+}
+
 /* Fetching tasks count. */
 static guint
 places_taken(const SimWorker *worker)
@@ -84,7 +92,11 @@
 {
   double run_s;
   SimTask *held = sim_worker_find(worker, job, number);
-  SimTask task = { g_strdup(job), number, attempt, "fetching", NULL, now_ms + FETCH_MS };
+  SimTask task = { .job = g_strdup(job),
+                   .task = number,
+                   .attempt = attempt,
+                   .state = "fetching",
+                   .next_ms = now_ms + FETCH_MS };
   if (held != NULL && held->attempt == attempt) {
     g_free(task.job);
     return;
@@ -99,6 +111,22 @@
   g_array_append_val(worker->tasks, task);
 }
 
+/* A task that runs saves if it may take so long; one that saves already goes on. */
+static void
+halt(SimTask *task, gint64 now_ms, double grace_s)
+{
+  gboolean may_save = task->save_ms > 0 && grace_s * 1000.0 >= (double)task->save_ms;
+  if (may_save && strcmp(task->state, "flushing") == 0)
+    return;
+  if (may_save && strcmp(task->state, "running") == 0) {
+    task->state = "flushing";
+    task->next_ms = now_ms + task->save_ms;
+    return;
+  }
+  task->state = "exited";
+  task->why = "stopped";
+}
+
 static void
 execute(SimWorker *worker, gint64 now_ms, const json_t *command, SimDescribe describe,
         gpointer world)
@@ -121,8 +149,7 @@
     if (strcmp(op, "reap") == 0 && exited) {
       g_array_remove_index(worker->tasks, i);
     } else if (strcmp(op, "halt") == 0 && !exited) {
-      task->state = "exited";
-      task->why = "stopped";
+      halt(task, now_ms, json_number_value(json_object_get(command, "lhuta_s")));
     }
     return;
   }
--- a/tests/sim/worker.h
+++ b/tests/sim/worker.h
@@ -10,11 +10,17 @@
   char *job;
   guint task;
   guint64 attempt;
-  const char *state; /* fetching, running, exited */
+  const char *state; /* fetching, gathering, running, flushing, exited */
   const char *why;
-  gint64 next_ms; /* when it has its image, or is done */
+  gint64 next_ms;     /* when it has its image, is done, or has saved */
+  gint64 save_ms;     /* of a gang that runs: how long it saves when it is stopped; else 0 */
+  gint64 gathered_ms; /* of a gang: since when it waits for the others */
+  gboolean saved;     /* exited, and its progress is safe */
 } SimTask;
 
+/* Whether the task takes its place on the machine, and counts for the rules: it has its image. */
+gboolean sim_task_is_on(const SimTask *task);
+
 typedef struct {
   char *name;
   const char *type;
--- a/tests/test-combined-faults.c
+++ b/tests/test-combined-faults.c
@@ -1,7 +1,7 @@
 /* Where troubles meet: each meeting that users have seen break a rule, brought about in a simulated
    world that checks the rules from outside, and pairs and triples of troubles drawn by a generator.
  */
-#include "sim/sim.h"
+#include "sim/troubles.h"
 
 static const SimJob LONG
     = { .tasks = 5, .team = "red", .priority = "standard", .spot = TRUE, .run_s = 300.0 };
@@ -123,58 +123,13 @@
   void (*play)(Sim *sim);
 } CombinedFaults;
 
-static void
-add_load(Sim *sim, guint rounds)
-{
-  static const SimJob JOBS[]
-      = { { .tasks = 4, .team = "red", .priority = "best_effort", .spot = TRUE, .run_s = 25.0 },
-          { .tasks = 2, .team = "blue", .priority = "standard", .run_s = 12.0 },
-          { .tasks = 3, .team = "red", .priority = "standard", .run_s = 6.0, .zone = "b" },
-          { .tasks = 3, .team = "blue", .priority = "standard", .run_s = 9.0, .one_zone = TRUE },
-          { .tasks = 9, .team = "blue", .priority = "best_effort", .spot = TRUE, .run_s = 14.0 } };
-  for (guint i = 0; i < rounds; i++)
-    for (guint k = 0; k < G_N_ELEMENTS(JOBS); k++)
-      sim_submit(sim, &JOBS[k]);
-}
-
-static void
-cancel_some(Sim *sim, guint count)
-{
-  for (guint i = 0; i < count; i++)
-    sim_cancel_any(sim);
-}
-
-static guint
-other_than(guint node)
-{
-  return (node + 1) % SIM_NODES;
-}
-
-static guint
-leader_of(const Sim *sim)
-{
-  guint leader = sim_leader(sim);
-  return leader < SIM_NODES ? leader : 0;
-}
-
-/* Machines of running jobs, some of which are in trouble together. */
-static void
-trouble_machines(Sim *sim, guint count, void (*trouble)(Sim *, guint, double), double seconds)
-{
-  for (guint i = 0; i < count; i++) {
-    guint machine = sim_any_machine(sim);
-    if (machine != G_MAXUINT)
-      trouble(sim, machine, seconds);
-  }
-}
-
 static void
 play_leaders_change(Sim *sim)
 {
   for (guint i = 0; i < 10; i++) {
     sim_faults(sim)->state_out = i == 4 || i == 5;
-    sim_crash(sim, leader_of(sim), g_rand_double_range(sim_rand(sim), 0.1, 7.0));
-    cancel_some(sim, 1);
+    sim_crash(sim, sim_leader_or_first(sim), g_rand_double_range(sim_rand(sim), 0.1, 7.0));
+    sim_cancel_some(sim, 1);
     sim_run(sim, 12.0);
   }
 }
@@ -183,9 +138,9 @@
 play_held_up(Sim *sim)
 {
   for (guint i = 0; i < 6; i++) {
-    trouble_machines(sim, 2, sim_hang, g_rand_double_range(sim_rand(sim), 1.0, 9.0));
-    cancel_some(sim, 1);
-    add_load(sim, 1);
+    sim_trouble_machines(sim, 2, sim_hang, g_rand_double_range(sim_rand(sim), 1.0, 9.0));
+    sim_cancel_some(sim, 1);
+    sim_add_load(sim, 1);
     sim_run(sim, 8.0);
   }
 }
@@ -193,11 +148,11 @@
 static void
 play_leader_ends_unreached(Sim *sim)
 {
-  trouble_machines(sim, 2, sim_hang, 8.0);
-  trouble_machines(sim, 2, sim_deafen, 15.0);
-  sim_crash(sim, leader_of(sim), 5.0);
+  sim_trouble_machines(sim, 2, sim_hang, 8.0);
+  sim_trouble_machines(sim, 2, sim_deafen, 15.0);
+  sim_crash(sim, sim_leader_or_first(sim), 5.0);
   sim_run(sim, 4.0);
-  cancel_some(sim, 3);
+  sim_cancel_some(sim, 3);
   sim_run(sim, 30.0);
 }
 
@@ -205,8 +160,8 @@
 play_mute(Sim *sim)
 {
   for (guint i = 0; i < 5; i++)
-    trouble_machines(sim, 1, sim_mute, 45.0);
-  cancel_some(sim, 2);
+    sim_trouble_machines(sim, 1, sim_mute, 45.0);
+  sim_cancel_some(sim, 2);
   sim_run(sim, 50.0);
 }
 
@@ -217,7 +172,7 @@
   sim_faults(sim)->cut = 1u << zone;
   sim_faults(sim)->alone = 1u << zone;
   sim_run(sim, 5.0);
-  cancel_some(sim, 4);
+  sim_cancel_some(sim, 4);
   sim_run(sim, 45.0);
 }
 
@@ -225,9 +180,9 @@
 play_no_room(Sim *sim)
 {
   sim_faults(sim)->most_machines = 3;
-  add_load(sim, 2);
+  sim_add_load(sim, 2);
   sim_run(sim, 60.0);
-  sim_crash(sim, leader_of(sim), 1.0);
+  sim_crash(sim, sim_leader_or_first(sim), 1.0);
   sim_run(sim, 30.0);
 }
 
@@ -239,7 +194,7 @@
     sim_faults(sim)->most_machines = 1 + i; /* the second task begins when the first has ended */
     sim_submit(sim, &PAIR);
     sim_run(sim, 9.0);
-    sim_crash(sim, leader_of(sim), 3.0);
+    sim_crash(sim, sim_leader_or_first(sim), 3.0);
     sim_run(sim, 6.0);
   }
 }
@@ -250,7 +205,7 @@
   for (guint n = 0; n < SIM_NODES; n++)
     sim_crash(sim, n, 14.0 + n);
   sim_run(sim, 16.0);
-  cancel_some(sim, 3);
+  sim_cancel_some(sim, 3);
   sim_run(sim, 20.0);
 }
 
@@ -258,7 +213,7 @@
 play_cancel_at_end(Sim *sim)
 {
   sim_cancel_at_end(sim, 0.7);
-  add_load(sim, 2);
+  sim_add_load(sim, 2);
   sim_run(sim, 60.0);
 }
 
@@ -266,27 +221,27 @@
 play_slow_then_out(Sim *sim)
 {
   sim_faults(sim)->slow_state_ms = 1500;
-  cancel_some(sim, 2);
+  sim_cancel_some(sim, 2);
   sim_run(sim, 10.0);
-  sim_faults(sim)->state_refuses = 1u << leader_of(sim);
-  cancel_some(sim, 3);
+  sim_faults(sim)->state_refuses = 1u << sim_leader_or_first(sim);
+  sim_cancel_some(sim, 3);
   sim_run(sim, 2.0);
   sim_faults(sim)->state_out = TRUE;
-  cancel_some(sim, 2);
+  sim_cancel_some(sim, 2);
   sim_run(sim, 45.0);
 }
 
 static void
 play_hand_over_and_back(Sim *sim)
 {
-  guint leader = leader_of(sim);
+  guint leader = sim_leader_or_first(sim);
   sim_crash(sim, leader, 6.0);
   sim_run(sim, 7.0);
-  sim_crash(sim, leader_of(sim), 0.3);
+  sim_crash(sim, sim_leader_or_first(sim), 0.3);
   sim_run(sim, 0.5);
   for (guint n = 0; n < SIM_NODES; n++)
     sim_crash(sim, n, n == leader ? 0.4 : 20.0);
-  cancel_some(sim, 2);
+  sim_cancel_some(sim, 2);
   sim_run(sim, 1.0);
   sim_crash(sim, leader, 0.2);
   sim_run(sim, 25.0);
@@ -297,11 +252,11 @@
 {
   sim_faults(sim)->late_writes = 0.3;
   for (guint i = 0; i < 6; i++) {
-    cancel_some(sim, 1);
-    add_load(sim, 1);
+    sim_cancel_some(sim, 1);
+    sim_add_load(sim, 1);
     sim_run(sim, 10.0);
     if (i % 2 == 1)
-      sim_crash(sim, leader_of(sim), 0.2);
+      sim_crash(sim, sim_leader_or_first(sim), 0.2);
   }
 }
 
@@ -310,7 +265,7 @@
 {
   sim_faults(sim)->copies = 0.5;
   for (guint i = 0; i < 6; i++) {
-    trouble_machines(sim, 1, sim_hang, 14.0); /* a new session */
+    sim_trouble_machines(sim, 1, sim_hang, 14.0); /* a new session */
     sim_restart_machine(sim);
     sim_run(sim, 8.0);
   }
@@ -324,10 +279,10 @@
   sim_submit(sim, &FULL);
   sim_submit(sim, &FULL);
   sim_run(sim, 20.0);
-  trouble_machines(sim, 2, sim_hang, 10.0);
-  sim_crash(sim, leader_of(sim), 2.0);
+  sim_trouble_machines(sim, 2, sim_hang, 10.0);
+  sim_crash(sim, sim_leader_or_first(sim), 2.0);
   sim_run(sim, 1.0);
-  cancel_some(sim, 3);
+  sim_cancel_some(sim, 3);
   sim_run(sim, 30.0);
 }
 
@@ -338,7 +293,7 @@
     sim_faults(sim)->net.late = 0.4;
     sim_run(sim, 3.0);
     sim_faults(sim)->net.late = 0.0;
-    sim_crash(sim, leader_of(sim), 3.0);
+    sim_crash(sim, sim_leader_or_first(sim), 3.0);
     sim_run(sim, 9.0);
   }
 }
@@ -346,7 +301,7 @@
 static void
 play_bound_to_a_zone(Sim *sim)
 {
-  add_load(sim, 2);
+  sim_add_load(sim, 2);
   sim_run(sim, 10.0);
   for (guint i = 0; i < 8; i++) {
     sim_kill_machine(sim);
@@ -359,21 +314,21 @@
 static void
 play_leader_with_workers_only(Sim *sim)
 {
-  guint leader = leader_of(sim);
+  guint leader = sim_leader_or_first(sim);
   sim_faults(sim)->alone = 1u << leader;
   sim_run(sim, 1.0);
-  cancel_some(sim, 4);
+  sim_cancel_some(sim, 4);
   sim_run(sim, 50.0);
 }
 
 static void
 play_standing_still(Sim *sim)
 {
-  guint leader = leader_of(sim);
+  guint leader = sim_leader_or_first(sim);
   sim_freeze(sim, leader, 40.0);
-  cancel_some(sim, 3);
+  sim_cancel_some(sim, 3);
   sim_run(sim, 20.0);
-  sim_freeze(sim, other_than(leader), 6.0);
+  sim_freeze(sim, sim_other_node(leader), 6.0);
   sim_run(sim, 25.0);
 }
 
@@ -398,338 +353,26 @@
   { "standing-still", play_standing_still },
 };
 
-/* Once the troubles are over everything is served, without anybody cancelling; nothing leaks. */
-static void
-serve_all(Sim *sim)
-{
-  sim_calm(sim);
-  for (guint i = 0; i < 400 && sim_open_jobs(sim) > 0; i++)
-    sim_run(sim, 1.0);
-  if (sim_open_jobs(sim) > 0)
-    g_error("%u jobs are not served", sim_open_jobs(sim));
-  sim_run(sim, 150.0);
-  if (sim_machines(sim) > 0 || sim_marks(sim) > 0 || sim_unrecorded(sim) > 0)
-    g_error("%u machines leaked, %u without a record, %u marks", sim_machines(sim),
-            sim_unrecorded(sim), sim_marks(sim));
-}
-
-static Sim *
-loaded_world(guint32 seed)
-{
-  Sim *sim = sim_new(seed);
-  sim_run(sim, 3.0);
-  add_load(sim, 1);
-  sim_run(sim, 18.0);
-  add_load(sim, 1);
-  return sim;
-}
-
-/* As many more as one likes: WS_SEEDS=100 test-combined-faults */
-static guint
-seeds(guint usual)
-{
-  const char *wanted = g_getenv("WS_SEEDS");
-  return wanted != NULL ? (guint)g_ascii_strtoull(wanted, NULL, 10) : usual;
-}
-
 static void
 test_combined_faults(gconstpointer data)
 {
   const CombinedFaults *faults = data;
-  for (guint32 seed = 600; seed < 600 + seeds(3); seed++) {
+  for (guint32 seed = 600; seed < 600 + sim_seed_count(3); seed++) {
     g_test_message("%s, seed %u", faults->name, seed);
-    Sim *sim = loaded_world(seed);
+    Sim *sim = sim_loaded_world(seed);
     faults->play(sim);
-    serve_all(sim);
+    sim_serve_all(sim);
     sim_free(sim);
   }
 }
 
-/* Pairs and triples of troubles that overlap, drawn from a seed. */
-
-typedef struct {
-  const char *name;
-  void (*begin)(Sim *sim, double seconds);
-  void (*end)(Sim *sim);
-} Trouble;
-
-static void
-begin_refused(Sim *sim, double seconds)
-{
-  (void)seconds;
-  sim_faults(sim)->state_refuses
-      = 1u << (g_rand_boolean(sim_rand(sim)) ? leader_of(sim) : other_than(leader_of(sim)));
-}
-
-static void
-end_refused(Sim *sim)
-{
-  sim_faults(sim)->state_refuses = 0;
-}
-
-static void
-begin_outage(Sim *sim, double seconds)
-{
-  (void)seconds;
-  sim_faults(sim)->state_out = TRUE;
-}
-
-static void
-end_outage(Sim *sim)
-{
-  sim_faults(sim)->state_out = FALSE;
-}
-
-static void
-begin_slow(Sim *sim, double seconds)
-{
-  (void)seconds;
-  sim_faults(sim)->slow_state_ms = 1200;
-}
-
-static void
-end_slow(Sim *sim)
-{
-  sim_faults(sim)->slow_state_ms = 0;
-}
-
-static void
-begin_late_writes(Sim *sim, double seconds)
-{
-  (void)seconds;
-  sim_faults(sim)->late_writes = 0.2;
-}
-
-static void
-end_late_writes(Sim *sim)
-{
-  sim_faults(sim)->late_writes = 0.0;
-}
-
-static void
-begin_copies(Sim *sim, double seconds)
-{
-  (void)seconds;
-  sim_faults(sim)->copies = 0.4;
-}
-
-static void
-end_copies(Sim *sim)
-{
-  sim_faults(sim)->copies = 0.0;
-}
-
-static void
-begin_net(Sim *sim, double seconds)
-{
-  (void)seconds;
-  sim_faults(sim)->net = (SimNet){ 0.05, 0.05, 0.1 };
-}
-
-static void
-end_net(Sim *sim)
-{
-  sim_faults(sim)->net = (SimNet){ 0 };
-}
-
-static void
-begin_cut(Sim *sim, double seconds)
-{
-  (void)seconds;
-  sim_faults(sim)->cut = 1u << g_rand_int_range(sim_rand(sim), 0, SIM_NODES);
-}
-
-static void
-end_cut(Sim *sim)
-{
-  sim_faults(sim)->cut = 0;
-}
-
-static void
-begin_alone(Sim *sim, double seconds)
-{
-  (void)seconds;
-  sim_faults(sim)->alone = 1u << leader_of(sim);
-}
-
-static void
-end_alone(Sim *sim)
-{
-  sim_faults(sim)->alone = 0;
-}
-
-static void
-begin_unheard(Sim *sim, double seconds)
-{
-  (void)seconds;
-  sim_faults(sim)->unheard = 1u << g_rand_int_range(sim_rand(sim), 0, SIM_NODES);
-}
-
-static void
-end_unheard(Sim *sim)
-{
-  sim_faults(sim)->unheard = 0;
-}
-
-static void
-begin_cloud(Sim *sim, double seconds)
-{
-  (void)seconds;
-  sim_faults(sim)->cloud_out = TRUE;
-}
-
-static void
-end_cloud(Sim *sim)
-{
-  sim_faults(sim)->cloud_out = FALSE;
-}
-
-static void
-begin_cancel_at_end(Sim *sim, double seconds)
-{
-  (void)seconds;
-  sim_cancel_at_end(sim, 0.5);
-}
-
-static void
-end_cancel_at_end(Sim *sim)
-{
-  sim_cancel_at_end(sim, 0.0);
-}
-
-static void
-begin_bulk(Sim *sim, double seconds)
-{
-  (void)seconds;
-  trouble_machines(sim, 2, sim_hang, 8.0);
-  cancel_some(sim, 5);
-}
-
-static void
-begin_deaf(Sim *sim, double seconds)
-{
-  trouble_machines(sim, 2, sim_deafen, seconds);
-}
-
-static void
-begin_mute(Sim *sim, double seconds)
-{
-  trouble_machines(sim, 2, sim_mute, seconds);
-}
-
-static void
-begin_hang(Sim *sim, double seconds)
-{
-  trouble_machines(sim, 3, sim_hang, MIN(seconds, 20.0));
-}
-
-static void
-begin_crash(Sim *sim, double seconds)
-{
-  sim_crash(sim, leader_of(sim), MIN(seconds, 8.0));
-}
-
-static void
-begin_crash_all(Sim *sim, double seconds)
-{
-  for (guint n = 0; n < SIM_NODES; n++)
-    sim_crash(sim, n, g_rand_double_range(sim_rand(sim), 0.1, MIN(seconds, 14.0)));
-}
-
-static void
-begin_freeze(Sim *sim, double seconds)
-{
-  sim_freeze(sim, (guint)g_rand_int_range(sim_rand(sim), 0, SIM_NODES), seconds);
-}
-
-static void
-begin_kill(Sim *sim, double seconds)
-{
-  (void)seconds;
-  for (guint i = 0; i < 2; i++)
-    sim_kill_machine(sim);
-  sim_restart_machine(sim);
-}
-
-static void
-begin_odd(Sim *sim, double seconds)
-{
-  (void)seconds;
-  for (guint i = 0; i < 5; i++) {
-    sim_odd_requests(sim);
-    sim_run(sim, 0.7);
-  }
-}
-
-static const Trouble TROUBLES[] = {
-  { "odd-requests", begin_odd, NULL },
-  { "refused", begin_refused, end_refused },
-  { "outage", begin_outage, end_outage },
-  { "slow", begin_slow, end_slow },
-  { "late-writes", begin_late_writes, end_late_writes },
-  { "copies", begin_copies, end_copies },
-  { "net", begin_net, end_net },
-  { "cut", begin_cut, end_cut },
-  { "alone", begin_alone, end_alone },
-  { "unheard", begin_unheard, end_unheard },
-  { "cloud-out", begin_cloud, end_cloud },
-  { "cancel-at-end", begin_cancel_at_end, end_cancel_at_end },
-  { "bulk", begin_bulk, NULL },
-  { "deaf", begin_deaf, NULL },
-  { "mute", begin_mute, NULL },
-  { "hang", begin_hang, NULL },
-  { "crash", begin_crash, NULL },
-  { "crash-all", begin_crash_all, NULL },
-  { "freeze", begin_freeze, NULL },
-  { "kill", begin_kill, NULL },
-};
-
-typedef struct {
-  const Trouble *trouble;
-  double at_s;
-  double for_s;
-  gboolean begun;
-  gboolean over;
-} Drawn;
-
-static void
-step_drawn(Sim *sim, Drawn *drawn, double now_s)
-{
-  if (!drawn->begun && now_s >= drawn->at_s) {
-    drawn->begun = TRUE;
-    drawn->trouble->begin(sim, drawn->for_s);
-  }
-  if (drawn->begun && !drawn->over && now_s >= drawn->at_s + drawn->for_s) {
-    drawn->over = TRUE;
-    if (drawn->trouble->end != NULL)
-      drawn->trouble->end(sim);
-  }
-}
-
 static void
 drawn_day(guint32 seed)
 {
-  Sim *sim = loaded_world(seed);
-  GRand *rand = sim_rand(sim);
-  Drawn drawn[3];
-  guint count = 2 + (guint)g_rand_int_range(rand, 0, 2);
-  for (guint i = 0; i < count; i++) {
-    guint which = (guint)g_rand_int_range(rand, 0, G_N_ELEMENTS(TROUBLES));
-    drawn[i] = (Drawn){ &TROUBLES[which], g_rand_double_range(rand, 0.0, 8.0),
-                        g_rand_double_range(rand, 2.0, 50.0), FALSE, FALSE };
-    g_test_message("seed %u: %s at %.1f s for %.1f s", seed, drawn[i].trouble->name, drawn[i].at_s,
-                   drawn[i].for_s);
-  }
-  for (guint step = 0; step < 120; step++) {
-    double now_s = 0.5 * step;
-    for (guint i = 0; i < count; i++)
-      step_drawn(sim, &drawn[i], now_s);
-    if (g_rand_int_range(rand, 0, 16) == 0)
-      cancel_some(sim, 1);
-    sim_run(sim, 0.5);
-  }
-  serve_all(sim);
-  begin_odd(sim, 0.0);
+  Sim *sim = sim_loaded_world(seed);
+  sim_play_drawn_troubles(sim);
+  sim_serve_all(sim);
+  sim_ask_odd_things(sim);
   sim_free(sim);
 }
 
@@ -738,7 +381,7 @@
 {
   const char *only = g_getenv("WS_SEED");
   guint32 first = only != NULL ? (guint32)g_ascii_strtoull(only, NULL, 10) : 1000;
-  guint32 count = only != NULL ? 1 : seeds(40);
+  guint32 count = only != NULL ? 1 : sim_seed_count(40);
   for (guint32 seed = first; seed < first + count; seed++)
     drawn_day(seed);
 }
@@ -748,9 +391,9 @@
 static void
 test_waits_beside_room(void)
 {
-  Sim *sim = loaded_world(602);
+  Sim *sim = sim_loaded_world(602);
   play_held_up(sim);
-  serve_all(sim);
+  sim_serve_all(sim);
   sim_free(sim);
 }
 
--- /dev/null
+++ b/tests/test-gangs.c
@@ -0,0 +1,474 @@
+/* Gangs: all tasks run together or none does, whatever happens to machines and controllers. */
+#include "core/ws-gang.h"
+#include "sim/rig.h"
+#include "sim/troubles.h"
+
+#include <string.h>
+
+/* More than one machine has room for. */
+#define GANG_TASKS 6
+
+static const SimJob GANG = { .tasks = GANG_TASKS,
+                             .gang = TRUE,
+                             .team = "blue",
+                             .priority = "standard",
+                             .spot = TRUE,
+                             .one_zone = TRUE,
+                             .run_s = 25.0 };
+static const SimJob WIDE_GANG
+    = { .tasks = 6, .gang = TRUE, .team = "red", .priority = "standard", .run_s = 20.0 };
+
+/* The phase, for records and states in any order. */
+
+typedef struct {
+  guint assigned;
+  guint older; /* tasks of the attempt before */
+  guint stopping;
+  guint states[WS_TASK_EXITED + 1];
+} Expected;
+
+static WsJob *
+generate_gang(GRand *rand, Expected *expected)
+{
+  WsJob *job = g_new0(WsJob, 1);
+  WsChunk *chunk = ws_chunk_copy(NULL);
+  job->spec = g_new0(WsSubmission, 1);
+  job->spec->kind = WS_KIND_GANG;
+  job->tasks = GANG_TASKS;
+  job->chunks = g_ptr_array_new();
+  g_ptr_array_add(job->chunks, chunk);
+  chunk->attempts = 7;
+  for (guint task = 0; task < GANG_TASKS; task++) {
+    if (g_rand_int_range(rand, 0, 8) == 0)
+      continue;
+    WsAssignment assignment = { .task = task, .attempt = 7 };
+    assignment.state = (WsTaskState)g_rand_int_range(rand, WS_TASK_ASSIGNED, WS_TASK_EXITED);
+    assignment.attempt -= g_rand_int_range(rand, 0, 8) == 0 ? 1 : 0;
+    assignment.stopping = g_rand_int_range(rand, 0, 8) == 0;
+    expected->assigned++;
+    expected->older += assignment.attempt < 7 ? 1 : 0;
+    expected->stopping += assignment.stopping ? 1 : 0;
+    expected->states[assignment.state]++;
+    ws_chunk_add(chunk, &assignment);
+  }
+  job->on_count = expected->assigned;
+  return job;
+}
+
+static void
+free_gang(WsJob *job)
+{
+  ws_chunk_free(g_ptr_array_index(job->chunks, 0));
+  g_ptr_array_unref(job->chunks);
+  g_free(job->spec);
+  g_free(job);
+}
+
+static WsGangPhase
+expected_phase(const Expected *expected)
+{
+  if (expected->assigned == 0)
+    return WS_GANG_WAITING;
+  if (expected->older > 0)
+    return WS_GANG_ENDING;
+  if (expected->stopping + expected->states[WS_TASK_SAVING] > 0)
+    return WS_GANG_STOPPING;
+  if (expected->states[WS_TASK_RUNNING] > 0)
+    return WS_GANG_RUNNING;
+  return expected->states[WS_TASK_GATHERING] == GANG_TASKS ? WS_GANG_GATHERING : WS_GANG_LAUNCHED;
+}
+
+static void
+test_phase(void)
+{
+  for (guint32 seed = 1; seed <= 300; seed++) {
+    g_autoptr(GRand) rand = g_rand_new_with_seed(seed);
+    Expected expected = { 0 };
+    WsJob *job = generate_gang(rand, &expected);
+    g_test_message("seed %u", seed);
+    g_assert_cmpint(ws_gang_phase(job), ==, expected_phase(&expected));
+    g_assert_true(ws_gang_is_ending(job) == (expected.older > 0));
+    free_gang(job);
+  }
+}
+
+/* Whole worlds. */
+
+static Sim *
+gang_world(guint32 seed, const SimJob *gang)
+{
+  Sim *sim = sim_new(seed);
+  g_test_message("seed %u", seed);
+  sim_properties(sim)->hold_s = 30.0;
+  sim_run(sim, 3.0);
+  sim_submit(sim, gang);
+  return sim;
+}
+
+static void
+run_until_started(Sim *sim)
+{
+  for (guint i = 0; i < 600 && sim_gang_starts(sim, 0) == 0; i++)
+    sim_run(sim, 0.1);
+  g_assert_cmpuint(sim_gang_starts(sim, 0), ==, 1);
+}
+
+static void
+test_runs_together(void)
+{
+  for (guint32 seed = 800; seed < 804; seed++) {
+    Sim *sim = gang_world(seed, seed % 2 == 0 ? &GANG : &WIDE_GANG);
+    run_until_started(sim);
+    sim_serve_all(sim);
+    g_assert_cmpuint(sim_gang_starts(sim, 0), ==, 1);
+    g_assert_cmpuint(sim_gang_losses(sim, 0), ==, 0);
+    sim_free(sim);
+  }
+}
+
+/* The loss of one task is that of the attempt; the next one starts when nothing of it is left,
+   which the world checks. */
+static void
+test_loses_machine(void)
+{
+  static void (*const TROUBLES[])(Sim *, guint, double) = { sim_hang, sim_deafen, sim_mute };
+  static const double SECONDS[] = { 20.0, 60.0, 60.0 };
+  for (guint32 seed = 810; seed < 822; seed++) {
+    guint kind = (seed - 810) / 4;
+    Sim *sim = gang_world(seed, seed % 2 == 0 ? &GANG : &WIDE_GANG);
+    run_until_started(sim);
+    sim_run(sim, 3.0);
+    TROUBLES[kind](sim, sim_machine_of(sim, 0), SECONDS[kind]);
+    sim_run(sim, 60.0);
+    sim_serve_all(sim);
+    sim_free(sim);
+  }
+}
+
+/* A machine that hangs for less than its lease takes the attempt with it, and holds its own task
+   until it goes on. */
+static void
+test_short_hang(void)
+{
+  for (guint32 seed = 825; seed < 829; seed++) {
+    Sim *sim = gang_world(seed, &GANG);
+    run_until_started(sim);
+    sim_run(sim, 2.0);
+    sim_hang(sim, sim_machine_of(sim, 0), 7.0);
+    sim_run(sim, 30.0);
+    sim_serve_all(sim);
+    g_assert_cmpuint(sim_gang_losses(sim, 0), ==, 1);
+    g_assert_cmpuint(sim_gang_starts(sim, 0), ==, 2);
+    sim_free(sim);
+  }
+}
+
+/* A notice of one machine stops the whole gang at once, with the time that it needs to save. */
+static void
+test_orderly_stop(void)
+{
+  for (guint32 seed = 830; seed < 836; seed++) {
+    Sim *sim = gang_world(seed, &GANG);
+    run_until_started(sim);
+    sim_run(sim, 6.0);
+    sim_notice(sim, sim_machine_of(sim, 0), 20.0);
+    sim_run(sim, 25.0);
+    sim_serve_all(sim);
+    g_assert_cmpuint(sim_gang_saves(sim, 0), ==, 1);
+    g_assert_cmpuint(sim_gang_losses(sim, 0), ==, 0);
+    sim_free(sim);
+  }
+}
+
+/* Controllers end at any step of a start, a loss or a stop. */
+static void
+test_leader_ends(void)
+{
+  for (guint32 seed = 850; seed < 850 + sim_seed_count(10); seed++) {
+    Sim *sim = gang_world(seed, seed % 3 == 0 ? &WIDE_GANG : &GANG);
+    for (guint i = 0; i < 5; i++) {
+      sim_run(sim, g_rand_double_range(sim_rand(sim), 0.5, 6.0));
+      if (sim_machine_of(sim, 0) != G_MAXUINT)
+        sim_notice(sim, sim_machine_of(sim, 0), 20.0);
+      sim_run(sim, g_rand_double_range(sim_rand(sim), 0.0, 1.0));
+      sim_crash(sim, sim_leader_or_first(sim), g_rand_double_range(sim_rand(sim), 0.1, 6.0));
+    }
+    sim_serve_all(sim);
+    sim_free(sim);
+  }
+}
+
+/* A cancellation in any phase, also in the middle of a stop; the world checks cancel_s. */
+static void
+test_cancelled(void)
+{
+  for (guint32 seed = 870; seed < 870 + sim_seed_count(12); seed++) {
+    Sim *sim = gang_world(seed, &GANG);
+    sim_run(sim, g_rand_double_range(sim_rand(sim), 0.0, 30.0));
+    if (seed % 2 == 0 && sim_machine_of(sim, 0) != G_MAXUINT)
+      sim_notice(sim, sim_machine_of(sim, 0), 20.0);
+    sim_run(sim, 0.5);
+    sim_cancel(sim, 0);
+    sim_run(sim, 35.0);
+    sim_serve_all(sim);
+    g_assert_cmpuint(sim_late_starts(sim), ==, 0);
+    sim_free(sim);
+  }
+}
+
+/* A cut between zones goes through a gang whose tasks may be in any. */
+static void
+test_cut_through(void)
+{
+  for (guint32 seed = 890; seed < 894; seed++) {
+    Sim *sim = gang_world(seed, &WIDE_GANG);
+    run_until_started(sim);
+    sim_run(sim, 2.0);
+    sim_faults(sim)->cut = 1u << (seed % SIM_NODES);
+    sim_run(sim, seed % 2 == 0 ? 8.0 : 40.0);
+    sim_serve_all(sim);
+    sim_free(sim);
+  }
+}
+
+/* Gangs among arrays and services, while troubles meet. */
+static void
+test_drawn(void)
+{
+  const char *only = g_getenv("WS_SEED");
+  guint32 first = only != NULL ? (guint32)g_ascii_strtoull(only, NULL, 10) : 2000;
+  guint32 count = only != NULL ? 1 : sim_seed_count(25);
+  for (guint32 seed = first; seed < first + count; seed++) {
+    g_test_message("seed %u", seed);
+    Sim *sim = sim_loaded_world(seed);
+    for (guint i = 0; i < 3; i++)
+      sim_submit(sim, i == 1 ? &WIDE_GANG : &GANG);
+    sim_run(sim, g_rand_double_range(sim_rand(sim), 0.0, 25.0));
+    sim_submit(sim, &GANG);
+    sim_play_drawn_troubles(sim);
+    sim_serve_all(sim);
+    sim_free(sim);
+  }
+}
+
+/* The world objects when two attempts hold places at once. */
+static void
+test_objects_two_attempts(void)
+{
+  if (g_test_subprocess()) {
+    Sim *sim = gang_world(899, &GANG);
+    run_until_started(sim);
+    sim_start_by_hand(sim, sim_machine_of(sim, 0), 0, 1);
+    sim_run(sim, 2.0);
+    sim_free(sim);
+    return;
+  }
+  g_test_trap_subprocess(NULL, 0, G_TEST_SUBPROCESS_DEFAULT);
+  g_test_trap_assert_failed();
+  g_test_trap_assert_stderr("*two attempts of gang*");
+}
+
+/* One controller and a scripted worker. */
+
+static json_t *
+gang_submission(guint tasks)
+{
+  json_t *submission = rig_submission();
+  json_object_set_new(submission, "druh", json_string("group"));
+  json_object_set_new(submission, "kusy", json_integer(tasks));
+  json_object_set_new(submission, "zaloha_s", json_real(20.0));
+  json_object_set_new(submission, "ulozeni_s", json_real(3.0));
+  return submission;
+}
+
+static Rig *
+rig_with_machine(void)
+{
+  Rig *rig = rig_bare(TRUE);
+  rig_send_report(rig, 0, json_array());
+  rig_send_report(rig, 1, json_array());
+  return rig;
+}
+
+static void
+test_refusals(void)
+{
+  static const struct {
+    const char *field;
+    gboolean value;
+    guint tasks;
+    guint status;
+  } CASES[] = { { "one_zone", TRUE, 2, 201 },  { "one_zone", TRUE, 7, 422 },
+                { "scatter", TRUE, 2, 201 },   { "druh", FALSE, 2, 400 },
+                { "one_zone", FALSE, 6, 201 }, { "one_zone", FALSE, 200, 422 } };
+  for (guint i = 0; i < G_N_ELEMENTS(CASES); i++) {
+    Rig *rig = rig_with_machine();
+    json_t *submission = gang_submission(CASES[i].tasks);
+    json_object_set_new(submission, CASES[i].field, json_boolean(CASES[i].value));
+    rig_ask(rig, "POST", "/api/jobs", submission);
+    g_assert_cmpuint(rig->status, ==, CASES[i].status);
+    rig_free(rig);
+  }
+  Rig *rig = rig_with_machine();
+  json_t *torn = gang_submission(2);
+  json_object_set_new(torn, "one_zone", json_true());
+  json_object_set_new(torn, "scatter", json_true());
+  rig_ask(rig, "POST", "/api/jobs", torn);
+  g_assert_cmpuint(rig->status, ==, 422);
+  rig_free(rig);
+}
+
+static json_t *
+two_tasks(const char *first, const char *why, const char *second)
+{
+  return json_pack("[{s:s, s:i, s:s, s:s?}, {s:s, s:i, s:s}]", "kus", "req-1/0", "pokus", 1, "stav",
+                   first, "duvod", why, "kus", "req-1/1", "pokus", 1, "stav", second);
+}
+
+/* The grace of the halt in the last answer for the task, NULL for any; negative: it has none. */
+static double
+halt_grace(const Rig *rig, const char *task)
+{
+  size_t i;
+  const json_t *command;
+  json_array_foreach(json_object_get(rig->answer, "prikazy"), i, command)
+  {
+    if (strcmp(json_string_value(json_object_get(command, "ukon")), "halt") == 0
+        && (task == NULL || strcmp(json_string_value(json_object_get(command, "kus")), task) == 0))
+      return json_number_value(json_object_get(command, "lhuta_s"));
+  }
+  return -1.0;
+}
+
+static Rig *
+rig_with_gang(void)
+{
+  Rig *rig = rig_with_machine();
+  rig_ask(rig, "POST", "/api/jobs", gang_submission(2));
+  g_assert_cmpuint(rig->status, ==, 201);
+  rig_run(rig, 1.0);
+  g_assert_true(rig_is_assigned(rig));
+  return rig;
+}
+
+/* What the others of a lost task have is lost too: they are halted without time to save. */
+static void
+test_halts_at_loss(void)
+{
+  Rig *rig = rig_with_gang();
+  rig_send_report(rig, 1, two_tasks("running", NULL, "running"));
+  g_assert_cmpfloat(halt_grace(rig, "req-1/1"), <, 0.0);
+  rig_send_report(rig, 1, two_tasks("exited", "error", "running"));
+  rig_run(rig, 0.5);
+  rig_send_report(rig, 1, two_tasks("exited", "error", "running"));
+  g_assert_cmpfloat(halt_grace(rig, "req-1/1"), ==, 0.0);
+  rig_free(rig);
+}
+
+/* One task that is done is the end of all, in one record; a cancellation comes too late then. */
+static void
+test_one_done_is_all(void)
+{
+  Rig *rig = rig_with_gang();
+  rig_send_report(rig, 1, two_tasks("exited", "done", "running"));
+  rig_run(rig, 0.5);
+  rig_ask(rig, "POST", "/api/jobs/req-1/withdraw", NULL);
+  g_assert_cmpstr(json_string_value(json_object_get(rig->answer, "stav")), ==, "done");
+  const json_t *use = sim_state_get(rig->state, "w/team-use/0");
+  g_assert_cmpint(json_integer_value(json_object_get(json_object_get(use, "red"), "g")), ==, 0);
+  rig_free(rig);
+}
+
+/* A gang that isn't complete in time, or lost a task elsewhere, says nothing against the machine.
+ */
+static void
+test_reasons_blame_nobody(void)
+{
+  static const char *const WHY[] = { "peers", "incomplete" };
+  for (guint k = 0; k < 2 * G_N_ELEMENTS(WHY); k++) {
+    Rig *rig = rig_with_gang();
+    rig_send_report(rig, 1, two_tasks("exited", WHY[k % 2], "running"));
+    rig_run(rig, 0.5);
+    rig_send_report(rig, 1, json_array());
+    rig_run(rig, 3.0);
+    g_assert_false(sim_state_has(rig->state, "w/mark/m-1"));
+    g_assert_true(rig_is_assigned(rig));
+    rig_free(rig);
+  }
+}
+
+/* A report of a machine on which the tasks that it has on record run. */
+static void
+report_running(Rig *rig, const char *machine, gboolean is_noticed)
+{
+  json_t *tasks = json_array();
+  size_t i;
+  const json_t *item;
+  json_array_foreach(json_object_get(sim_state_get(rig->state, "w/task/req-1/0"), "on"), i, item)
+  {
+    g_autofree char *name = g_strdup_printf("req-1/%" JSON_INTEGER_FORMAT,
+                                            json_integer_value(json_array_get(item, 0)));
+    if (strcmp(json_string_value(json_array_get(item, 1)), machine) == 0)
+      json_array_append_new(
+          tasks, json_pack("{s:s, s:i, s:s}", "kus", name, "pokus", 1, "stav", "running"));
+  }
+  g_assert_cmpuint(json_array_size(tasks), >, 0);
+  json_t *report = rig_report_of(rig, machine, 1, ++rig->seq, tasks);
+  if (is_noticed)
+    json_object_set_new(report, "vypoved_s", json_real(20.0));
+  rig_ask(rig, "POST", "/v1/report", report);
+}
+
+/* A gang on two machines, of which the first is to be taken back. While the second one can't be
+   reached no stop is begun, since the others would lose what they have for nothing; then all are
+   halted, with the time that they need to save and to wait for each other. */
+static void
+test_no_stop_unreached(void)
+{
+  Rig *rig = rig_with_machine();
+  rig->spot = TRUE;
+  rig_ask(rig, "POST", "/v1/report", rig_report_of(rig, "m-2", 0, ++rig->seq, json_array()));
+  rig_ask(rig, "POST", "/v1/report", rig_report_of(rig, "m-2", 1, ++rig->seq, json_array()));
+  json_t *submission = gang_submission(GANG_TASKS);
+  json_object_set_new(submission, "vypujcky", json_true());
+  rig_ask(rig, "POST", "/api/jobs", submission);
+  rig_run(rig, 1.0);
+  report_running(rig, "m-1", FALSE);
+  report_running(rig, "m-2", FALSE);
+  for (guint i = 0; i < 3; i++) {
+    rig_run(rig, 1.5);
+    report_running(rig, "m-1", i > 0);
+    g_assert_cmpfloat(halt_grace(rig, NULL), <, 0.0);
+  }
+  g_assert_true(sim_state_has(rig->state, "w/mark/m-1"));
+  report_running(rig, "m-2", FALSE);
+  rig_run(rig, 0.5);
+  report_running(rig, "m-2", FALSE);
+  g_assert_cmpfloat(halt_grace(rig, NULL), >=, 3.0 + rig->settings->gang_peer_s);
+  report_running(rig, "m-1", TRUE);
+  g_assert_cmpfloat(halt_grace(rig, NULL), >=, 3.0 + rig->settings->gang_peer_s);
+  rig_free(rig);
+}
+
+int
+main(int argc, char **argv)
+{
+  g_test_init(&argc, &argv, NULL);
+  g_log_set_always_fatal(G_LOG_LEVEL_ERROR);
+  g_test_add_func("/gangs/phase", test_phase);
+  g_test_add_func("/gangs/refusals", test_refusals);
+  g_test_add_func("/gangs/halts-at-loss", test_halts_at_loss);
+  g_test_add_func("/gangs/one-done-is-all", test_one_done_is_all);
+  g_test_add_func("/gangs/reasons-blame-nobody", test_reasons_blame_nobody);
+  g_test_add_func("/gangs/objects-two-attempts", test_objects_two_attempts);
+  g_test_add_func("/gangs/runs-together", test_runs_together);
+  g_test_add_func("/gangs/loses-machine", test_loses_machine);
+  g_test_add_func("/gangs/short-hang", test_short_hang);
+  g_test_add_func("/gangs/orderly-stop", test_orderly_stop);
+  g_test_add_func("/gangs/no-stop-unreached", test_no_stop_unreached);
+  g_test_add_func("/gangs/leader-ends", test_leader_ends);
+  g_test_add_func("/gangs/cancelled", test_cancelled);
+  g_test_add_func("/gangs/cut-through", test_cut_through);
+  g_test_add_func("/gangs/drawn", test_drawn);
+  return g_test_run();
+}
