Upgrade: fixtures of production, refusals for size hold up nothing else, versions in the log

What two versions share is tested: records and peer messages written by production's encoders are read, and what is written is byte for byte what it would write. A refusal for size sets aside what is refused (ws-refused-jobs); it was written again and again before, in front of everything else. A repeated submission was answered 422 by rules of this version without a read, although another node had accepted it: now a 'no' is read up for first. Gossip names the version, so the log says who runs what.

--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -4,6 +4,7 @@
    transaction; a task is released only when ws-workers.c or ws-returns.c knows that it is gone. The
    leader writes for everybody, one transaction at a time; the other nodes hand theirs in. */
 #include "core/ws-direct.h"
+#include "core/ws-refused-jobs.h"
 #include "core/ws-release-order.h"
 
 #define GATHER_MS 50
@@ -27,6 +28,8 @@
   GArray *writing;      /* of WsProposal: in the transaction on its way */
   GArray *forwarded;    /* of Forwarded */
   GArray *ending;       /* of guint: jobs that the transaction ends */
+  GArray *jobs;         /* of guint: those in it */
+  WsRefusedJobs *refused;
   gboolean busy;
   gint64 next_ms;
 };
@@ -47,6 +50,8 @@
   assign->writing = g_array_new(FALSE, FALSE, sizeof(WsProposal));
   assign->forwarded = g_array_new(FALSE, FALSE, sizeof(Forwarded));
   assign->ending = g_array_new(FALSE, FALSE, sizeof(guint));
+  assign->jobs = g_array_new(FALSE, FALSE, sizeof(guint));
+  assign->refused = ws_refused_jobs_new();
   return assign;
 }
 
@@ -59,6 +64,8 @@
   g_array_unref(assign->writing);
   g_array_unref(assign->forwarded);
   g_array_unref(assign->ending);
+  g_array_unref(assign->jobs);
+  ws_refused_jobs_free(assign->refused);
   g_free(assign);
 }
 
@@ -234,6 +241,8 @@
     const WsProposal *proposal = &g_array_index(assign->writing, WsProposal, i);
     g_hash_table_remove(assign->proposed, task_key(proposal->job, proposal->task));
   }
+  if (result == WS_TXN_INVALID)
+    ws_refused_jobs_note(assign->refused, core->now, assign->jobs);
   if (result == WS_TXN_OK) {
     tell_ended(core);
   } else {
@@ -257,6 +266,8 @@
     const WsRelease *release = &ending->release;
     if (only_ends_of_jobs && !ending->ends_job)
       break;
+    if (ws_refused_jobs_has(core->assign->refused, core->now, release->job))
+      continue;
     if (ws_batch_release(batch, release) == WS_BATCH_UNWANTED)
       g_hash_table_remove(core->assign->pending, task_key(release->job, release->task));
   }
@@ -269,6 +280,16 @@
   return job->spec != NULL && job->spec->priority == WS_CRITICAL;
 }
 
+static WsBatchResult
+batch_proposal(WsCore *core, WsBatch *batch, const WsProposal *proposal, gboolean only_critical)
+{
+  if (ws_refused_jobs_has(core->assign->refused, core->now, proposal->job))
+    return WS_BATCH_UNWANTED;
+  if (only_critical && !is_critical(core, proposal))
+    return WS_BATCH_FULL;
+  return ws_batch_assign(batch, proposal);
+}
+
 static void
 batch_proposals(WsCore *core, WsBatch *batch, gboolean only_critical)
 {
@@ -277,9 +298,7 @@
   assign->proposals = g_array_new(FALSE, FALSE, sizeof(WsProposal));
   for (guint i = 0; i < proposals->len; i++) {
     const WsProposal *proposal = &g_array_index(proposals, WsProposal, i);
-    WsBatchResult result = only_critical && !is_critical(core, proposal)
-                               ? WS_BATCH_FULL
-                               : ws_batch_assign(batch, proposal);
+    WsBatchResult result = batch_proposal(core, batch, proposal, only_critical);
     if (result == WS_BATCH_TAKEN)
       g_array_append_vals(assign->writing, proposal, 1);
     else if (result == WS_BATCH_FULL)
@@ -309,6 +328,9 @@
     return;
   WsBatch *batch = ws_batch_new(core);
   g_array_set_size(assign->ending, 0);
+  g_array_set_size(assign->jobs, 0);
+  if (ws_refused_jobs_one_at_a_time(assign->refused, core->now))
+    ws_batch_keep_to_one_job(batch);
   /* Somebody waits for a critical task; when a cut heals or a wave has passed, the ends of hundreds
      of others would fill one transaction after another before it. */
   g_autoptr(GArray) endings = ws_release_order(core, assign->pending);
@@ -322,6 +344,7 @@
   batch_proposals(core, batch, FALSE);
   if (!ws_batch_is_empty(batch)) {
     assign->busy = TRUE;
+    ws_batch_add_jobs(batch, assign->jobs);
     ws_txn_commit(core, ws_batch_write(batch, assign->ending), WS_FIRST_TASK, on_written, NULL);
   }
   ws_batch_free(batch);
--- a/src/core/ws-batch.c
+++ b/src/core/ws-batch.c
@@ -30,6 +30,7 @@
   GHashTable *room;   /* machine index -> WsAmount taken by this batch */
   GHashTable *joined; /* index of each machine that gets a task */
   GHashTable *lots;   /* the lots that name them */
+  gboolean is_of_one_job;
   guint most_ops;
   guint ops;
   guint conditions;
@@ -67,6 +68,25 @@
   batch->most_ops = most_ops;
 }
 
+void
+ws_batch_keep_to_one_job(WsBatch *batch)
+{
+  batch->is_of_one_job = TRUE;
+}
+
+void
+ws_batch_add_jobs(const WsBatch *batch, GArray *jobs)
+{
+  for (guint i = 0; i < batch->works->len; i++) {
+    const Work *work = g_ptr_array_index(batch->works, i);
+    gboolean is_known = FALSE;
+    for (guint k = 0; k < jobs->len; k++)
+      is_known = is_known || g_array_index(jobs, guint, k) == work->job;
+    if (!is_known)
+      g_array_append_val(jobs, work->job);
+  }
+}
+
 void
 ws_batch_free(WsBatch *batch)
 {
@@ -143,6 +163,8 @@
   guint index = task / WS_CHUNK_TASKS;
   gboolean is_new_record = !batch->touched[ws_team_use_group(settings, job->team)];
   gint ops = is_new_record ? 1 : 0;
+  if (batch->is_of_one_job && batch->works->len > count_works(batch, job))
+    return FALSE;
   guint conditions = is_new_record ? 1 : 0;
   guint bytes = BYTES_A_TASK + (is_new_record ? BYTES_A_TEAM * settings->teams->len : 0);
   if (find_work(batch, job->index, index) == NULL) {
--- a/src/core/ws-batch.h
+++ b/src/core/ws-batch.h
@@ -24,6 +24,10 @@
 WsBatch *ws_batch_new(WsCore *core);
 /* From now on it takes only what leaves it with so many changes. */
 void ws_batch_bound(WsBatch *batch, guint most_ops);
+/* It takes no second job. */
+void ws_batch_keep_to_one_job(WsBatch *batch);
+/* Adds the indices of the jobs in it. */
+void ws_batch_add_jobs(const WsBatch *batch, GArray *jobs /* of guint */);
 void ws_batch_free(WsBatch *batch);
 gboolean ws_batch_is_empty(const WsBatch *batch);
 WsBatchResult ws_batch_release(WsBatch *batch, const WsRelease *release);
--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -16,7 +16,13 @@
   WS_FIRST_LEVELS
 } WsFirst;
 
-typedef enum { WS_TXN_OK, WS_TXN_CONFLICT, WS_TXN_REFUSED, WS_TXN_UNKNOWN } WsTxnResult;
+typedef enum {
+  WS_TXN_OK,
+  WS_TXN_CONFLICT, /* a condition failed */
+  WS_TXN_REFUSED,  /* not carried out, for now */
+  WS_TXN_INVALID,  /* refused for its size or form, and will be again */
+  WS_TXN_UNKNOWN   /* no answer: it may be carried out later */
+} WsTxnResult;
 typedef void (*WsTxnDone)(WsCore *core, WsTxnResult result, gpointer data);
 typedef void (*WsReadDone)(WsCore *core, gboolean current, gpointer data);
 
@@ -37,6 +43,7 @@
 
 typedef struct {
   gint64 heard_ms;
+  const char *version; /* interned: of the program that it runs; NULL: not heard yet */
   guint64 epoch;
   gboolean store_ok;
   gboolean loaded;     /* it has read the state since it began */
--- a/src/core/ws-mesh.c
+++ b/src/core/ws-mesh.c
@@ -151,8 +151,8 @@
       json_array_append_new(machines, encode_machine(core, machine));
   }
   return json_pack(
-      "{s:s, s:I, s:b, s:i, s:b, s:b, s:I, s:I, s:I, s:I, s:b, s:i, s:o}", "node",
-      ws_settings_node(core->settings, core->settings->self)->name, "epoch",
+      "{s:s, s:s, s:I, s:b, s:i, s:b, s:b, s:I, s:I, s:I, s:I, s:b, s:i, s:o}", "node",
+      ws_settings_node(core->settings, core->settings->self)->name, "version", WS_VERSION, "epoch",
       (json_int_t)core->replica->epoch.number, "store", ws_store_loaded(core) && ws_store_ok(core),
       "reaches", (int)reaches, "wants_epoch", core->wants_epoch, "unheard", core->unheard, "base",
       (json_int_t)peer->acked, "rev", (json_int_t)core->gossip_rev, "ack", (json_int_t)peer->has,
@@ -222,6 +222,21 @@
   }
 }
 
+/* Versions before 0.3 don't name theirs. */
+static void
+note_version(WsCore *core, guint node, const json_t *message)
+{
+  WsPeer *peer = &core->peers[node];
+  const char *version = "before 0.3";
+  (void)ws_json_string_or_null(message, "version", &version);
+  version = g_intern_string(version);
+  if (version == peer->version)
+    return;
+  peer->version = version;
+  g_info("%s runs version %s, this node %s", ws_settings_node(core->settings, node)->name, version,
+         WS_VERSION);
+}
+
 static void
 take_gossip(WsCore *core, const json_t *message)
 {
@@ -242,6 +257,7 @@
   if (incarnation != peer->incarnation)
     ws_cancel_peer_began_anew(core, node);
   peer->incarnation = incarnation;
+  note_version(core, node, message);
   peer->loaded = loaded;
   peer->untold = (guint)untold;
   if (loaded && !store && untold == 0)
--- a/src/core/ws-txn.c
+++ b/src/core/ws-txn.c
@@ -117,6 +117,7 @@
     if (status == 400 && strcmp(error, "no such lease") == 0)
       g_info("a write came after its lease had ended");
     else if (status == 400) {
+      result = WS_TXN_INVALID;
       g_warning("the state service refused a transaction: %s", error);
       warn_of_size(core, txn);
     }
--- a/src/core/ws-users.c
+++ b/src/core/ws-users.c
@@ -8,6 +8,8 @@
 #define JOBS_PATH "/api/jobs"
 #define MAX_BODY 65536
 #define TRIES 4
+/* What a job's record holds beside its submission. */
+#define JOB_RECORD_BYTES 160
 
 typedef enum { ASK_SUBMIT, ASK_POLL, ASK_WITHDRAW } Ask;
 
@@ -17,6 +19,7 @@
   WsSubmission *spec; /* of a submission */
   gpointer request;
   guint tries;
+  gboolean has_read; /* the replica was brought up to date since the request came in */
 } Visit;
 
 static void decide(WsCore *core, Visit *visit);
@@ -70,6 +73,7 @@
 on_current(WsCore *core, gboolean current, gpointer data)
 {
   Visit *visit = data;
+  visit->has_read = visit->has_read || current;
   if (current)
     decide(core, visit);
   else
@@ -114,6 +118,15 @@
   }
 }
 
+/* Whether the job's record is one that the state service takes, also with what is added later. */
+static gboolean
+fits_record(const WsCore *core, const WsSubmission *spec)
+{
+  g_autoptr(json_t) value = ws_submission_encode(spec);
+  g_autofree char *text = ws_json_text(value);
+  return strlen(text) + JOB_RECORD_BYTES <= core->settings->state_record_bytes;
+}
+
 /* Whether all tasks of a gang could ever run at once. */
 static gboolean
 can_gather(const WsCore *core, const WsSubmission *spec)
@@ -161,6 +174,8 @@
     return "unknown zone";
   if (!fits_a_type(core, spec))
     return "a task fits no allowed machine type";
+  if (!fits_record(core, spec))
+    return "is longer than the service can store";
   if (!can_gather(core, spec))
     return "its tasks can't all run at the same time";
   if (!within_limit(spec, team_settings(core, team)))
@@ -194,7 +209,10 @@
     return;
   }
   const char *reason = never_runs(core, visit->spec);
-  if (reason != NULL)
+  /* Another node, of an older version maybe, may have accepted it by its own rules. */
+  if (reason != NULL && !visit->has_read)
+    ws_store_read(core, on_current, visit);
+  else if (reason != NULL)
     end_with_reason(core, visit, 422, reason);
   else
     accept(core, visit);
--- a/src/storage/ws-records.c
+++ b/src/storage/ws-records.c
@@ -5,7 +5,7 @@
 
 /* Punctuation of an assignment in a chunk's record, and of the record around them. */
 #define BYTES_AROUND_ASSIGNMENT 7
-#define BYTES_AROUND_CHUNK 24
+#define BYTES_AROUND_CHUNK 21
 /* Digits of a time of day in milliseconds, and its comma. */
 #define BYTES_OF_TIME 14
 /* An assignment on a machine with a long name, for the count of free places. */
--- a/tests/sim/sim-faults.c
+++ b/tests/sim/sim-faults.c
@@ -146,6 +146,27 @@
   sim->calm_ms = sim->now_ms;
 }
 
+void
+sim_announce_limits(Sim *sim, guint ops, gsize bytes)
+{
+  for (guint n = 0; n < SIM_NODES; n++) {
+    sim->settings[n]->state_txn_ops = ops;
+    sim->settings[n]->state_record_bytes = bytes;
+  }
+}
+
+void
+sim_lower_limits(Sim *sim, guint ops, gsize bytes)
+{
+  sim_state_set_limits(sim->state, ops, bytes);
+}
+
+guint
+sim_refused_for_size(const Sim *sim)
+{
+  return sim_state_refused_for_size(sim->state);
+}
+
 SimFaults *
 sim_faults(Sim *sim)
 {
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -84,6 +84,12 @@
 void sim_deafen(Sim *sim, guint machine, double seconds);
 /* Its reports reach no controller, while direct commands reach it. */
 void sim_mute(Sim *sim, guint machine, double seconds);
+/* The settings announce lower limits of the state service: what a node writes from now on. */
+void sim_announce_limits(Sim *sim, guint ops, gsize bytes);
+/* The state service has such limits from now on. */
+void sim_lower_limits(Sim *sim, guint ops, gsize bytes);
+/* Transactions that it has refused for their size. */
+guint sim_refused_for_size(const Sim *sim);
 /* The node that leads, as the state service has it; G_MAXUINT: none. */
 guint sim_leader(const Sim *sim);
 gboolean sim_told_cancelled(const Sim *sim, guint job);
--- a/tests/test-gangs.c
+++ b/tests/test-gangs.c
@@ -397,6 +397,27 @@
   }
 }
 
+/* A gang that must be in one zone goes where there is room for all of it, also when the machine
+   that suits its first task best is elsewhere. */
+static void
+test_zone_with_room(void)
+{
+  static const char *const MACHINES[] = { "m-2", "m-3" };
+  Rig *rig = rig_with_machine();
+  rig->zone = "b";
+  for (guint i = 0; i < 2 * G_N_ELEMENTS(MACHINES); i++)
+    rig_ask(rig, "POST", "/v1/report",
+            rig_report_of(rig, MACHINES[i / 2], i % 2, ++rig->seq, json_array()));
+  json_t *submission = gang_submission(GANG_TASKS);
+  json_object_set_new(submission, "one_zone", json_true());
+  rig_ask(rig, "POST", "/api/jobs", submission);
+  rig_run(rig, 1.0);
+  g_assert_true(rig_is_assigned(rig));
+  g_autofree char *record = ws_json_text(sim_state_get(rig->state, "w/task/req-1/0"));
+  g_assert_null(strstr(record, "m-1"));
+  rig_free(rig);
+}
+
 /* A report of a machine on which the tasks that it has on record run. */
 static void
 report_running(Rig *rig, const char *machine, gboolean is_noticed)
@@ -460,6 +481,7 @@
   g_test_add_func("/gangs/halts-at-loss", test_halts_at_loss);
   g_test_add_func("/gangs/one-done-is-all", test_one_done_is_all);
   g_test_add_func("/gangs/reasons-blame-nobody", test_reasons_blame_nobody);
+  g_test_add_func("/gangs/zone-with-room", test_zone_with_room);
   g_test_add_func("/gangs/objects-two-attempts", test_objects_two_attempts);
   g_test_add_func("/gangs/runs-together", test_runs_together);
   g_test_add_func("/gangs/loses-machine", test_loses_machine);
--- a/tests/test-protocol.c
+++ b/tests/test-protocol.c
@@ -1,6 +1,7 @@
 #include "protocol/ws-cloud.h"
 #include "protocol/ws-report.h"
 #include "protocol/ws-settings.h"
+#include "ws-site.h"
 #include "ws-gen.h"
 
 #include <string.h>
@@ -161,6 +162,79 @@
   g_assert_null(ws_names_parse(damaged));
 }
 
+/* Limits to come, and the gangs' times: lower ones count at once, bad ones are named. */
+static void
+test_settings_to_come(void)
+{
+  static const struct {
+    const char *section;
+    const char *json;
+    const char *complaint; /* NULL: it's good */
+  } CASES[] = {
+    { "state", "{\"next\":{\"value_kb\":2.0,\"txn_ops\":5,\"write_rps\":18.0}}", NULL },
+    { "state", "{\"next\":{\"value_kb\":64.0,\"txn_ops\":500}}", NULL },
+    { "state", "{\"next\":{}}", NULL },
+    { "state", "{\"next\":null}", NULL },
+    { "state", "{\"next\":7}", "params.state.next" },
+    { "state", "{\"next\":{\"value_kb\":0.5}}", "params.state.next.value_kb" },
+    { "state", "{\"next\":{\"txn_ops\":3}}", "params.state.next.txn_ops" },
+    { "state", "{\"next\":{\"txn_ops\":\"5\"}}", "params.state.next.txn_ops" },
+    { "state", "{\"next\":{\"write_rps\":0.0}}", "params.state.next.write_rps" },
+    { "state", "{\"next\":{\"rps\":-1.0}}", "params.state.next.rps" },
+    { "workers", "{\"gang_wait_s\":20.0,\"gang_peer_s\":3.0}", NULL },
+    { "workers", "{\"gang_wait_s\":0.0}", "params.workers.gang_wait_s" },
+    { "workers", "{\"gang_peer_s\":true}", "params.workers.gang_peer_s" },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS(CASES); i++) {
+    g_autoptr(json_t) message = ws_test_message(0);
+    g_autoptr(json_t) more = ws_json_parse(CASES[i].json, strlen(CASES[i].json));
+    json_object_update(json_object_get(json_object_get(message, "params"), CASES[i].section), more);
+    g_autofree char *reason = NULL;
+    g_autoptr(WsSettings) settings = ws_settings_parse(message, &reason);
+    g_assert_true((settings == NULL) == (CASES[i].complaint != NULL));
+    if (settings == NULL)
+      g_assert_true(g_str_has_prefix(reason, CASES[i].complaint));
+    if (i == 0) {
+      g_assert_cmpuint(settings->state_txn_ops, ==, 5);
+      g_assert_cmpuint(settings->state_record_bytes, <=, 2048);
+      g_assert_cmpfloat(settings->state_write_rps, ==, 18.0);
+      g_assert_cmpfloat(settings->state_value_kb, ==, 16.0);
+    }
+    if (i == 1)
+      g_assert_cmpuint(settings->state_txn_ops, ==, 16);
+  }
+}
+
+/* Words of a gang's tasks; an unknown reason is an error, and nothing else is lost. */
+static void
+test_gang_words(void)
+{
+  static const struct {
+    const char *state;
+    const char *why;
+    WsTaskState parsed;
+    WsExit exit;
+  } CASES[] = { { "gathering", NULL, WS_TASK_GATHERING, WS_EXIT_NONE },
+                { "exited", "peers", WS_TASK_EXITED, WS_EXIT_PEERS },
+                { "exited", "incomplete", WS_TASK_EXITED, WS_EXIT_INCOMPLETE },
+                { "exited", "surprise", WS_TASK_EXITED, WS_EXIT_ERROR } };
+  for (guint i = 0; i < G_N_ELEMENTS(CASES); i++) {
+    g_autoptr(json_t) message = ws_json_parse(REPORT, strlen(REPORT));
+    json_t *task = json_array_get(json_object_get(message, "kusy"), 0);
+    json_object_set_new(task, "stav", json_string(CASES[i].state));
+    json_object_set_new(task, "duvod",
+                        CASES[i].why != NULL ? json_string(CASES[i].why) : json_null());
+    json_object_set_new(task, "stored", json_boolean(i == 1));
+    g_autofree char *reason = NULL;
+    g_autoptr(WsReport) report = ws_report_parse(message, &reason);
+    g_assert_nonnull(report);
+    const WsReportTask *first = &g_array_index(report->tasks, WsReportTask, 0);
+    g_assert_cmpint(first->state, ==, CASES[i].parsed);
+    g_assert_cmpint(first->why, ==, CASES[i].exit);
+    g_assert_true(first->saved == (i == 1));
+  }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -172,5 +246,7 @@
   g_test_add_func("/protocol/damaged-reports", test_damaged_reports);
   g_test_add_func("/protocol/commands", test_commands);
   g_test_add_func("/protocol/cloud", test_cloud);
+  g_test_add_func("/protocol/settings-to-come", test_settings_to_come);
+  g_test_add_func("/protocol/gang-words", test_gang_words);
   return g_test_run();
 }
--- /dev/null
+++ b/tests/test-upgrade.c
@@ -0,0 +1,374 @@
+/* Two versions of the program on the same records, and limits of the state service that fall. The
+   fixtures were written by the encoders of the version in production, commit ee59907. */
+#include "core/ws-release-order.h"
+#include "sim/rig.h"
+#include "sim/troubles.h"
+#include "storage/ws-team-use.h"
+#include "ws-site.h"
+
+#include <string.h>
+
+#define NEXT_OPS 5
+#define NEXT_BYTES 1900
+
+static const struct {
+  const char *key;
+  const char *value;
+} RECORDS[] = {
+  { "w/catalog", "{\"typy\":[{\"sku\":\"g4\",\"cpus\":32.0,\"accelerators\":4.0,\"mem_gb\":64.0,"
+                 "\"local_gb\":100.0,\"pull_gb_per_s\":1.0,\"price\":8.0,\"low_price\":3.0,"
+                 "\"boot_s\":8.0,\"haly\":[\"a\",\"b\",\"c\"]}]}" },
+  { "w/epoch", "{\"number\":1,\"leader\":\"n0\",\"members\":[{\"node\":\"n0\",\"incarnation\":"
+               "1000001},{\"node\":\"n1\",\"incarnation\":1000002},{\"node\":\"n2\","
+               "\"incarnation\":1000003}]}" },
+  { "w/job/req-000000", "{\"s\":\"done\",\"n\":1}" },
+  { "w/job/req-000001",
+    "{\"s\":\"active\",\"at\":1004055,\"home\":\"\",\"spec\":{\"id\":\"req-000001\",\"trida\":"
+    "\"batch\",\"dilna\":\"red\",\"druh\":\"sweep\",\"prednost\":\"standard\",\"kusy\":5,\"cpus\":"
+    "8.0,\"accelerators\":1.0,\"mem_gb\":16.0,\"obraz\":\"img-1\",\"pull_gb\":2.0,\"typy\":null,"
+    "\"hala\":null,\"one_zone\":false,\"scatter\":false,\"vypujcky\":true,\"odhad_s\":30.0,"
+    "\"zaloha_s\":0.0,\"ulozeni_s\":0.0,\"termin_s\":null}}" },
+  { "w/job/req-000003", "{\"s\":\"cancelled\",\"n\":2}" },
+  { "w/leader", "{\"incarnation\":1000001,\"node\":\"n0\"}" },
+  { "w/lot/r-1-1",
+    "{\"type\":\"g4\",\"zone\":\"a\",\"spot\":true,\"at\":1004304,\"names\":[\"m-000000\"]}" },
+  { "w/lot/r-1-2",
+    "{\"type\":\"g4\",\"zone\":\"b\",\"spot\":false,\"at\":1004558,\"names\":[\"m-000001\"]}" },
+  { "w/mark/m-000000", "{\"why\":\"notice\",\"now\":false}" },
+  { "w/member/n0", "{\"incarnation\":1000001}" },
+  { "w/member/n1", "{\"incarnation\":1000002}" },
+  { "w/rent/r-1-4", "{\"type\":\"g4\",\"zone\":\"a\",\"spot\":true,\"count\":1}" },
+  { "w/task/req-000001/0",
+    "{\"a\":5,\"on\":[[0,\"m-000001\",1,1011506],[1,\"m-000000\",2,1016404],[2,\"m-000000\",3,"
+    "1016404],[3,\"m-000000\",4,1016404],[4,\"m-000000\",5,1016404]],\"d\":"
+    "\"00000000000000000000000000000000\"}" },
+  { "w/team-use/0", "{\"red\":{\"c\":40000,\"g\":5000},\"blue\":{\"c\":0,\"g\":0}}" },
+};
+
+static WsReplica *
+read_records(const WsSettings *settings)
+{
+  WsReplica *replica = ws_replica_new(settings);
+  for (guint i = 0; i < G_N_ELEMENTS(RECORDS); i++) {
+    g_autoptr(json_t) value = ws_json_parse(RECORDS[i].value, strlen(RECORDS[i].value));
+    g_assert_nonnull(value);
+    ws_replica_apply(replica, RECORDS[i].key, value, 10 + i);
+  }
+  return replica;
+}
+
+static const char *
+record(const char *key)
+{
+  for (guint i = 0; i < G_N_ELEMENTS(RECORDS); i++)
+    if (strcmp(RECORDS[i].key, key) == 0)
+      return RECORDS[i].value;
+  g_assert_not_reached();
+}
+
+/* All that production has acknowledged is known to the new version. */
+static void
+test_reads(void)
+{
+  g_autoptr(WsSettings) settings = ws_test_settings(1);
+  WsReplica *replica = read_records(settings);
+  const WsJob *job = ws_replica_find_job(replica, "req-000001");
+  const WsMachine *machine = ws_replica_find_machine(replica, "m-000000");
+  g_assert_cmpint(ws_replica_find_job(replica, "req-000000")->state, ==, WS_JOB_DONE);
+  g_assert_cmpint(ws_replica_find_job(replica, "req-000003")->state, ==, WS_JOB_CANCELLED);
+  g_assert_cmpuint(job->on_count, ==, 5);
+  g_assert_cmpuint(ws_job_assignment(job, 4)->attempt, ==, 5);
+  g_assert_cmpint(ws_job_assignment(job, 4)->at_ms, ==, 1016404);
+  g_assert_cmpuint(machine->tasks->len, ==, 4);
+  g_assert_true(machine->stored && machine->marked && !machine->mark_now);
+  g_assert_cmpint(replica->team_use[0].gpus, ==, 5000);
+  g_assert_cmpuint(replica->rents->len, ==, 1);
+  g_assert_cmpuint(replica->members->len, ==, 2);
+  g_assert_cmpuint(replica->leader_node, ==, 0);
+  g_assert_cmpuint(replica->epoch.members->len, ==, 3);
+  ws_replica_free(replica);
+}
+
+static void
+assert_written_as(json_t *value /* taken */, const char *key)
+{
+  g_autofree char *text = ws_json_text(value);
+  g_assert_cmpstr(text, ==, record(key));
+  json_decref(value);
+}
+
+/* What the new version writes while production may read it is, byte for byte, what production would
+   have written. */
+static void
+test_writes(void)
+{
+  g_autoptr(WsSettings) settings = ws_test_settings(1);
+  WsReplica *replica = read_records(settings);
+  const WsJob *job = ws_replica_find_job(replica, "req-000001");
+  assert_written_as(ws_job_encode(job, WS_JOB_ACTIVE, ""), "w/job/req-000001");
+  assert_written_as(ws_job_encode_final(ws_replica_find_job(replica, "req-000000"), WS_JOB_DONE),
+                    "w/job/req-000000");
+  assert_written_as(ws_chunk_encode(ws_job_chunk(job, 0), replica), "w/task/req-000001/0");
+  assert_written_as(ws_team_use_encode(settings, 0, replica->team_use), "w/team-use/0");
+  assert_written_as(ws_epoch_encode(&replica->epoch, settings), "w/epoch");
+  assert_written_as(ws_lot_encode(g_ptr_array_index(replica->lots, 0), replica), "w/lot/r-1-1");
+  assert_written_as(ws_rent_encode(g_ptr_array_index(replica->rents, 0)), "w/rent/r-1-4");
+  assert_written_as(ws_mark_encode("notice", FALSE), "w/mark/m-000000");
+  ws_replica_free(replica);
+}
+
+/* Both versions count a team's use in the same record, whatever the limits to come are. */
+static void
+test_same_team_record(void)
+{
+  g_autoptr(json_t) message = ws_test_message(0);
+  json_t *state = json_object_get(json_object_get(message, "params"), "state");
+  json_object_set_new(state, "next", json_pack("{s:f, s:i}", "value_kb", 1.0, "txn_ops", 4));
+  g_autofree char *reason = NULL;
+  g_autoptr(WsSettings) next = ws_settings_parse(message, &reason);
+  g_autoptr(WsSettings) present = ws_test_settings(0);
+  g_assert_nonnull(next);
+  g_assert_cmpuint(ws_team_use_groups(next), ==, ws_team_use_groups(present));
+  for (guint team = 0; team < next->teams->len; team++)
+    g_assert_cmpuint(ws_team_use_group(next, team), ==, ws_team_use_group(present, team));
+}
+
+/* Peer messages of production: taken as they are. */
+static void
+test_messages(void)
+{
+  static const struct {
+    const char *path;
+    const char *body;
+  } MESSAGES[] = {
+    { "/gossip", "{\"node\":\"n1\",\"epoch\":1,\"store\":true,\"reaches\":7,\"wants_epoch\":false,"
+                 "\"unheard\":false,\"base\":1,\"rev\":2,\"ack\":2,\"incarnation\":1000002,"
+                 "\"loaded\":true,\"untold\":0,\"machines\":[{\"name\":\"m-000000\",\"up\":true,"
+                 "\"endpoint\":\"w-m-000000:1\",\"notice\":false,\"images\":[\"img-1\"]}]}" },
+    { "/ask", "{\"releases\":[[\"req-1\",0,1,true]],\"epoch\":1}" },
+    { "/ask", "{\"marks\":[[\"m-1\",\"notice\",false]],\"epoch\":1}" },
+    { "/cancelled", "{\"node\":\"n2\",\"jobs\":[[\"req-000003\",7]]}" },
+  };
+  Rig *rig = rig_new(TRUE);
+  for (guint i = 0; i < G_N_ELEMENTS(MESSAGES); i++) {
+    rig_mesh(rig, MESSAGES[i].path, ws_json_parse(MESSAGES[i].body, strlen(MESSAGES[i].body)));
+    g_assert_cmpuint(rig->status, ==, 200);
+  }
+  rig_run(rig, 1.0);
+  g_assert_true(sim_state_has(rig->state, "w/mark/m-1"));
+  rig_ask(rig, "GET", "/api/jobs/req-1", NULL);
+  g_assert_cmpstr(json_string_value(json_object_get(rig->answer, "stav")), ==, "done");
+  rig_free(rig);
+}
+
+/* The new version's gossip has each field of production's, of the same type, and one more, which
+   production doesn't read. */
+static void
+test_gossip(void)
+{
+  static const char PRODUCTION[]
+      = "{\"node\":\"n1\",\"epoch\":1,\"store\":true,\"reaches\":7,\"wants_epoch\":false,"
+        "\"unheard\":false,\"base\":1,\"rev\":2,\"ack\":2,\"incarnation\":1000002,\"loaded\":true,"
+        "\"untold\":0,\"machines\":[]}";
+  Rig *rig = rig_new(TRUE);
+  g_autoptr(json_t) production = ws_json_parse(PRODUCTION, strlen(PRODUCTION));
+  rig_mesh(rig, "/gossip", json_incref(production));
+  const char *name;
+  json_t *value;
+  json_object_foreach(production, name, value)
+  {
+    const json_t *ours = json_object_get(rig->answer, name);
+    g_assert_nonnull(ours);
+    g_assert_true(json_is_boolean(value) ? json_is_boolean(ours)
+                                         : json_typeof(ours) == json_typeof(value));
+  }
+  g_assert_cmpuint(json_object_size(rig->answer), ==, json_object_size(production) + 1);
+  rig_free(rig);
+}
+
+/* Limits to come. */
+
+static WsChunk *
+generate_chunk(GRand *rand, WsReplica *replica, guint tasks)
+{
+  WsChunk *chunk = ws_chunk_copy(NULL);
+  for (guint task = 0; task < tasks; task++) {
+    g_autofree char *name = g_strdup_printf("m-%06d", g_rand_int_range(rand, 0, 1000000));
+    WsAssignment assignment
+        = { .task = task, .attempt = ++chunk->attempts, .at_ms = 1234567890123 };
+    assignment.machine = ws_replica_get_machine(replica, name)->index;
+    ws_chunk_add(chunk, &assignment);
+  }
+  return chunk;
+}
+
+/* Whatever a record says to fit fits, and what places it has left can be filled. */
+static void
+test_chunk_sizes(void)
+{
+  g_autoptr(WsSettings) settings = ws_test_settings(0);
+  settings->state_record_bytes = NEXT_BYTES;
+  for (guint32 seed = 1; seed <= 128; seed++) {
+    g_test_message("seed %u", seed);
+    g_autoptr(GRand) rand = g_rand_new_with_seed(seed);
+    WsReplica *replica = ws_replica_new(settings);
+    WsChunk *chunk = generate_chunk(rand, replica, seed);
+    g_autoptr(json_t) value = ws_chunk_encode(chunk, replica);
+    g_autofree char *text = ws_json_text(value);
+    gboolean fits = ws_chunk_fits_record(chunk, replica);
+    g_assert_true(!fits || strlen(text) <= NEXT_BYTES);
+    g_assert_true(fits || strlen(text) + 1 > NEXT_BYTES); /* the count is one comma too high */
+    g_assert_true(ws_chunk_free_places(chunk, replica) == 0
+                  || ws_chunk_fits_record(chunk, replica));
+    g_assert_cmpuint(ws_chunk_free_places(chunk, replica), <=, NEXT_BYTES / 20);
+    ws_chunk_free(chunk);
+    ws_replica_free(replica);
+  }
+}
+
+/* A rental whose machines have long names has several records. */
+static void
+test_lot_sizes(void)
+{
+  g_autoptr(WsSettings) settings = ws_test_settings(0);
+  settings->state_record_bytes = NEXT_BYTES;
+  WsReplica *replica = ws_replica_new(settings);
+  g_autoptr(GArray) machines = g_array_new(FALSE, FALSE, sizeof(guint));
+  WsLot lot
+      = { .type = (char *)"g4", .zone = (char *)"a", .at_ms = 1234567890123, .machines = machines };
+  for (guint i = 0;; i++) {
+    g_autofree char *name = g_strdup_printf("machine-with-a-long-name-%060u", i);
+    if (!ws_lot_has_place(&lot, replica, name))
+      break;
+    guint index = ws_replica_get_machine(replica, name)->index;
+    g_array_append_val(machines, index);
+  }
+  g_autoptr(json_t) value = ws_lot_encode(&lot, replica);
+  g_autofree char *text = ws_json_text(value);
+  g_assert_cmpuint(strlen(text), <=, NEXT_BYTES);
+  g_assert_cmpuint(machines->len, >, 15);
+  g_assert_cmpuint(ws_lot_most_machines(settings), ==, 50);
+  ws_replica_free(replica);
+}
+
+/* The lower limits come into force at any moment, among troubles: nothing is refused for its size,
+   which the end of each day checks, and all is served. */
+static void
+test_limits_fall(void)
+{
+  for (guint32 seed = 900; seed < 900 + sim_seed_count(12); seed++) {
+    g_test_message("seed %u", seed);
+    Sim *sim = sim_new(seed);
+    sim_announce_limits(sim, NEXT_OPS, NEXT_BYTES);
+    sim_run(sim, 3.0);
+    sim_add_load(sim, 1);
+    sim_run(sim, g_rand_double_range(sim_rand(sim), 0.0, 20.0));
+    sim_lower_limits(sim, NEXT_OPS, NEXT_BYTES);
+    sim_add_load(sim, 1);
+    sim_play_drawn_troubles(sim);
+    sim_serve_all(sim);
+    sim_free(sim);
+  }
+}
+
+static void
+add_pending(GHashTable *pending, const WsChunk *chunk, guint task)
+{
+  WsPendingRelease *known = g_new0(WsPendingRelease, 1);
+  known->release = (WsRelease){ .task = task, .attempt = ws_chunk_find(chunk, task)->attempt };
+  g_hash_table_insert(pending, GUINT_TO_POINTER(task + 1), known);
+}
+
+/* A record that production left larger than may be written now: its ends wait until what is left
+   fits, and are then written together. */
+static void
+test_larger_records(void)
+{
+  g_autoptr(GRand) rand = g_rand_new_with_seed(920);
+  g_autoptr(WsSettings) settings = ws_test_settings(0);
+  settings->state_record_bytes = NEXT_BYTES;
+  WsReplica *replica = read_records(settings);
+  g_autoptr(json_t) value
+      = ws_json_parse(record("w/job/req-000001"), strlen(record("w/job/req-000001")));
+  json_object_set_new(json_object_get(value, "spec"), "kusy", json_integer(WS_CHUNK_TASKS));
+  ws_replica_apply(replica, "w/job/req-7", value, 100);
+  WsJob *job = ws_replica_find_job(replica, "req-7");
+  WsChunk *chunk = generate_chunk(rand, replica, WS_CHUNK_TASKS);
+  ws_replica_replace_chunk(replica, job, 0, chunk);
+  g_assert_false(ws_chunk_fits_record(chunk, replica));
+  WsCore core = { .settings = settings, .replica = replica };
+  g_autoptr(GHashTable) pending = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+  guint known = 0;
+  for (; known < WS_CHUNK_TASKS; known++) {
+    add_pending(pending, chunk, known);
+    ((WsPendingRelease *)g_hash_table_lookup(pending, GUINT_TO_POINTER(known + 1)))->release.job
+        = job->index;
+    g_autoptr(GArray) ends = ws_release_order(&core, pending);
+    g_assert_true(ends->len == 0 || ends->len == known + 1);
+    if (ends->len > 0)
+      break;
+  }
+  g_assert_cmpuint(known, >, 10);
+  g_assert_cmpuint(known, <, 64);
+  ws_replica_free(replica);
+}
+
+/* A job that production has accepted is known, whatever this version would have said of it. */
+static void
+test_accepted_elsewhere(void)
+{
+  Rig *rig = rig_bare(TRUE);
+  rig_send_report(rig, 0, json_array());
+  rig_send_report(rig, 1, json_array());
+  rig->settings->state_record_bytes = 300;
+  rig_ask(rig, "POST", "/api/jobs", rig_submission());
+  g_assert_cmpuint(rig->status, ==, 422);
+  rig->hold_watch = TRUE; /* this node doesn't hear of it by itself */
+  rig_run(rig, 10.0);
+  g_autoptr(json_t) submission = rig_submission();
+  g_autoptr(json_t) set
+      = json_pack("{s:[], s:[{s:s, s:{s:s, s:i, s:s, s:O}}]}", "if", "apply", "set", "w/job/req-1",
+                  "value", "s", "active", "at", 1, "home", "", "spec", submission);
+  Asked *asked = g_new0(Asked, 1);
+  *asked = (Asked){ rig, 0, 0 };
+  sim_state_request(rig->state, rig->now_ms, "POST", "/multi", set, rig_on_state, asked);
+  rig_request(rig, WS_DOOR_API, "POST", "/api/jobs", json_incref(submission));
+  rig_release_watch(rig);
+  rig_run(rig, 1.5);
+  g_assert_cmpuint(rig->status, !=, 422);
+  rig_free(rig);
+}
+
+/* A refusal for size that nobody announced holds up only what is refused. */
+static void
+test_unannounced(void)
+{
+  Sim *sim = sim_loaded_world(930);
+  sim_lower_limits(sim, 2, NEXT_BYTES); /* one job and its team's use */
+  sim_add_load(sim, 1);
+  for (guint i = 0; i < 300 && sim_open_jobs(sim) > 0; i++)
+    sim_run(sim, 1.0);
+  g_assert_cmpuint(sim_open_jobs(sim), ==, 0);
+  g_assert_cmpuint(sim_refused_for_size(sim), >, 0);
+  g_assert_cmpuint(sim_refused_for_size(sim), <, 200);
+  sim_free(sim);
+}
+
+int
+main(int argc, char **argv)
+{
+  g_test_init(&argc, &argv, NULL);
+  g_log_set_always_fatal(G_LOG_LEVEL_ERROR);
+  g_test_add_func("/upgrade/reads", test_reads);
+  g_test_add_func("/upgrade/writes", test_writes);
+  g_test_add_func("/upgrade/same-team-record", test_same_team_record);
+  g_test_add_func("/upgrade/messages", test_messages);
+  g_test_add_func("/upgrade/gossip", test_gossip);
+  g_test_add_func("/upgrade/chunk-sizes", test_chunk_sizes);
+  g_test_add_func("/upgrade/lot-sizes", test_lot_sizes);
+  g_test_add_func("/upgrade/limits-fall", test_limits_fall);
+  g_test_add_func("/upgrade/larger-records", test_larger_records);
+  g_test_add_func("/upgrade/accepted-elsewhere", test_accepted_elsewhere);
+  g_test_add_func("/upgrade/unannounced", test_unannounced);
+  return g_test_run();
+}
