Gangs that must fetch go where there is room to come back to, away from other gangs' images

Now a gang that must fetch prefers machines with processors beside the share of their accelerators, without other gangs' images, and where nothing else is being fetched. Ruled out: the way from submission to launch. What remains are images above 1 GB, which take longer than the aim.

--- a/src/core/ws-place.c
+++ b/src/core/ws-place.c
@@ -11,6 +11,10 @@
 #define SAME_ZONE 25.0
 #define SAME_MACHINE 25.0
 #define IMAGE_COMING 50.0
+#define ROOMY 150.0
+/* A gang's tasks wait for the slowest fetch, and keep others' images usable where they are. */
+#define SHARED_FETCH 60.0
+#define OTHER_GANGS_IMAGE 30.0
 #define OTHER_FETCH 20.0
 #define IMAGE_FOR_VICTIM 20.0
 /* A machine of a larger type than the task needs, where there is a smaller one: larger tasks have
@@ -37,6 +41,7 @@
   const WsJob *job;
   guint *counts;
   guint only_zone;              /* WS_NONE: any */
+  GHashTable *gang_images;      /* of a gang: the images of other gangs; else NULL */
   gint64 smallest;              /* processors of the smallest type that has room for a task */
   GArray *kinds[WS_ROOM_KINDS]; /* of Candidate, the best first; NULL: not looked for yet */
 };
@@ -146,6 +151,37 @@
          || (free->memory - need->memory) * room->gpus < free->gpus * room->memory;
 }
 
+/* How much a gang that has to fetch its image likes the machine: the more processors it has beside
+   the share of its free accelerators, the more gangs to come find the image there and have room. */
+static double
+roominess(const WsAmount *room, const WsAmount *free)
+{
+  gint64 reserved = room->gpus > 0 ? free->gpus * room->cpus / room->gpus : 0;
+  return room->cpus > 0 ? (double)MAX(free->cpus - reserved, 0) / (double)room->cpus : 0.0;
+}
+
+/* What the machine is worth to a gang that has to fetch its image there. */
+static double
+worth_of_fetching(const WsPlaces *places, const WsMachine *machine)
+{
+  const WsReplica *replica = places->map->core->replica;
+  const WsAmount *room = &ws_replica_type(replica, machine->type)->room;
+  double value = ROOMY * roominess(room, &places->map->slots[machine->index].free);
+  for (guint i = 0; i < machine->images->len; i++) {
+    guint image = g_array_index(machine->images, guint, i);
+    if (g_hash_table_contains(places->gang_images, GUINT_TO_POINTER(image)))
+      value -= OTHER_GANGS_IMAGE;
+  }
+  for (guint i = 0; i < machine->tasks->len; i++) {
+    const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, i);
+    const WsAssignment *assignment
+        = ws_job_assignment(ws_replica_job(replica, ref->job), ref->task);
+    if (assignment != NULL && assignment->state <= WS_TASK_FETCHING)
+      value -= SHARED_FETCH;
+  }
+  return value;
+}
+
 static double
 worth(const WsPlaces *places, const WsMachine *machine)
 {
@@ -163,6 +199,8 @@
     value -= BLOCKS_ACCELERATORS;
   if (!is_service && slot->has_service)
     value += STAYS_ANYWAY; /* it stays rented anyway */
+  if (places->gang_images != NULL && !ws_machine_has_image(machine, job->image))
+    value += worth_of_fetching(places, machine);
   if (room->gpus > 0)
     value += PACKED_GPUS * (1.0 - (double)slot->free.gpus / (double)room->gpus);
   if (room->cpus > 0)
@@ -331,6 +369,18 @@
   g_array_sort(places->kinds[kind], by_value);
 }
 
+static GHashTable *
+find_gang_images(const WsReplica *replica)
+{
+  GHashTable *images = g_hash_table_new(NULL, NULL);
+  for (guint i = 0; i < replica->active->len; i++) {
+    const WsJob *job = g_ptr_array_index(replica->active, i);
+    if (job->spec->kind == WS_KIND_GANG)
+      g_hash_table_add(images, GUINT_TO_POINTER(job->image));
+  }
+  return images;
+}
+
 WsPlaces *
 ws_places_new(WsRoomMap *map, const WsJob *job, guint *counts)
 {
@@ -340,12 +390,15 @@
                         .counts = counts,
                         .only_zone = WS_NONE,
                         .smallest = ws_smallest_room(map->core->replica, job->spec) };
+  if (job->spec->kind == WS_KIND_GANG)
+    places->gang_images = find_gang_images(map->core->replica);
   return places;
 }
 
 void
 ws_places_free(WsPlaces *places)
 {
+  g_clear_pointer(&places->gang_images, g_hash_table_unref);
   for (guint kind = 0; kind < WS_ROOM_KINDS; kind++)
     if (places->kinds[kind] != NULL)
       g_array_unref(places->kinds[kind]);
