--- a/src/core/ws-cancel.c
+++ b/src/core/ws-cancel.c
@@ -111,7 +111,7 @@
 }
 
 guint
-ws_cancel_untold(const WsCore *core, guint node)
+ws_cancel_count_unacknowledged(const WsCore *core, guint node)
 {
   guint count = 0;
   for (guint i = 0; i < core->cancels->list->len; i++)
@@ -240,7 +240,7 @@
   WsJob *job;
   machine->halt_session = report->session;
   machine->halt_token = report->token;
-  for (guint i = 0; machine->doubts == 0 && i < machine->tasks->len; i++) {
+  for (guint i = 0; machine->indeterminate_launches == 0 && i < machine->tasks->len; i++) {
     WsAssignment *assignment = unhalted(core, machine, i, &job);
     if (assignment != NULL && is_halted(report, job, assignment))
       assignment->seen_gone = TRUE;
@@ -440,7 +440,8 @@
   cancels->garbage_ms = core->now + 100;
   forget_over(core);
   for (guint n = 0; n < core->settings->nodes->len; n++)
-    if (!cancels->telling[n] && core->now >= cancels->tell_ms[n] && ws_cancel_untold(core, n) > 0)
+    if (!cancels->telling[n] && core->now >= cancels->tell_ms[n]
+        && ws_cancel_count_unacknowledged(core, n) > 0)
       tell(core, n);
   tend_machines(core);
 }
--- a/src/core/ws-cloud-list.c
+++ b/src/core/ws-cloud-list.c
@@ -37,7 +37,7 @@
     if (result == WS_TXN_OK)
       g_info("machine %s wasn't expected; it is used or given back", machine->name);
     else
-      machine->adopt = TRUE;
+      machine->needs_record = TRUE;
   }
   core->plan_due = TRUE;
 }
@@ -48,7 +48,7 @@
   if (machine->marking || machine->type_name == NULL || machine->zone == WS_NONE
       || ws_returns_is_confirmed(core, machine->name) || !ws_entitled(core))
     return;
-  machine->adopt = TRUE;
+  machine->needs_record = TRUE;
   machine->at_ms = at_ms;
 }
 
@@ -74,11 +74,11 @@
   lot->machines = g_array_new(FALSE, FALSE, sizeof(guint));
   for (guint i = first->index; i < core->replica->machines->len; i++) {
     WsMachine *machine = ws_replica_machine(core->replica, i);
-    if (!machine->adopt || machine->zone != first->zone || !belongs(lot, machine)
+    if (!machine->needs_record || machine->zone != first->zone || !belongs(lot, machine)
         || lot->machines->len >= ws_lot_most_machines(core->settings)
         || !ws_lot_has_place(lot, core->replica, machine->name))
       continue;
-    machine->adopt = FALSE;
+    machine->needs_record = FALSE;
     machine->marking = TRUE;
     machine->marking_ms = core->now;
     g_array_append_val(lot->machines, machine->index);
@@ -98,8 +98,8 @@
   for (guint i = 0; i < core->replica->machines->len; i++) {
     WsMachine *machine = ws_replica_machine(core->replica, i);
     if (machine->stored || ws_returns_is_confirmed(core, machine->name))
-      machine->adopt = FALSE;
-    if (!machine->adopt || ws_txn_ops(txn) >= core->settings->state_txn_ops)
+      machine->needs_record = FALSE;
+    if (!machine->needs_record || ws_txn_ops(txn) >= core->settings->state_txn_ops)
       continue;
     WsLot *lot = gather_lot(core, machine, machines);
     g_autofree char *key = ws_key(WS_KEYS_LOT, lot->name);
--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -52,12 +52,12 @@
   gint64 settled_ms;   /* when it last said that it is without state service and has told all */
   gboolean in_flight;
   gint64 sent_ms;
-  gboolean unheard; /* it says that no worker reaches it */
-  gint64 tried_ms;  /* when a worker was last sent there all the same */
-  guint relays;     /* reports on their way to it */
-  guint reaches;    /* bit for each node it hears */
-  guint64 acked;    /* how much it has of what this node says of its machines, in this epoch */
-  guint64 has;      /* how much this node has of what it says */
+  gboolean hears_no_worker; /* it says that no worker reaches it */
+  gint64 tried_ms;          /* when a worker was last sent there all the same */
+  guint relays;             /* reports on their way to it */
+  guint reaches;            /* bit for each node it hears */
+  guint64 acked; /* how much it has of what this node says of its machines, in this epoch */
+  guint64 has;   /* how much this node has of what it says */
 } WsPeer;
 
 struct _WsCore {
@@ -89,7 +89,7 @@
   guint64 gossip_rev;         /* counts what changed about this node's machines */
   gboolean seen_from_outside; /* cut off, yet heard by machines of other zones */
   gint64 report_ms;           /* when a worker last reported to this node itself */
-  gboolean unheard;           /* none does, although there are some for it */
+  gboolean hears_no_worker;   /* none does, although there are some for it */
   guint direct_calls;         /* launches on their way */
   guint status_calls;
   guint status_next; /* where the next round of status calls begins */
@@ -175,7 +175,7 @@
 /* By the records or by a peer's word: the job's user was told that it is cancelled. */
 gboolean ws_cancel_is_known(const WsCore *core, const WsJob *job);
 /* How many cancellations the node has neither told of nor acknowledged. */
-guint ws_cancel_untold(const WsCore *core, guint node);
+guint ws_cancel_count_unacknowledged(const WsCore *core, guint node);
 void ws_cancel_peer_began_anew(WsCore *core, guint node);
 void ws_cancel_taken(WsCore *core, const json_t *message, gpointer request);
 /* Halts for what the report shows of cancelled jobs. */
--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -200,7 +200,7 @@
     machine->owned_ms = now_ms;
     machine->empty_ms = 0;
     machine->sparse_ms = 0;
-    machine->unmet_ms = 0;
+    machine->unacknowledged_ms = 0;
   }
   ws_members_wake(core, now_ms);
 }
@@ -231,7 +231,7 @@
     WsMachine *machine = ws_replica_machine(core->replica, i);
     machine->redirected_ms = 0;
     machine->status_failed = 0;
-    machine->unmet_ms = 0;
+    machine->unacknowledged_ms = 0;
     if (machine->owner_seen != machine->owner)
       machine->owned_ms = core->now;
     machine->owner_seen = machine->owner;
--- a/src/core/ws-direct.c
+++ b/src/core/ws-direct.c
@@ -25,9 +25,10 @@
   core->direct_calls--;
   /* Without an answer the launch may still be carried out minutes later, so the doubt stays until
      the worker has seen a higher token or begun a new session. */
-  if (status != 0 && direct->launches && machine->doubts > 0
-      && machine->doubt_token == direct->token && machine->doubt_session == direct->session)
-    machine->doubts--;
+  if (status != 0 && direct->launches && machine->indeterminate_launches > 0
+      && machine->indeterminate_token == direct->token
+      && machine->indeterminate_session == direct->session)
+    machine->indeterminate_launches--;
   g_autofree char *reason = NULL;
   g_autoptr(WsReport) report
       = status == 200 || status == 409 ? ws_report_parse(body, &reason) : NULL;
@@ -43,11 +44,11 @@
   *direct = (Direct){ machine->index, core->replica->epoch.number, machine->session, launches };
   core->direct_calls++;
   if (launches) {
-    if (machine->doubts == 0)
-      machine->doubt_ms = core->now;
-    machine->doubts++;
-    machine->doubt_token = direct->token;
-    machine->doubt_session = direct->session;
+    if (machine->indeterminate_launches == 0)
+      machine->indeterminate_ms = core->now;
+    machine->indeterminate_launches++;
+    machine->indeterminate_token = direct->token;
+    machine->indeterminate_session = direct->session;
   }
   ws_call(core, "POST", machine->endpoint, "/commands",
           ws_commands_direct(direct->token, direct->session, commands), 2000, on_direct, direct);
@@ -57,7 +58,7 @@
 ws_direct_can_send(const WsCore *core, const WsMachine *machine)
 {
   return machine->endpoint != NULL && machine->token == core->replica->epoch.number
-         && ws_machine_up(core, machine) && !core->unheard && ws_entitled(core);
+         && ws_machine_up(core, machine) && !core->hears_no_worker && ws_entitled(core);
 }
 
 void
--- a/src/core/ws-failure-detector.c
+++ b/src/core/ws-failure-detector.c
@@ -5,7 +5,7 @@
 
 #define STATUS_PAUSE_MS 600
 #define STATUS_TIMEOUT_MS 500
-#define DOUBT_MS 8000
+#define INDETERMINATE_MS 8000
 #define MOST_STATUS_CALLS 32
 /* Leases for which the machines of a zone that is cut off are waited for. */
 #define PARTITION_LEASES 10.0
@@ -59,16 +59,16 @@
 }
 
 static gint64
-unmet_for(const WsCore *core, const WsMachine *machine)
+unacknowledged_for_ms(const WsCore *core, const WsMachine *machine)
 {
-  return machine->unmet_ms > 0 ? core->now - machine->unmet_ms : 0;
+  return machine->unacknowledged_ms > 0 ? core->now - machine->unacknowledged_ms : 0;
 }
 
 gboolean
 ws_machine_outbound_unreachable(const WsCore *core, const WsMachine *machine)
 {
   /* One that says nothing isn't deaf, but silent. */
-  return ws_machine_up(core, machine) && unmet_for(core, machine) > patience_ms(core);
+  return ws_machine_up(core, machine) && unacknowledged_for_ms(core, machine) > patience_ms(core);
 }
 
 /* Calls reach it, and its reports reach nobody: a call showed that its lease has ended, and it has
@@ -269,7 +269,7 @@
             GUINT_TO_POINTER(machine->index));
   }
   gboolean failed = machine->endpoint == NULL || machine->status_failed >= 2;
-  gboolean is_cut = core->unheard || partitions->is_interruption
+  gboolean is_cut = core->hears_no_worker || partitions->is_interruption
                     || (machine->zone != WS_NONE && partitions->zones[machine->zone]);
   gint64 patience
       = is_cut ? (gint64)(core->settings->lease_s * 1000.0) + 500 : patience_ms(core) + 1500;
@@ -291,7 +291,7 @@
   gboolean many = deaf >= 3 && 5 * deaf >= all; /* then it's rather this node that isn't heard */
   double part = many ? 1.0 : OUTBOUND_PATIENCE_PART;
   if (ws_machine_up(core, machine)
-      && (double)unmet_for(core, machine) > part * core->settings->lease_s * 1000.0)
+      && (double)unacknowledged_for_ms(core, machine) > part * core->settings->lease_s * 1000.0)
     ws_termination_mark(core, machine, "deaf", TRUE);
 }
 
@@ -326,9 +326,9 @@
   double usual_ms = UNHEARD_REPORTS * core->settings->report_s * 1000.0 / MAX(own, 1u);
   gint64 since_ms = MAX(core->report_ms, core->epoch_ms);
   gboolean unheard = own > 0 && (double)(core->now - since_ms) > MAX(usual_ms, UNHEARD_MS);
-  if (unheard && !core->unheard)
+  if (unheard && !core->hears_no_worker)
     g_info("no worker reaches this node");
-  core->unheard = unheard;
+  core->hears_no_worker = unheard;
 }
 
 /* Each round of status calls begins after the last one of the round before, so that a bound on them
@@ -346,8 +346,8 @@
     if (!machine->stored || !ws_owns(core, machine))
       continue;
     /* A machine that isn't heard doesn't learn a higher token either. */
-    if (machine->doubts > 0 && core->now - machine->doubt_ms > DOUBT_MS
-        && ws_machine_up(core, machine))
+    if (machine->indeterminate_launches > 0
+        && core->now - machine->indeterminate_ms > INDETERMINATE_MS && ws_machine_up(core, machine))
       core->wants_epoch = TRUE;
     gboolean had_room = core->status_calls < MOST_STATUS_CALLS;
     if (!machine->marked || !machine->mark_now) {
--- a/src/core/ws-mesh.c
+++ b/src/core/ws-mesh.c
@@ -154,10 +154,11 @@
       "{s:s, s:s, s:I, s:b, s:i, s:b, s:b, s:I, s:I, s:I, s:I, s:b, s:i, s:o}", "node",
       ws_settings_node(core->settings, core->settings->self)->name, "version", WS_VERSION, "epoch",
       (json_int_t)core->replica->epoch.number, "store", ws_store_loaded(core) && ws_store_ok(core),
-      "reaches", (int)reaches, "wants_epoch", core->wants_epoch, "unheard", core->unheard, "base",
-      (json_int_t)peer->acked, "rev", (json_int_t)core->gossip_rev, "ack", (json_int_t)peer->has,
-      "incarnation", (json_int_t)core->incarnation, "loaded", ws_store_loaded(core), "untold",
-      (int)ws_cancel_untold(core, (guint)(peer - core->peers)), "machines", machines);
+      "reaches", (int)reaches, "wants_epoch", core->wants_epoch, "unheard", core->hears_no_worker,
+      "base", (json_int_t)peer->acked, "rev", (json_int_t)core->gossip_rev, "ack",
+      (json_int_t)peer->has, "incarnation", (json_int_t)core->incarnation, "loaded",
+      ws_store_loaded(core), "untold",
+      (int)ws_cancel_count_unacknowledged(core, (guint)(peer - core->peers)), "machines", machines);
 }
 
 static void
@@ -265,7 +266,7 @@
   peer->heard_ms = core->now;
   peer->epoch = epoch;
   peer->store_ok = store;
-  peer->unheard = unheard;
+  peer->hears_no_worker = unheard;
   peer->reaches = (guint)reaches;
   if (epoch != core->replica->epoch.number || epoch != core->epoch_seen)
     return;
--- a/src/core/ws-workers.c
+++ b/src/core/ws-workers.c
@@ -126,7 +126,8 @@
     machine->session_ms = core->now;
     g_info("machine %s begins session %" G_GUINT64_FORMAT, machine->name, session);
   }
-  machine->doubts = 0; /* a direct launch names its session, so an old one is refused */
+  machine->indeterminate_launches
+      = 0; /* a direct launch names its session, so an old one is refused */
   for (guint i = 0; i < machine->tasks->len; i++) {
     const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, i);
     WsAssignment *assignment
@@ -134,7 +135,7 @@
     if (assignment == NULL)
       continue;
     assignment->state = WS_TASK_ASSIGNED;
-    assignment->told = FALSE;
+    assignment->launch_sent = FALSE;
   }
 }
 
@@ -149,8 +150,9 @@
     begin_session(core, machine, report->session);
   machine->session = report->session;
   machine->seq = report->seq;
-  if (report->token > machine->token && machine->doubt_token < report->token)
-    machine->doubts = 0; /* from now on the worker refuses what was sent under the older token */
+  if (report->token > machine->token && machine->indeterminate_token < report->token)
+    machine->indeterminate_launches
+        = 0; /* from now on the worker refuses what was sent under the older token */
   machine->token = MAX(machine->token, report->token);
   machine->heard_ms = core->now;
   machine->status_failed = 0;
@@ -191,7 +193,7 @@
   json_t *commands;
   gboolean confirmed; /* the worker has seen our token */
   gboolean halts;
-  gboolean unmet; /* it was told already, and the report doesn't show it */
+  gboolean is_unacknowledged; /* it was told already, and the report doesn't show it */
 } Answer;
 
 static void
@@ -220,7 +222,7 @@
   if (assignment == NULL) {
     if (task->state != WS_TASK_EXITED)
       command(answer, WS_OP_HALT, task->job, task->task, task->attempt, 0.0);
-    else if (answer->confirmed && machine->doubts == 0)
+    else if (answer->confirmed && machine->indeterminate_launches == 0)
       command(answer, WS_OP_REAP, task->job, task->task, task->attempt, 0.0);
     return;
   }
@@ -258,11 +260,11 @@
     return; /* it may be cancelled, and nobody could have told us */
   if (!unwanted) {
     command(answer, WS_OP_LAUNCH, job->id, assignment->task, assignment->attempt, 0.0);
-    answer->unmet = answer->unmet || assignment->told;
-    assignment->told = TRUE;
+    answer->is_unacknowledged = answer->is_unacknowledged || assignment->launch_sent;
+    assignment->launch_sent = TRUE;
     return;
   }
-  if (answer->confirmed && answer->machine->doubts == 0)
+  if (answer->confirmed && answer->machine->indeterminate_launches == 0)
     ws_assign_release(answer->core, job, assignment, FALSE);
 }
 
@@ -285,15 +287,16 @@
 /* A machine whose reports arrive while answers and commands don't reach it shows no token of ours,
    no task that it was told to launch, and goes on with what it was told to stop. */
 static void
-note_unmet(Answer *answer)
+note_unacknowledged(Answer *answer)
 {
   WsMachine *machine = answer->machine;
   machine->halts_in_a_row = answer->halts ? machine->halts_in_a_row + 1 : 0;
-  gboolean unmet = answer->unmet || !answer->confirmed || machine->halts_in_a_row > 1;
-  if (!unmet)
-    machine->unmet_ms = 0;
-  else if (machine->unmet_ms == 0)
-    machine->unmet_ms = answer->core->now;
+  gboolean is_unacknowledged
+      = answer->is_unacknowledged || !answer->confirmed || machine->halts_in_a_row > 1;
+  if (!is_unacknowledged)
+    machine->unacknowledged_ms = 0;
+  else if (machine->unacknowledged_ms == 0)
+    machine->unacknowledged_ms = answer->core->now;
 }
 
 json_t *
@@ -318,7 +321,7 @@
     for (guint i = 0; i < report->tasks->len; i++)
       take_task(core, machine, &g_array_index(report->tasks, WsReportTask, i));
   command_all(&answer);
-  note_unmet(&answer);
+  note_unacknowledged(&answer);
   core->plan_due = core->plan_due || !was_usable || machine->notice_ms > 0;
   return ws_commands_answer(token(core), answer.commands);
 }
@@ -348,7 +351,7 @@
 is_worth_a_try(WsCore *core, guint owner)
 {
   WsPeer *peer = &core->peers[owner];
-  if (peer->unheard && core->now - peer->tried_ms < TRY_UNHEARD_MS)
+  if (peer->hears_no_worker && core->now - peer->tried_ms < TRY_UNHEARD_MS)
     return FALSE;
   peer->tried_ms = core->now;
   return TRUE;
@@ -387,12 +390,12 @@
     return FALSE;
   if (machine->zone != ws_replica_find_zone(core->replica, self->zone))
     core->seen_from_outside = TRUE;
-  gint64 since_ms = core->now - machine->turned_ms;
+  gint64 since_ms = core->now - machine->sent_away_ms;
   if (!core->seen_from_outside
-      || (machine->turned_ms > 0
+      || (machine->sent_away_ms > 0
           && (double)since_ms < KEPT_PART * core->settings->lease_s * 1000.0))
     return FALSE;
-  machine->turned_ms = core->now;
+  machine->sent_away_ms = core->now;
   return TRUE;
 }
 
--- a/src/storage/ws-chunk.h
+++ b/src/storage/ws-chunk.h
@@ -21,7 +21,7 @@
   WsTaskState state;
   gboolean seen_gone;   /* the worker has shown that a cancelled task's attempt is not there */
   gint64 stop_asked_ms; /* when another owner was last asked to stop it */
-  gboolean told;        /* its launch was in an answer to a report */
+  gboolean launch_sent; /* its launch was in an answer to a report */
   gboolean stopping;    /* a stop is wanted, so that something else gets the room or the machine */
 } WsAssignment;
 
--- a/src/storage/ws-replica.h
+++ b/src/storage/ws-replica.h
@@ -77,25 +77,25 @@
   guint last_bad_job;
   guint64 halt_session; /* as the worker last told whoever halts a cancelled task there */
   guint64 halt_token;
-  guint doubts; /* direct launches without an answer */
-  gint64 doubt_ms;
-  guint64 doubt_token;
-  guint64 doubt_session;
-  gint64 unmet_ms; /* since when what it is told has come to nothing; 0: it hasn't */
+  guint indeterminate_launches; /* direct launches without an answer */
+  gint64 indeterminate_ms;
+  guint64 indeterminate_token;
+  guint64 indeterminate_session;
+  gint64 unacknowledged_ms; /* since when what it is told has come to nothing; 0: it hasn't */
   guint halts_in_a_row;
-  gint64 turned_ms;  /* when it was last sent away by this node, while cut off */
-  gboolean peer_up;  /* its owner says that it is up */
-  guint said;        /* what the peers are told: up, notice */
-  guint64 said_rev;  /* when that changed last */
-  gboolean has_news; /* images or endpoint have changed since */
-  gint64 status_ms;  /* when it was last asked for its status */
+  gint64 sent_away_ms; /* when it was last sent away by this node, while cut off */
+  gboolean peer_up;    /* its owner says that it is up */
+  guint said;          /* what the peers are told: up, notice */
+  guint64 said_rev;    /* when that changed last */
+  gboolean has_news;   /* images or endpoint have changed since */
+  gint64 status_ms;    /* when it was last asked for its status */
   guint status_failed;
   gint64 redirected_ms;
-  gboolean adopt;       /* it waits for a lot */
-  gint64 listed_ms;     /* since when lists show it although it has no record; 0: they don't */
-  gboolean marking;     /* its mark or its lot is being written */
-  gint64 marking_ms;    /* since when */
-  gint64 stop_after_ms; /* the next stop of a drain */
+  gboolean needs_record; /* it waits for a lot */
+  gint64 listed_ms;      /* since when lists show it although it has no record; 0: they don't */
+  gboolean marking;      /* its mark or its lot is being written */
+  gint64 marking_ms;     /* since when */
+  gint64 stop_after_ms;  /* the next stop of a drain */
   guint stop_backoff_ms;
 } WsMachine;
 
