--- a/src/core/ws-batch.c
+++ b/src/core/ws-batch.c
@@ -24,12 +24,12 @@
 
 struct _WsBatch {
   WsCore *core;
-  GPtrArray *works;   /* of Work */
-  WsAmount *use;      /* of each team, as the transaction leaves it */
-  gboolean *touched;  /* by record of teams' use */
-  GHashTable *room;   /* machine index -> WsAmount taken by this batch */
-  GHashTable *joined; /* index of each machine that gets a task */
-  GHashTable *lots;   /* the lots that name them */
+  GPtrArray *works;           /* of Work */
+  WsAmount *use;              /* of each team, as the transaction leaves it */
+  gboolean *touched;          /* by record of teams' use */
+  GHashTable *room;           /* machine index -> WsAmount taken by this batch */
+  GHashTable *joined;         /* index of each machine that gets a task */
+  GHashTable *rental_batches; /* the rental batches that name them */
   gboolean is_of_one_job;
   guint most_ops;
   guint ops;
@@ -56,7 +56,7 @@
   batch->touched = g_new0(gboolean, ws_team_use_groups(core->settings));
   batch->room = g_hash_table_new_full(NULL, NULL, NULL, g_free);
   batch->joined = g_hash_table_new(NULL, NULL);
-  batch->lots = g_hash_table_new(NULL, NULL);
+  batch->rental_batches = g_hash_table_new(NULL, NULL);
   batch->most_ops = core->settings->state_txn_ops;
   batch->conditions = 1; /* the epoch */
   return batch;
@@ -95,7 +95,7 @@
   g_free(batch->touched);
   g_hash_table_unref(batch->room);
   g_hash_table_unref(batch->joined);
-  g_hash_table_unref(batch->lots);
+  g_hash_table_unref(batch->rental_batches);
   g_free(batch);
 }
 
@@ -175,7 +175,7 @@
   }
   if (joins != NULL && !g_hash_table_contains(batch->joined, GUINT_TO_POINTER(joins->index)))
     conditions++;
-  if (joins != NULL && !g_hash_table_contains(batch->lots, joins->lot))
+  if (joins != NULL && !g_hash_table_contains(batch->rental_batches, joins->rental_batch))
     conditions++;
   if (ends)
     ops += 1 - (gint)count_works(batch, job);
@@ -399,8 +399,9 @@
   ws_chunk_add(chunk, &assignment);
   ws_amount_add(taken(batch, proposal->machine), &job->spec->need, 1);
   g_hash_table_add(batch->joined, GUINT_TO_POINTER(proposal->machine));
-  g_hash_table_add(batch->lots,
-                   (gpointer)ws_replica_machine(batch->core->replica, proposal->machine)->lot);
+  g_hash_table_add(
+      batch->rental_batches,
+      (gpointer)ws_replica_machine(batch->core->replica, proposal->machine)->rental_batch);
   use_team(batch, job, 1);
   ws_reservations_use(batch->core, job, proposal->machine);
   return WS_BATCH_TAKEN;
@@ -474,7 +475,7 @@
   WsCore *core = batch->core;
   WsTxn *txn = ws_txn_new();
   GHashTableIter iter;
-  gpointer machine, lot;
+  gpointer machine, rental_batch;
   ws_txn_if(txn, core->replica, WS_KEY_EPOCH);
   g_hash_table_iter_init(&iter, batch->joined);
   while (g_hash_table_iter_next(&iter, &machine, NULL)) {
@@ -483,10 +484,10 @@
     ws_txn_if_version(txn, mark, 0);
   }
   /* Carried out late, after the machine was marked and returned, its mark is absent once more: but
-     its lot has changed, and never becomes again what it was. */
-  g_hash_table_iter_init(&iter, batch->lots);
-  while (g_hash_table_iter_next(&iter, &lot, NULL)) {
-    g_autofree char *key = ws_key(WS_KEYS_LOT, lot);
+     its rental batch has changed, and never becomes again what it was. */
+  g_hash_table_iter_init(&iter, batch->rental_batches);
+  while (g_hash_table_iter_next(&iter, &rental_batch, NULL)) {
+    g_autofree char *key = ws_key(WS_KEYS_RENTAL_BATCH, rental_batch);
     ws_txn_if(txn, core->replica, key);
   }
   for (guint i = 0; i < batch->works->len; i++) {
--- a/src/core/ws-cloud-list.c
+++ b/src/core/ws-cloud-list.c
@@ -25,7 +25,7 @@
   g_free(list);
 }
 
-/* Machines that weren't expected get a lot of their own: those of a kind share one. */
+/* Machines that weren't expected get a rental batch of their own: those of a kind share one. */
 
 static void
 on_recorded(WsCore *core, WsTxnResult result, gpointer data)
@@ -53,38 +53,38 @@
 }
 
 static gboolean
-belongs(const WsLot *lot, const WsMachine *machine)
+belongs(const WsRentalBatch *rental_batch, const WsMachine *machine)
 {
-  return strcmp(lot->type, machine->type_name) == 0 && lot->spot == machine->spot;
+  return strcmp(rental_batch->type, machine->type_name) == 0 && rental_batch->spot == machine->spot;
 }
 
-/* All machines of the kind that wait for a lot. */
-static WsLot *
-gather_lot(WsCore *core, const WsMachine *first, GArray *machines)
+/* All machines of the kind that wait for a rental batch. */
+static WsRentalBatch *
+gather_rental_batch(WsCore *core, const WsMachine *first, GArray *machines)
 {
   const char *zone = g_ptr_array_index(core->settings->zones, first->zone);
-  WsLot *lot = g_new0(WsLot, 1);
-  lot->name = g_strdup_printf("a-%" G_GUINT64_FORMAT "-%u-%" G_GUINT64_FORMAT,
-                              core->replica->epoch.number, core->settings->self,
-                              ++core->cloud_list->batches);
-  lot->type = g_strdup(first->type_name);
-  lot->zone = g_strdup(zone);
-  lot->spot = first->spot;
-  lot->at_ms = first->at_ms;
-  lot->machines = g_array_new(FALSE, FALSE, sizeof(guint));
+  WsRentalBatch *rental_batch = g_new0(WsRentalBatch, 1);
+  rental_batch->name = g_strdup_printf("a-%" G_GUINT64_FORMAT "-%u-%" G_GUINT64_FORMAT,
+                                       core->replica->epoch.number, core->settings->self,
+                                       ++core->cloud_list->batches);
+  rental_batch->type = g_strdup(first->type_name);
+  rental_batch->zone = g_strdup(zone);
+  rental_batch->spot = first->spot;
+  rental_batch->at_ms = first->at_ms;
+  rental_batch->machines = g_array_new(FALSE, FALSE, sizeof(guint));
   for (guint i = first->index; i < core->replica->machines->len; i++) {
     WsMachine *machine = ws_replica_machine(core->replica, i);
-    if (!machine->needs_record || machine->zone != first->zone || !belongs(lot, machine)
-        || lot->machines->len >= ws_lot_most_machines(core->settings)
-        || !ws_lot_has_place(lot, core->replica, machine->name))
+    if (!machine->needs_record || machine->zone != first->zone || !belongs(rental_batch, machine)
+        || rental_batch->machines->len >= ws_rental_batch_most_machines(core->settings)
+        || !ws_rental_batch_has_place(rental_batch, core->replica, machine->name))
       continue;
     machine->needs_record = FALSE;
     machine->marking = TRUE;
     machine->marking_ms = core->now;
-    g_array_append_val(lot->machines, machine->index);
+    g_array_append_val(rental_batch->machines, machine->index);
     g_array_append_val(machines, machine->index);
   }
-  return lot;
+  return rental_batch;
 }
 
 void
@@ -101,11 +101,11 @@
       machine->needs_record = FALSE;
     if (!machine->needs_record || ws_txn_ops(txn) >= core->settings->state_txn_ops)
       continue;
-    WsLot *lot = gather_lot(core, machine, machines);
-    g_autofree char *key = ws_key(WS_KEYS_LOT, lot->name);
+    WsRentalBatch *rental_batch = gather_rental_batch(core, machine, machines);
+    g_autofree char *key = ws_key(WS_KEYS_RENTAL_BATCH, rental_batch->name);
     ws_txn_if_version(txn, key, 0);
-    ws_txn_set(txn, key, ws_lot_encode(lot, core->replica));
-    ws_lot_free(lot);
+    ws_txn_set(txn, key, ws_rental_batch_encode(rental_batch, core->replica));
+    ws_rental_batch_free(rental_batch);
   }
   if (machines->len > 0) {
     ws_txn_commit(core, txn, WS_FIRST_REST, on_recorded, machines);
--- a/src/core/ws-consolidation.c
+++ b/src/core/ws-consolidation.c
@@ -1,17 +1,18 @@
-/* Merging: a machine that holds only a few services, whose work fits on others, is given back by
-   the same path as an empty one. The move costs its people a moment, so it is done only where the
-   image is there already, when nothing waits for room, and for few machines at a time, of which no
-   two hold tasks of the same service. */
+/* Consolidation: a machine that holds only a few services, whose work fits on others, is given back
+   by the same path as an empty one. The move costs its people a moment, so it is done only where
+   the image is there already, when nothing waits for room, and for few machines at a time, of which
+   no two hold tasks of the same service. */
 #include "core/ws-core-private.h"
 
-/* Machines looked at in one tick, beside those that are merged: each is held against all others. */
+/* Machines looked at in one tick, beside those that are consolidated: each is held against all
+ * others. */
 #define MOST_LOOKS 4
-/* One in so many machines is merged at a time. */
+/* One in so many machines is consolidated at a time. */
 #define MACHINES_A_CONSOLIDATION 50
 /* How long each node's turn is; in its first half it may begin. */
 #define TURN_MS 2000
 
-/* What is merged together, in thought. */
+/* What is consolidated together, in thought. */
 typedef struct {
   WsAmount *taken;   /* by machine: what moves there */
   gboolean *closing; /* by machine */
--- a/src/core/ws-peer-requests.c
+++ b/src/core/ws-peer-requests.c
@@ -203,12 +203,12 @@
 read_mailbox(WsCore *core)
 {
   const char *self = ws_settings_node(core->settings, core->settings->self)->name;
-  json_t *letter;
-  while ((letter = g_queue_pop_head(&core->replica->mailbox)) != NULL) {
-    const json_t *mine = json_object_get(letter, self);
+  json_t *mailbox;
+  while ((mailbox = g_queue_pop_head(&core->replica->mailbox)) != NULL) {
+    const json_t *mine = json_object_get(mailbox, self);
     if (mine != NULL)
       (void)take_all(core, mine);
-    json_decref(letter);
+    json_decref(mailbox);
   }
 }
 
@@ -224,7 +224,7 @@
 }
 
 static void
-on_mailed(WsCore *core, WsTxnResult result, gpointer data)
+on_mailbox_written(WsCore *core, WsTxnResult result, gpointer data)
 {
   (void)core;
   (void)result;
@@ -233,11 +233,11 @@
 
 /* Halves the lists of what each node is asked. */
 static void
-halve_lists(json_t *letter)
+halve_lists(json_t *mailbox)
 {
   const char *node, *name;
   json_t *requests, *list;
-  json_object_foreach(letter, node, requests)
+  json_object_foreach(mailbox, node, requests)
   {
     json_object_foreach(requests, name, list)
     {
@@ -250,38 +250,39 @@
 
 /* A record has room for so much only; whoever asked asks again for what is left out. */
 static void
-fit_record(const WsCore *core, json_t *letter)
+fit_record(const WsCore *core, json_t *mailbox)
 {
   for (guint items = MOST_ITEMS; items > 0; items /= 2) {
-    g_autofree char *text = ws_json_text(letter);
+    g_autofree char *text = ws_json_text(mailbox);
     if (strlen(text) <= core->settings->state_record_bytes)
       return;
-    halve_lists(letter);
+    halve_lists(mailbox);
   }
 }
 
 static void
-mail(WsCore *core, json_t *letter /* taken */)
+write_mailbox(WsCore *core, json_t *mailbox /* taken */)
 {
-  fit_record(core, letter);
+  fit_record(core, mailbox);
   g_autofree char *key
       = ws_key(WS_KEYS_MAILBOX, ws_settings_node(core->settings, core->settings->self)->name);
   WsTxn *txn = ws_txn_new();
   core->peer_requests->mailbox_ms = core->now + MAILBOX_PAUSE_MS;
   ws_txn_if(txn, core->replica, WS_KEY_EPOCH);
-  ws_txn_set(txn, key, letter);
-  ws_txn_commit(core, txn, WS_FIRST_TASK, on_mailed, NULL);
+  ws_txn_set(txn, key, mailbox);
+  ws_txn_commit(core, txn, WS_FIRST_TASK, on_mailbox_written, NULL);
 }
 
-/* A letter replaces the one before it, so what is for nodes out of reach waits for its turn. */
+/* What is written replaces what was there before, so what is for nodes out of reach waits for its
+ * turn. */
 static void
 send_all(WsCore *core)
 {
-  gboolean may_mail = core->now >= core->peer_requests->mailbox_ms && ws_store_ok(core);
-  json_t *letter = NULL;
+  gboolean may_write_mailbox = core->now >= core->peer_requests->mailbox_ms && ws_store_ok(core);
+  json_t *mailbox = NULL;
   for (guint n = 0; n < core->settings->nodes->len; n++) {
     json_t **out = &core->peer_requests->out[n];
-    if (*out == NULL || (!ws_mesh_reaches(core, n) && !may_mail))
+    if (*out == NULL || (!ws_mesh_reaches(core, n) && !may_write_mailbox))
       continue;
     json_object_set_new(*out, "epoch", json_integer((json_int_t)core->replica->epoch.number));
     const WsNode *node = ws_settings_node(core->settings, n);
@@ -290,12 +291,12 @@
               on_asked, GUINT_TO_POINTER(n));
       continue;
     }
-    if (letter == NULL)
-      letter = json_object();
-    json_object_set_new(letter, node->name, g_steal_pointer(out));
+    if (mailbox == NULL)
+      mailbox = json_object();
+    json_object_set_new(mailbox, node->name, g_steal_pointer(out));
   }
-  if (letter != NULL)
-    mail(core, letter);
+  if (mailbox != NULL)
+    write_mailbox(core, mailbox);
 }
 
 /* What was to be asked in the last epoch is worked out afresh in the next. */
--- a/src/core/ws-rentals.c
+++ b/src/core/ws-rentals.c
@@ -140,7 +140,7 @@
     rentals->intent = ws_txn_new();
     ws_txn_if(rentals->intent, core->replica, WS_KEY_EPOCH);
   }
-  guint most = ws_lot_most_machines(core->settings);
+  guint most = ws_rental_batch_most_machines(core->settings);
   for (guint left = machines;
        left > 0 && ws_txn_ops(rentals->intent) < core->settings->state_txn_ops;
        left -= MIN(left, most))
@@ -187,51 +187,52 @@
   g_free(request);
 }
 
-/* Adds the first machines of the names to the transaction as one lot. Returns how many names were
-   used up. */
+/* Adds the first machines of the names to the transaction as one rental batch. Returns how many
+   names were used up. */
 static guint
-add_lot(WsCore *core, WsTxn *txn, const WsRent *rent, guint number, GPtrArray *names, guint first)
+add_rental_batch(WsCore *core, WsTxn *txn, const WsRent *rent, guint number, GPtrArray *names,
+                 guint first)
 {
   g_autofree char *name
       = number == 0 ? g_strdup(rent->request) : g_strdup_printf("%s.%u", rent->request, number);
-  g_autofree char *key = ws_key(WS_KEYS_LOT, name);
+  g_autofree char *key = ws_key(WS_KEYS_RENTAL_BATCH, name);
   g_autoptr(GArray) machines = g_array_new(FALSE, FALSE, sizeof(guint));
-  WsLot lot = { .type = rent->type,
-                .zone = rent->zone,
-                .spot = rent->spot,
-                .at_ms = core->wall,
-                .machines = machines };
+  WsRentalBatch rental_batch = { .type = rent->type,
+                                 .zone = rent->zone,
+                                 .spot = rent->spot,
+                                 .at_ms = core->wall,
+                                 .machines = machines };
   guint next = first;
   for (; next < names->len; next++) {
     const char *machine = g_ptr_array_index(names, next);
     guint index = ws_replica_get_machine(core->replica, machine)->index;
     if (ws_returns_is_confirmed(core, machine))
       continue;
-    if (!ws_lot_has_place(&lot, core->replica, machine))
+    if (!ws_rental_batch_has_place(&rental_batch, core->replica, machine))
       break;
     g_array_append_val(machines, index);
   }
   if (machines->len > 0)
-    ws_txn_set(txn, key, ws_lot_encode(&lot, core->replica));
+    ws_txn_set(txn, key, ws_rental_batch_encode(&rental_batch, core->replica));
   return next - first;
 }
 
-/* The intent goes and the machines get their lot in one transaction; more lots than one, where
-   their names are long. What doesn't fit is found in the cloud's list. */
+/* The intent goes and the machines get their rental batch in one transaction; more rental batches
+   than one, where their names are long. What doesn't fit is found in the cloud's list. */
 static void
 close_rent(WsCore *core, const WsRent *rent, GPtrArray *names)
 {
   g_autofree char *key = ws_key(WS_KEYS_RENT, rent->request);
   WsTxn *txn = ws_txn_new();
   ws_txn_if(txn, core->replica, WS_KEY_EPOCH);
-  /* Carried out late, after the lot has shrunk, it would bring returned machines back. */
+  /* Carried out late, after the rental batch has shrunk, it would bring returned machines back. */
   ws_txn_if(txn, core->replica, key);
   ws_txn_remove(txn, key);
   guint used = 0, step = 1;
-  for (guint lot = 0; names != NULL && step > 0 && used < names->len
-                      && ws_txn_ops(txn) < core->settings->state_txn_ops;
-       lot++) {
-    step = add_lot(core, txn, rent, lot, names, used);
+  for (guint number = 0; names != NULL && step > 0 && used < names->len
+                         && ws_txn_ops(txn) < core->settings->state_txn_ops;
+       number++) {
+    step = add_rental_batch(core, txn, rent, number, names, used);
     used += step;
   }
   ws_txn_commit(core, txn, WS_FIRST_TASK, on_rent_closed, g_strdup(rent->request));
--- a/src/core/ws-returns.c
+++ b/src/core/ws-returns.c
@@ -64,49 +64,51 @@
   return FALSE;
 }
 
-/* The lot without the machines, or its end. */
+/* The rental batch without the machines, or its end. */
 static void
-shrink_lot(WsCore *core, WsTxn *txn, const WsLot *lot, const GArray *without)
+shrink_rental_batch(WsCore *core, WsTxn *txn, const WsRentalBatch *rental_batch,
+                    const GArray *without)
 {
-  g_autofree char *key = ws_key(WS_KEYS_LOT, lot->name);
+  g_autofree char *key = ws_key(WS_KEYS_RENTAL_BATCH, rental_batch->name);
   g_autoptr(GArray) left = g_array_new(FALSE, FALSE, sizeof(guint));
-  for (guint i = 0; i < lot->machines->len; i++) {
-    guint machine = g_array_index(lot->machines, guint, i);
+  for (guint i = 0; i < rental_batch->machines->len; i++) {
+    guint machine = g_array_index(rental_batch->machines, guint, i);
     if (!is_in(without, machine))
       g_array_append_val(left, machine);
   }
-  if (left->len == lot->machines->len)
+  if (left->len == rental_batch->machines->len)
     return;
-  WsLot smaller = *lot;
+  WsRentalBatch smaller = *rental_batch;
   smaller.machines = left;
   ws_txn_if(txn, core->replica, key);
   if (left->len > 0)
-    ws_txn_set(txn, key, ws_lot_encode(&smaller, core->replica));
+    ws_txn_set(txn, key, ws_rental_batch_encode(&smaller, core->replica));
   else
     ws_txn_remove(txn, key);
 }
 
-/* How many lots would change. */
+/* How many rental batches would change. */
 static guint
-lots_of(const WsCore *core, const GArray *machines)
+count_batches_of(const WsCore *core, const GArray *machines)
 {
   guint count = 0;
-  for (guint i = 0; i < core->replica->lots->len; i++) {
-    const WsLot *lot = g_ptr_array_index(core->replica->lots, i);
+  for (guint i = 0; i < core->replica->rental_batches->len; i++) {
+    const WsRentalBatch *rental_batch = g_ptr_array_index(core->replica->rental_batches, i);
     gboolean any = FALSE;
-    for (guint k = 0; k < lot->machines->len && !any; k++)
-      any = is_in(machines, g_array_index(lot->machines, guint, k));
+    for (guint k = 0; k < rental_batch->machines->len && !any; k++)
+      any = is_in(machines, g_array_index(rental_batch->machines, guint, k));
     count += any ? 1 : 0;
   }
   return count;
 }
 
-/* Marks that are over go with their machines' place in their lots, many in one transaction. */
+/* Marks that are over go with their machines' place in their rental batches, many in one
+ * transaction. */
 static void
 clear_marks(WsCore *core, GArray *machines /* taken */)
 {
   while (machines->len > 1
-         && machines->len + lots_of(core, machines) > core->settings->state_txn_ops)
+         && machines->len + count_batches_of(core, machines) > core->settings->state_txn_ops)
     g_array_set_size(machines, machines->len - 1);
   WsTxn *txn = ws_txn_new();
   ws_txn_if(txn, core->replica, WS_KEY_EPOCH);
@@ -117,8 +119,8 @@
     machine->marking_ms = core->now;
     ws_txn_remove(txn, mark);
   }
-  for (guint i = 0; i < core->replica->lots->len; i++)
-    shrink_lot(core, txn, g_ptr_array_index(core->replica->lots, i), machines);
+  for (guint i = 0; i < core->replica->rental_batches->len; i++)
+    shrink_rental_batch(core, txn, g_ptr_array_index(core->replica->rental_batches, i), machines);
   core->returns->clearing = TRUE;
   ws_txn_commit(core, txn, WS_FIRST_REST, on_cleared, machines);
 }
@@ -146,8 +148,8 @@
   return core->replica->revision >= ws_replica_version(core->replica, key);
 }
 
-/* Whatever is on record for a machine that no lot names any more, and that hasn't been heard for as
-   long as its lease, waits for nothing. */
+/* Whatever is on record for a machine that no rental batch names any more, and that hasn't been
+   heard for as long as its lease, waits for nothing. */
 static gboolean
 is_lost(const WsCore *core, const WsMachine *machine)
 {
@@ -232,8 +234,8 @@
 }
 
 /* The record is mended as soon as the state service is back: the mark follows the return, and goes
-   the ordinary way with the machine's place in its lot. If this process ends before, the machine is
-   silent with tasks on record, and is found by that. */
+   the ordinary way with the machine's place in its rental batch. If this process ends before, the
+   machine is silent with tasks on record, and is found by that. */
 void
 ws_returns_tick_unmarked(WsCore *core)
 {
--- a/src/core/ws-termination.c
+++ b/src/core/ws-termination.c
@@ -1,14 +1,14 @@
-/* Giving machines back: hold, mark, close, drain, return, clear.
+/* Node termination: idle timeout, mark, close, drain, return, clear.
 
-   The owner elects a machine that was empty for the hold and, if the budget allows it, writes the
-   mark; from then on the machine is closed. The leader returns what is marked and empty (see
-   ws-returns.c) and clears the mark once the cloud has confirmed. Marks outlive every controller,
-   so whoever leads goes on with them. */
+   The owner selects a machine that was empty for the idle timeout and, if the budget allows it,
+   writes the mark; from then on the machine is closed. The leader returns what is marked and empty
+   (see ws-returns.c) and clears the mark once the cloud has confirmed. Marks outlive every
+   controller, so whoever leads goes on with them. */
 #include "core/ws-returns.h"
 
 #include <string.h>
 
-#define HANDED_IN_MS 5000
+#define FORWARDED_MS 5000
 
 static const WsBudget *
 budget_for(const WsCore *core, const WsMachine *machine)
@@ -125,7 +125,7 @@
   core->plan_due = TRUE;
 }
 
-/* An owner's election is handed in to the leader, who alone writes marks. */
+/* An owner's choice is forwarded to the leader, who alone writes marks. */
 void
 ws_termination_mark(WsCore *core, WsMachine *machine, const char *why, gboolean now)
 {
@@ -155,7 +155,7 @@
   while (termination->wanted->len > 0 && ws_txn_ops(txn) < core->settings->state_txn_ops) {
     Marking marking = g_array_index(termination->wanted, Marking, 0);
     WsMachine *machine = ws_replica_machine(core->replica, marking.machine);
-    /* Two owners may have elected at once what the budget allows only one of. */
+    /* Two owners may have chosen at once what the budget allows only one of. */
     if (!machine->stored || !ws_is_leader(core)
         || (!marking.now && strcmp(marking.why, "notice") != 0 && !budget_allows(core, machine))) {
       machine->marking = FALSE;
@@ -209,7 +209,7 @@
 /* While the state service is away nothing is placed: a machine that is empty then isn't idle.
    Dozens were given back at the end of an outage, with hundreds of jobs waiting. */
 static void
-elect(WsCore *core, WsMachine *machine)
+mark_if_idle(WsCore *core, WsMachine *machine)
 {
   if (machine->tasks->len > 0 || !ws_machine_up(core, machine) || !ws_store_ok(core)) {
     machine->empty_ms = 0;
@@ -231,7 +231,7 @@
   else if (machine->bad_jobs >= 2 && !machine->marked)
     ws_termination_mark(core, machine, "faulty", FALSE);
   else if (!machine->marked)
-    elect(core, machine);
+    mark_if_idle(core, machine);
 }
 
 void
@@ -242,7 +242,7 @@
     /* Nothing came of it. Also on machines that this node no longer owns: one that had asked for a
        mark and then led refused everybody else's marks of that machine, and it was never returned.
      */
-    if (machine->marking && core->now - machine->marking_ms > HANDED_IN_MS)
+    if (machine->marking && core->now - machine->marking_ms > FORWARDED_MS)
       machine->marking = FALSE;
     if (machine->stored && ws_owns(core, machine))
       tend(core, machine);
--- a/src/core/ws-users.c
+++ b/src/core/ws-users.c
@@ -1,4 +1,4 @@
-/* Submissions, polls and withdrawals. Every one is answered at once or after one current read. */
+/* Submissions, polls and cancellations. Every one is answered at once or after one current read. */
 #include "core/ws-core-private.h"
 
 #include "protocol/ws-field-names.h"
@@ -11,50 +11,50 @@
 /* What a job's record holds beside its submission. */
 #define JOB_RECORD_BYTES 160
 
-typedef enum { ASK_SUBMIT, ASK_POLL, ASK_WITHDRAW } Ask;
+typedef enum { REQUEST_SUBMIT, REQUEST_POLL, REQUEST_CANCEL } RequestKind;
 
 typedef struct {
-  Ask ask;
+  RequestKind kind;
   char *id;
   WsSubmission *spec; /* of a submission */
-  gpointer request;
+  gpointer handle;    /* under which it is answered */
   guint tries;
   gboolean has_read; /* the replica was brought up to date since the request came in */
-} Visit;
+} UserRequest;
 
-static void decide(WsCore *core, Visit *visit);
+static void decide(WsCore *core, UserRequest *user_request);
 
 static void
-visit_free(Visit *visit)
+user_request_free(UserRequest *user_request)
 {
-  g_free(visit->id);
-  ws_submission_free(visit->spec);
-  g_free(visit);
+  g_free(user_request->id);
+  ws_submission_free(user_request->spec);
+  g_free(user_request);
 }
 
 static void
-end(WsCore *core, Visit *visit, guint status, json_t *body)
+end(WsCore *core, UserRequest *user_request, guint status, json_t *body)
 {
-  ws_answer(core, visit->request, status, body, 0);
-  visit_free(visit);
+  ws_answer(core, user_request->handle, status, body, 0);
+  user_request_free(user_request);
 }
 
 static void
-end_later(WsCore *core, Visit *visit)
+end_later(WsCore *core, UserRequest *user_request)
 {
-  ws_answer_later(core, visit->request, ws_store_ok(core) ? 1 : 2);
-  visit_free(visit);
+  ws_answer_later(core, user_request->handle, ws_store_ok(core) ? 1 : 2);
+  user_request_free(user_request);
 }
 
 static void
-end_with_reason(WsCore *core, Visit *visit, guint status, const char *reason)
+end_with_reason(WsCore *core, UserRequest *user_request, guint status, const char *reason)
 {
-  ws_answer_reason(core, visit->request, status, reason);
-  visit_free(visit);
+  ws_answer_reason(core, user_request->handle, status, reason);
+  user_request_free(user_request);
 }
 
 static void
-end_with_state(WsCore *core, Visit *visit, guint status, const WsJob *job)
+end_with_state(WsCore *core, UserRequest *user_request, guint status, const WsJob *job)
 {
   const char *state = job->state == WS_JOB_DONE        ? "done"
                       : job->state == WS_JOB_CANCELLED ? "cancelled"
@@ -62,59 +62,61 @@
                                                        : "queued";
   guint done = job->state == WS_JOB_DONE ? job->tasks : job->done_count;
   json_t *body = json_pack("{s:s, s:s}", "id", job->id, W_STATE, state);
-  if (visit->ask == ASK_POLL) {
+  if (user_request->kind == REQUEST_POLL) {
     json_object_set_new(body, "done", json_integer(done));
     json_object_set_new(body, "running", json_integer(job->on_count));
   }
-  end(core, visit, status, body);
+  end(core, user_request, status, body);
 }
 
 static void
 on_current(WsCore *core, gboolean current, gpointer data)
 {
-  Visit *visit = data;
-  visit->has_read = visit->has_read || current;
+  UserRequest *user_request = data;
+  user_request->has_read = user_request->has_read || current;
   if (current)
-    decide(core, visit);
+    decide(core, user_request);
   else
-    end_later(core, visit);
+    end_later(core, user_request);
 }
 
 /* Anything but a final state, and any "no", is answered from a replica brought up to date after
    the request came in: another node may know better. */
 static void
-decide_from_current(WsCore *core, Visit *visit)
+decide_from_current(WsCore *core, UserRequest *user_request)
 {
-  const WsJob *job = ws_replica_find_job(core->replica, visit->id);
+  const WsJob *job = ws_replica_find_job(core->replica, user_request->id);
   if (job != NULL && job->state != WS_JOB_ACTIVE)
-    decide(core, visit);
+    decide(core, user_request);
   else
-    ws_store_read(core, on_current, visit);
+    ws_store_read(core, on_current, user_request);
 }
 
 static void
-try_again(WsCore *core, Visit *visit)
+try_again(WsCore *core, UserRequest *user_request)
 {
-  if (++visit->tries >= TRIES)
-    end_later(core, visit);
+  if (++user_request->tries >= TRIES)
+    end_later(core, user_request);
   else
-    ws_store_read(core, on_current, visit);
+    ws_store_read(core, on_current, user_request);
 }
 
 static void
 on_submitted(WsCore *core, WsTxnResult result, gpointer data)
 {
-  Visit *visit = data;
+  UserRequest *user_request = data;
   if (result == WS_TXN_CONFLICT) {
-    try_again(core, visit);
+    try_again(core, user_request);
   } else if (result == WS_TXN_OK) {
     g_info("job %s accepted: %u tasks of %s for team %s, estimated %.0f s, due in %.0f s",
-           visit->id, visit->spec->tasks, visit->spec->class_name, visit->spec->team,
-           visit->spec->estimate_s, visit->spec->deadline_s);
+           user_request->id, user_request->spec->tasks, user_request->spec->class_name,
+           user_request->spec->team, user_request->spec->estimate_s,
+           user_request->spec->deadline_s);
     core->plan_due = TRUE;
-    end(core, visit, 201, json_pack("{s:s, s:s}", "id", visit->id, W_STATE, "queued"));
+    end(core, user_request, 201,
+        json_pack("{s:s, s:s}", "id", user_request->id, W_STATE, "queued"));
   } else {
-    end_later(core, visit);
+    end_later(core, user_request);
   }
 }
 
@@ -184,61 +186,61 @@
 }
 
 static void
-accept(WsCore *core, Visit *visit)
+accept(WsCore *core, UserRequest *user_request)
 {
-  WsJob job = { .id = visit->id, .spec = visit->spec, .at_ms = core->wall };
-  guint home = ws_plan_home(core, visit->spec);
+  WsJob job = { .id = user_request->id, .spec = user_request->spec, .at_ms = core->wall };
+  guint home = ws_plan_home(core, user_request->spec);
   const char *name = home == WS_NONE ? "" : ws_settings_node(core->settings, home)->name;
-  g_autofree char *key = ws_key_job(visit->id);
+  g_autofree char *key = ws_key_job(user_request->id);
   WsTxn *txn = ws_txn_new();
   ws_txn_if_version(txn, key, 0);
   ws_txn_set(txn, key, ws_job_encode(&job, WS_JOB_ACTIVE, name));
-  ws_txn_commit(core, txn, WS_FIRST_USER, on_submitted, visit);
+  ws_txn_commit(core, txn, WS_FIRST_USER, on_submitted, user_request);
 }
 
 static void
-decide_submission(WsCore *core, Visit *visit)
+decide_submission(WsCore *core, UserRequest *user_request)
 {
-  const WsJob *job = ws_replica_find_job(core->replica, visit->id);
+  const WsJob *job = ws_replica_find_job(core->replica, user_request->id);
   if (job != NULL) {
-    end_with_state(core, visit, 200, job);
+    end_with_state(core, user_request, 200, job);
     return;
   }
   if (core->replica->catalog == NULL) {
-    end_later(core, visit);
+    end_later(core, user_request);
     return;
   }
-  const char *reason = never_runs(core, visit->spec);
+  const char *reason = never_runs(core, user_request->spec);
   /* Another node, of an older version maybe, may have accepted it by its own rules. */
-  if (reason != NULL && !visit->has_read)
-    ws_store_read(core, on_current, visit);
+  if (reason != NULL && !user_request->has_read)
+    ws_store_read(core, on_current, user_request);
   else if (reason != NULL)
-    end_with_reason(core, visit, 422, reason);
+    end_with_reason(core, user_request, 422, reason);
   else
-    accept(core, visit);
+    accept(core, user_request);
 }
 
 static void
-on_withdrawn(WsCore *core, WsTxnResult result, gpointer data)
+on_cancelled(WsCore *core, WsTxnResult result, gpointer data)
 {
-  Visit *visit = data;
+  UserRequest *user_request = data;
   if (result == WS_TXN_CONFLICT) {
-    try_again(core, visit);
+    try_again(core, user_request);
     return;
   }
   if (result != WS_TXN_OK) {
-    end_later(core, visit);
+    end_later(core, user_request);
     return;
   }
-  WsJob *job = ws_replica_find_job(core->replica, visit->id);
-  g_info("job %s cancelled", visit->id);
-  end_with_state(core, visit, 200, job);
+  WsJob *job = ws_replica_find_job(core->replica, user_request->id);
+  g_info("job %s cancelled", user_request->id);
+  end_with_state(core, user_request, 200, job);
 }
 
 /* A job on which nothing was ever placed shrinks at once; its first chunk is a condition too, for
    an assignment doesn't change the job's own key. */
 static void
-withdraw(WsCore *core, Visit *visit, const WsJob *job)
+cancel(WsCore *core, UserRequest *user_request, const WsJob *job)
 {
   WsJob cancelled = *job;
   g_autofree char *key = ws_key_job(job->id);
@@ -253,25 +255,25 @@
   ws_txn_set(txn, key,
              untouched ? ws_job_encode_final(job, WS_JOB_CANCELLED)
                        : ws_job_encode(&cancelled, WS_JOB_CANCELLED, ""));
-  ws_txn_commit(core, txn, WS_FIRST_USER, on_withdrawn, visit);
+  ws_txn_commit(core, txn, WS_FIRST_USER, on_cancelled, user_request);
 }
 
 static void
-decide(WsCore *core, Visit *visit)
+decide(WsCore *core, UserRequest *user_request)
 {
-  const WsJob *job = ws_replica_find_job(core->replica, visit->id);
-  if (visit->ask == ASK_SUBMIT)
-    decide_submission(core, visit);
+  const WsJob *job = ws_replica_find_job(core->replica, user_request->id);
+  if (user_request->kind == REQUEST_SUBMIT)
+    decide_submission(core, user_request);
   else if (job == NULL)
-    end_with_reason(core, visit, 404, "no such job");
-  else if (visit->ask == ASK_WITHDRAW && job->state == WS_JOB_ACTIVE)
-    withdraw(core, visit, job);
+    end_with_reason(core, user_request, 404, "no such job");
+  else if (user_request->kind == REQUEST_CANCEL && job->state == WS_JOB_ACTIVE)
+    cancel(core, user_request, job);
   else
-    end_with_state(core, visit, 200, job);
+    end_with_state(core, user_request, 200, job);
 }
 
 static void
-visit(WsCore *core, Ask ask, const char *id, WsSubmission *spec, gpointer request)
+begin(WsCore *core, RequestKind kind, const char *id, WsSubmission *spec, gpointer request)
 {
   const WsJob *job = ws_replica_find_job(core->replica, id);
   gboolean is_final = job != NULL && job->state != WS_JOB_ACTIVE;
@@ -280,13 +282,14 @@
     ws_submission_free(spec);
     return;
   }
-  Visit *visit = g_new0(Visit, 1);
-  *visit = (Visit){ .ask = ask, .id = g_strdup(id), .spec = spec, .request = request };
+  UserRequest *user_request = g_new0(UserRequest, 1);
+  *user_request
+      = (UserRequest){ .kind = kind, .id = g_strdup(id), .spec = spec, .handle = request };
   /* A new id needs no read: the transaction itself finds out whether it is new. */
-  if (ask == ASK_SUBMIT && job == NULL)
-    decide(core, visit);
+  if (kind == REQUEST_SUBMIT && job == NULL)
+    decide(core, user_request);
   else
-    decide_from_current(core, visit);
+    decide_from_current(core, user_request);
 }
 
 static void
@@ -303,36 +306,36 @@
     ws_answer_reason(core, request, 400, reason);
     return;
   }
-  visit(core, ASK_SUBMIT, spec->id, spec, request);
+  begin(core, REQUEST_SUBMIT, spec->id, spec, request);
 }
 
 /* The id in /api/jobs/ID or /api/jobs/ID/withdraw, or NULL. */
 static char *
-id_in_path(const char *path, gboolean *withdraw)
+id_in_path(const char *path, gboolean *is_cancellation)
 {
   if (!g_str_has_prefix(path, JOBS_PATH "/"))
     return NULL;
   g_auto(GStrv) parts = g_strsplit(path + strlen(JOBS_PATH "/"), "/", 3);
   guint count = g_strv_length(parts);
-  *withdraw = count == 2 && strcmp(parts[1], "withdraw") == 0;
-  return count == 1 || *withdraw ? g_strdup(parts[0]) : NULL;
+  *is_cancellation = count == 2 && strcmp(parts[1], "withdraw") == 0;
+  return count == 1 || *is_cancellation ? g_strdup(parts[0]) : NULL;
 }
 
 void
 ws_users_request(WsCore *core, const char *method, const char *path, const char *body, gsize length,
                  gpointer request)
 {
-  gboolean is_withdrawal = FALSE;
+  gboolean is_cancellation = FALSE;
   gboolean is_submission = strcmp(path, JOBS_PATH) == 0;
-  g_autofree char *id = id_in_path(path, &is_withdrawal);
+  g_autofree char *id = id_in_path(path, &is_cancellation);
   if (!is_submission && id == NULL)
     ws_answer_reason(core, request, 404, "no such path");
-  else if (strcmp(method, is_submission || is_withdrawal ? "POST" : "GET") != 0)
+  else if (strcmp(method, is_submission || is_cancellation ? "POST" : "GET") != 0)
     ws_answer_reason(core, request, 405, "not with this method");
   else if (is_submission)
     submit(core, body, length, request);
   else if (!ws_job_id_valid(id))
     ws_answer_reason(core, request, 404, "no such job");
   else
-    visit(core, is_withdrawal ? ASK_WITHDRAW : ASK_POLL, id, NULL, request);
+    begin(core, is_cancellation ? REQUEST_CANCEL : REQUEST_POLL, id, NULL, request);
 }
--- a/src/storage/ws-keys.h
+++ b/src/storage/ws-keys.h
@@ -13,7 +13,7 @@
 #define WS_KEYS_TEAM_USE WS_PREFIX "team-use/"
 /* A record for each team, which versions before 0.2 wrote. */
 #define WS_KEYS_TEAM WS_PREFIX "team/"
-#define WS_KEYS_LOT WS_PREFIX "lot/"
+#define WS_KEYS_RENTAL_BATCH WS_PREFIX "lot/"
 #define WS_KEYS_MARK WS_PREFIX "mark/"
 #define WS_KEYS_RENT WS_PREFIX "rent/"
 #define WS_KEYS_MAILBOX WS_PREFIX "mail/"
--- a/src/storage/ws-records.c
+++ b/src/storage/ws-records.c
@@ -217,45 +217,49 @@
   return json_pack("{s:I, s:I}", "c", (json_int_t)amount->cpus, "g", (json_int_t)amount->gpus);
 }
 
-/* A lot's record but for its type, its zone and the names of its machines. */
-#define BYTES_AROUND_LOT 90
+/* A rental batch's record but for its type, its zone and the names of its machines. */
+#define BYTES_AROUND_BATCH 90
 /* Quotation marks and comma around a name, and an ordinary name. */
 #define BYTES_AROUND_NAME 3
 #define BYTES_OF_ORDINARY_NAME 20
-#define MOST_MACHINES_A_LOT 50
+#define MOST_MACHINES_A_BATCH 50
 
 gboolean
-ws_lot_has_place(const WsLot *lot, const WsReplica *replica, const char *machine)
+ws_rental_batch_has_place(const WsRentalBatch *rental_batch, const WsReplica *replica,
+                          const char *machine)
 {
-  gsize bytes = BYTES_AROUND_LOT + strlen(lot->type) + strlen(lot->zone) + strlen(machine)
-                + BYTES_AROUND_NAME;
-  for (guint i = 0; i < lot->machines->len; i++)
-    bytes += strlen(ws_replica_machine(replica, g_array_index(lot->machines, guint, i))->name)
+  gsize bytes = BYTES_AROUND_BATCH + strlen(rental_batch->type) + strlen(rental_batch->zone)
+                + strlen(machine) + BYTES_AROUND_NAME;
+  for (guint i = 0; i < rental_batch->machines->len; i++)
+    bytes += strlen(
+                 ws_replica_machine(replica, g_array_index(rental_batch->machines, guint, i))->name)
              + BYTES_AROUND_NAME;
   return bytes <= replica->settings->state_record_bytes;
 }
 
 guint
-ws_lot_most_machines(const WsSettings *settings)
+ws_rental_batch_most_machines(const WsSettings *settings)
 {
-  gsize left = (gsize)settings->state_record_bytes - (gsize)2 * BYTES_AROUND_LOT;
-  return MIN((guint)(left / (BYTES_AROUND_NAME + BYTES_OF_ORDINARY_NAME)), MOST_MACHINES_A_LOT);
+  gsize left = (gsize)settings->state_record_bytes - (gsize)2 * BYTES_AROUND_BATCH;
+  return MIN((guint)(left / (BYTES_AROUND_NAME + BYTES_OF_ORDINARY_NAME)), MOST_MACHINES_A_BATCH);
 }
 
 json_t *
-ws_lot_encode(const WsLot *lot, const WsReplica *replica)
+ws_rental_batch_encode(const WsRentalBatch *rental_batch, const WsReplica *replica)
 {
   json_t *names = json_array();
-  for (guint i = 0; i < lot->machines->len; i++)
+  for (guint i = 0; i < rental_batch->machines->len; i++)
     json_array_append_new(
         names,
-        json_string(ws_replica_machine(replica, g_array_index(lot->machines, guint, i))->name));
-  return json_pack("{s:s, s:s, s:b, s:I, s:o}", "type", lot->type, "zone", lot->zone, "spot",
-                   lot->spot, "at", (json_int_t)lot->at_ms, "names", names);
+        json_string(
+            ws_replica_machine(replica, g_array_index(rental_batch->machines, guint, i))->name));
+  return json_pack("{s:s, s:s, s:b, s:I, s:o}", "type", rental_batch->type, "zone",
+                   rental_batch->zone, "spot", rental_batch->spot, "at",
+                   (json_int_t)rental_batch->at_ms, "names", names);
 }
 
-static WsLot *
-decode_lot(WsReplica *replica, const char *name, const json_t *value)
+static WsRentalBatch *
+decode_rental_batch(WsReplica *replica, const char *name, const json_t *value)
 {
   const char *type, *zone;
   gboolean spot;
@@ -264,55 +268,58 @@
   const json_t *item;
   if (!ws_json_string(value, "type", &type) || !ws_json_string(value, "zone", &zone)
       || !ws_json_bool(value, "spot", &spot) || !ws_json_count(value, "at", &at)) {
-    g_warning("record of lot %s is damaged", name);
+    g_warning("record of rental batch %s is damaged", name);
     return NULL;
   }
-  WsLot *lot = g_new0(WsLot, 1);
-  *lot = (WsLot){ g_strdup(name), g_strdup(type), g_strdup(zone), spot, (gint64)at, NULL };
-  lot->machines = g_array_new(FALSE, FALSE, sizeof(guint));
+  WsRentalBatch *rental_batch = g_new0(WsRentalBatch, 1);
+  *rental_batch
+      = (WsRentalBatch){ g_strdup(name), g_strdup(type), g_strdup(zone), spot, (gint64)at, NULL };
+  rental_batch->machines = g_array_new(FALSE, FALSE, sizeof(guint));
   json_array_foreach(json_object_get(value, "names"), i, item) if (json_is_string(item))
   {
     WsMachine *machine = ws_replica_get_machine(replica, json_string_value(item));
-    g_array_append_val(lot->machines, machine->index);
+    g_array_append_val(rental_batch->machines, machine->index);
     ws_replica_describe_machine(replica, machine, type, zone, spot);
     machine->stored = TRUE;
-    machine->lots++;
-    machine->lot = g_intern_string(name);
+    machine->rental_batches++;
+    machine->rental_batch = g_intern_string(name);
     machine->at_ms = (gint64)at;
   }
-  return lot;
+  return rental_batch;
 }
 
 static void
-end_lot(WsReplica *replica, const WsLot *lot)
+end_rental_batch(WsReplica *replica, const WsRentalBatch *rental_batch)
 {
-  for (guint i = 0; i < lot->machines->len; i++) {
-    WsMachine *machine = ws_replica_machine(replica, g_array_index(lot->machines, guint, i));
-    machine->lots--;
-    if (machine->lots > 0)
+  for (guint i = 0; i < rental_batch->machines->len; i++) {
+    WsMachine *machine
+        = ws_replica_machine(replica, g_array_index(rental_batch->machines, guint, i));
+    machine->rental_batches--;
+    if (machine->rental_batches > 0)
       continue;
     machine->stored = FALSE;
     machine->gone = TRUE;
   }
 }
 
-/* The new lot counts before the old one ends, so that who is in both is not gone meanwhile. */
+/* The new rental batch counts before the old one ends, so that who is in both is not gone
+ * meanwhile. */
 static void
-apply_lot(WsReplica *replica, const char *name, const json_t *value)
+apply_rental_batch(WsReplica *replica, const char *name, const json_t *value)
 {
-  WsLot *lot = value != NULL ? decode_lot(replica, name, value) : NULL;
-  if (value != NULL && lot == NULL)
+  WsRentalBatch *rental_batch = value != NULL ? decode_rental_batch(replica, name, value) : NULL;
+  if (value != NULL && rental_batch == NULL)
     return;
-  for (guint i = 0; i < replica->lots->len; i++) {
-    const WsLot *old = g_ptr_array_index(replica->lots, i);
+  for (guint i = 0; i < replica->rental_batches->len; i++) {
+    const WsRentalBatch *old = g_ptr_array_index(replica->rental_batches, i);
     if (strcmp(old->name, name) != 0)
       continue;
-    end_lot(replica, old);
-    g_ptr_array_remove_index_fast(replica->lots, i);
+    end_rental_batch(replica, old);
+    g_ptr_array_remove_index_fast(replica->rental_batches, i);
     break;
   }
-  if (lot != NULL)
-    g_ptr_array_add(replica->lots, lot);
+  if (rental_batch != NULL)
+    g_ptr_array_add(replica->rental_batches, rental_batch);
 }
 
 /* Whoever it is for reads it; see ws-peer-requests.c. */
@@ -412,7 +419,7 @@
                 { WS_KEYS_TASKS, apply_chunk },
                 { WS_KEYS_TEAM, ws_team_use_apply_single },
                 { WS_KEYS_TEAM_USE, ws_team_use_apply },
-                { WS_KEYS_LOT, apply_lot },
+                { WS_KEYS_RENTAL_BATCH, apply_rental_batch },
                 { WS_KEYS_MARK, apply_mark },
                 { WS_KEYS_RENT, apply_rent },
                 { WS_KEYS_MEMBER, apply_member },
--- a/src/storage/ws-replica.c
+++ b/src/storage/ws-replica.c
@@ -37,13 +37,13 @@
 }
 
 void
-ws_lot_free(WsLot *lot)
+ws_rental_batch_free(WsRentalBatch *rental_batch)
 {
-  g_free(lot->name);
-  g_free(lot->type);
-  g_free(lot->zone);
-  g_array_unref(lot->machines);
-  g_free(lot);
+  g_free(rental_batch->name);
+  g_free(rental_batch->type);
+  g_free(rental_batch->zone);
+  g_array_unref(rental_batch->machines);
+  g_free(rental_batch);
 }
 
 static void
@@ -74,7 +74,7 @@
   replica->machines = g_ptr_array_new_with_free_func(machine_free);
   replica->machine_index = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   replica->rents = g_ptr_array_new_with_free_func(rent_free);
-  replica->lots = g_ptr_array_new_with_free_func((GDestroyNotify)ws_lot_free);
+  replica->rental_batches = g_ptr_array_new_with_free_func((GDestroyNotify)ws_rental_batch_free);
   g_queue_init(&replica->mailbox);
   replica->fresh = g_array_new(FALSE, FALSE, sizeof(WsTaskRef));
   replica->cancelled = g_array_new(FALSE, FALSE, sizeof(guint));
@@ -100,7 +100,7 @@
   g_ptr_array_unref(replica->machines);
   g_hash_table_unref(replica->machine_index);
   g_ptr_array_unref(replica->rents);
-  g_ptr_array_unref(replica->lots);
+  g_ptr_array_unref(replica->rental_batches);
   g_queue_clear_full(&replica->mailbox, mail_free);
   g_free(replica->team_use);
   g_free(replica->team_is_recorded);
--- a/src/storage/ws-replica.h
+++ b/src/storage/ws-replica.h
@@ -44,11 +44,12 @@
   guint index;
   const char *name;
   guint owner;     /* a node of the present epoch, WS_NONE: there is none */
-  gboolean stored; /* a lot names it: the machine is ours, and is charged for */
-  gboolean gone;   /* no lot names it any more: the cloud has confirmed its return */
-  const char *lot; /* interned: the last one that named it */
-  guint lots;      /* how many lots name it: two, if two nodes met it at the same time */
-  guint type;      /* in catalog order, WS_NONE: unknown */
+  gboolean stored; /* a rental batch names it: the machine is ours, and is charged for */
+  gboolean gone;   /* no rental batch names it any more: the cloud has confirmed its return */
+  const char *rental_batch; /* interned: the last one that named it */
+  guint rental_batches;     /* how many rental batches name it: two, if two nodes met it at the same
+                               time */
+  guint type;               /* in catalog order, WS_NONE: unknown */
   char *type_name;
   guint zone;
   gboolean spot;
@@ -91,9 +92,9 @@
   gint64 status_ms;    /* when it was last asked for its status */
   guint status_failed;
   gint64 redirected_ms;
-  gboolean needs_record; /* it waits for a lot */
+  gboolean needs_record; /* it waits for a rental batch */
   gint64 listed_ms;      /* since when lists show it although it has no record; 0: they don't */
-  gboolean marking;      /* its mark or its lot is being written */
+  gboolean marking;      /* its mark or its rental batch is being written */
   gint64 marking_ms;     /* since when */
   gint64 stop_after_ms;  /* the next stop of a drain */
   guint stop_backoff_ms;
@@ -116,7 +117,7 @@
   gboolean spot;
   gint64 at_ms;
   GArray *machines; /* of guint */
-} WsLot;
+} WsRentalBatch;
 
 typedef struct {
   guint64 version;
@@ -144,9 +145,9 @@
   GPtrArray *active; /* of WsJob: not in final form */
   GPtrArray *machines;
   GHashTable *machine_index;
-  GPtrArray *rents; /* of WsRent */
-  GPtrArray *lots;  /* of WsLot */
-  GQueue mailbox;   /* of json_t: what nodes left in the store for each other */
+  GPtrArray *rents;          /* of WsRent */
+  GPtrArray *rental_batches; /* of WsRentalBatch */
+  GQueue mailbox;            /* of json_t: what nodes left in the store for each other */
   WsAmount *team_use;
   gboolean *team_is_recorded; /* its use comes from the record that it belongs to */
   WsNames images;
@@ -209,11 +210,12 @@
    machines are called. chunk: NULL for an empty one. */
 guint ws_chunk_free_places(const WsChunk *chunk, const WsReplica *replica);
 json_t *ws_amount_encode(const WsAmount *amount);
-json_t *ws_lot_encode(const WsLot *lot, const WsReplica *replica);
-/* Whether the lot's record takes one more machine of the name. */
-gboolean ws_lot_has_place(const WsLot *lot, const WsReplica *replica, const char *machine);
-/* How many machines of ordinary names a lot's record takes; the cloud gives 50 at once. */
-guint ws_lot_most_machines(const WsSettings *settings);
-void ws_lot_free(WsLot *lot);
+json_t *ws_rental_batch_encode(const WsRentalBatch *rental_batch, const WsReplica *replica);
+/* Whether the rental batch's record takes one more machine of the name. */
+gboolean ws_rental_batch_has_place(const WsRentalBatch *rental_batch, const WsReplica *replica,
+                                   const char *machine);
+/* How many machines of ordinary names a rental batch's record takes; the cloud gives 50 at once. */
+guint ws_rental_batch_most_machines(const WsSettings *settings);
+void ws_rental_batch_free(WsRentalBatch *rental_batch);
 json_t *ws_rent_encode(const WsRent *rent);
 json_t *ws_mark_encode(const char *why, gboolean now);
--- a/tests/test-regressions.c
+++ b/tests/test-regressions.c
@@ -703,8 +703,8 @@
   g_assert_false(is_stopped_after(20.0));
 }
 
-/* What is recorded for a machine that no lot names any more is released once its lease must be
-   over: two jobs waited for ever for a machine that had been returned. */
+/* What is recorded for a machine that no rental batch names any more is released once its lease
+   must be over: two jobs waited for ever for a machine that had been returned. */
 static void
 test_lost_machine(void)
 {
--- a/tests/test-upgrade.c
+++ b/tests/test-upgrade.c
@@ -111,7 +111,8 @@
   assert_written_as(ws_chunk_encode(ws_job_chunk(job, 0), replica), "w/task/req-000001/0");
   assert_written_as(ws_team_use_encode(settings, 0, replica->team_use), "w/team-use/0");
   assert_written_as(ws_epoch_encode(&replica->epoch, settings), "w/epoch");
-  assert_written_as(ws_lot_encode(g_ptr_array_index(replica->lots, 0), replica), "w/lot/r-1-1");
+  assert_written_as(ws_rental_batch_encode(g_ptr_array_index(replica->rental_batches, 0), replica),
+                    "w/lot/r-1-1");
   assert_written_as(ws_rent_encode(g_ptr_array_index(replica->rents, 0)), "w/rent/r-1-4");
   assert_written_as(ws_mark_encode("notice", FALSE), "w/mark/m-000000");
   ws_replica_free(replica);
@@ -234,20 +235,20 @@
   settings->state_record_bytes = NEXT_BYTES;
   WsReplica *replica = ws_replica_new(settings);
   g_autoptr(GArray) machines = g_array_new(FALSE, FALSE, sizeof(guint));
-  WsLot lot
+  WsRentalBatch rental_batch
       = { .type = (char *)"g4", .zone = (char *)"a", .at_ms = 1234567890123, .machines = machines };
   for (guint i = 0;; i++) {
     g_autofree char *name = g_strdup_printf("machine-with-a-long-name-%060u", i);
-    if (!ws_lot_has_place(&lot, replica, name))
+    if (!ws_rental_batch_has_place(&rental_batch, replica, name))
       break;
     guint index = ws_replica_get_machine(replica, name)->index;
     g_array_append_val(machines, index);
   }
-  g_autoptr(json_t) value = ws_lot_encode(&lot, replica);
+  g_autoptr(json_t) value = ws_rental_batch_encode(&rental_batch, replica);
   g_autofree char *text = ws_json_text(value);
   g_assert_cmpuint(strlen(text), <=, NEXT_BYTES);
   g_assert_cmpuint(machines->len, >, 15);
-  g_assert_cmpuint(ws_lot_most_machines(settings), ==, 50);
+  g_assert_cmpuint(ws_rental_batch_most_machines(settings), ==, 50);
   ws_replica_free(replica);
 }
 
