--- a/src/core/ws-place.c
+++ b/src/core/ws-place.c
@@ -439,12 +439,12 @@
   return best;
 }
 
-/* A service comes back to the machines it has taken when there are no others. */
+/* A service or gang comes back to the machines it has taken when there are no others. */
 static gboolean
 renew(WsPlaces *places, WsRoom kind)
 {
   gboolean any = FALSE;
-  if (places->job->spec->kind != WS_KIND_SERVICE || kind >= WS_ROOM_TAKEN)
+  if (places->job->spec->kind == WS_KIND_ARRAY || kind >= WS_ROOM_TAKEN)
     return FALSE;
   for (guint i = 0; i < places->kinds[kind]->len; i++) {
     Candidate *candidate = &g_array_index(places->kinds[kind], Candidate, i);
@@ -478,7 +478,7 @@
   if (best == NULL)
     return NULL;
   WsMachine *machine = ws_replica_machine(places->map->core->replica, best->machine);
-  best->spent = kind >= WS_ROOM_TAKEN || places->job->spec->kind == WS_KIND_SERVICE;
+  best->spent = kind >= WS_ROOM_TAKEN || places->job->spec->kind != WS_KIND_ARRAY;
   ws_amount_add(&places->map->slots[best->machine].free, &places->job->spec->need, -1);
   places->counts[machine->zone]++;
   return machine;
--- a/tests/test-gangs.c
+++ b/tests/test-gangs.c
@@ -440,6 +440,42 @@
   rig_ask(rig, "POST", "/v1/report", report);
 }
 
+static guint
+count_machines_of(const Rig *rig, const char *job)
+{
+  g_autofree char *key = g_strdup_printf("w/task/%s/0", job);
+  g_autoptr(GHashTable) machines = g_hash_table_new(g_str_hash, g_str_equal);
+  size_t i;
+  const json_t *item;
+  json_array_foreach(json_object_get(sim_state_get(rig->state, key), "on"), i, item)
+  {
+    g_hash_table_add(machines, (gpointer)json_string_value(json_array_get(item, 1)));
+  }
+  return g_hash_table_size(machines);
+}
+
+/* A gang whose image no machine has is spread, so that it's there for the next one, which is packed
+   where the image is. */
+static void
+test_spread_to_fetch(void)
+{
+  Rig *rig = rig_with_machine();
+  rig_lift_limits(rig);
+  for (guint i = 0; i < 2; i++)
+    rig_ask(rig, "POST", "/v1/report", rig_report_of(rig, "m-2", i, ++rig->seq, json_array()));
+  rig_ask(rig, "POST", "/api/jobs", gang_submission(2));
+  rig_run(rig, 1.0);
+  g_assert_cmpuint(count_machines_of(rig, "req-1"), ==, 2);
+  report_running(rig, "m-1", FALSE);
+  report_running(rig, "m-2", FALSE);
+  json_t *next = gang_submission(2);
+  json_object_set_new(next, "id", json_string("req-2"));
+  rig_ask(rig, "POST", "/api/jobs", next);
+  rig_run(rig, 1.0);
+  g_assert_cmpuint(count_machines_of(rig, "req-2"), ==, 1);
+  rig_free(rig);
+}
+
 /* A gang on two machines, of which the first is to be taken back. While the second one can't be
    reached no stop is begun, since the others would lose what they have for nothing; then all are
    halted, with the time that they need to save and to wait for each other. */
@@ -482,6 +518,7 @@
   g_test_add_func("/gangs/one-done-is-all", test_one_done_is_all);
   g_test_add_func("/gangs/reasons-blame-nobody", test_reasons_blame_nobody);
   g_test_add_func("/gangs/zone-with-room", test_zone_with_room);
+  g_test_add_func("/gangs/spread-to-fetch", test_spread_to_fetch);
   g_test_add_func("/gangs/objects-two-attempts", test_objects_two_attempts);
   g_test_add_func("/gangs/runs-together", test_runs_together);
   g_test_add_func("/gangs/loses-machine", test_loses_machine);
--- a/tests/test-size.c
+++ b/tests/test-size.c
@@ -6,7 +6,9 @@
 
 #define SMALL 80u
 #define LARGE 640u
-#define HUGE 2000u
+#define HUGE 4000u
+/* What one node bears that is the last one standing. */
+#define ALONE 6000u
 
 static void
 report(Rig *rig, guint machine, guint64 token, guint64 seq)
@@ -75,6 +77,7 @@
 {
   g_assert_cmpuint(outputs_of_takeover(SMALL), <=, SMALL + 10);
   g_assert_cmpuint(outputs_of_takeover(HUGE), <=, HUGE + 10);
+  g_assert_cmpuint(outputs_of_takeover(ALONE), <=, ALONE + 10);
 }
 
 static guint
