A gang that waits too long has machines kept for it: small tasks no longer starve it

Cause: a gang needs several places at once, and tasks that are as urgent took each place as it became free. In a new test (arrays of two tasks every 1.5 s on two full machines) the gang never began. The test fails without this (/gangs/begins-beside-small).

--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -261,6 +261,8 @@
 /* As many tasks of a job that begins so late are placed before all else, and aren't stopped again
    for anything but critical work. */
 guint ws_queue_protected_tasks(const WsJob *job);
+/* Whether the job has waited too long for its first task. */
+gboolean ws_queue_is_overdue(const WsCore *core, const WsJob *job);
 typedef struct {
   WsJob *job;
   guint lateness;      /* 0: can be in time; 1: within half as long again; 2: late anyway */
--- a/src/core/ws-gang-place.c
+++ b/src/core/ws-gang-place.c
@@ -1,6 +1,6 @@
 #include "core/ws-gang-place.h"
 
-#include <string.h>
+#include "core/ws-reservation.h"
 
 /* When a gang has to fetch its image anyway, so many machines fetch it at the same time: the start
    is no later, and the gangs to come find the image in more places. */
@@ -104,6 +104,119 @@
   return best;
 }
 
+static void
+change_room(WsRoomMap *map, const WsJob *job, const GArray *machines, gint64 tasks_each)
+{
+  for (guint i = 0; i < machines->len; i++)
+    ws_amount_add(&map->slots[g_array_index(machines, guint, i)].free, &job->spec->need,
+                  tasks_each);
+}
+
+/* A machine that is kept for a gang, and for how many of its tasks. */
+typedef struct {
+  guint machine;
+  guint free_places; /* now */
+  guint places;      /* once the arrays' tasks there have ended */
+} Kept;
+
+static guint
+count_places(const WsAmount *need, WsAmount room)
+{
+  guint places = 0;
+  for (; ws_amount_fits(need, &room) && places < WS_MAX_TASKS; places++)
+    ws_amount_add(&room, need, -1);
+  return places;
+}
+
+/* What arrays leave of the machine when their tasks have ended. */
+static WsAmount
+room_without_arrays(const WsCore *core, const WsMachine *machine)
+{
+  WsAmount room = ws_replica_type(core->replica, machine->type)->room;
+  for (guint i = 0; i < machine->tasks->len; i++) {
+    const WsTaskRef *ref = &g_array_index(machine->tasks, WsTaskRef, i);
+    const WsJob *job = ws_replica_job(core->replica, ref->job);
+    if (job->spec->kind != WS_KIND_ARRAY)
+      ws_amount_add(&room, &job->spec->need, -1);
+  }
+  return room;
+}
+
+static gint
+by_free_places(gconstpointer a, gconstpointer b)
+{
+  const Kept *first = a, *second = b;
+  if (first->free_places != second->free_places)
+    return first->free_places > second->free_places ? -1 : 1;
+  return first->machine < second->machine ? -1 : first->machine > second->machine;
+}
+
+/* The machines of the zone (WS_NONE: of all) to keep, those with most free places first, as many as
+   the tasks need. Returns NULL if they never had room for all. */
+static GArray *
+choose_kept(WsRoomMap *map, const WsJob *job, guint tasks, guint *counts, guint zone)
+{
+  const WsReplica *replica = map->core->replica;
+  const WsAmount *need = &job->spec->need;
+  g_autoptr(WsPlaces) places = ws_places_new(map, job, counts);
+  g_autoptr(GArray) kept = g_array_new(FALSE, FALSE, sizeof(Kept));
+  for (guint i = 0; i < replica->machines->len; i++) {
+    const WsMachine *machine = ws_replica_machine(replica, i);
+    if (!ws_places_is_eligible(places, machine) || (zone != WS_NONE && machine->zone != zone))
+      continue;
+    Kept candidate = { i, count_places(need, map->slots[i].free),
+                       count_places(need, room_without_arrays(map->core, machine)) };
+    if (candidate.places > 0)
+      g_array_append_val(kept, candidate);
+  }
+  g_array_sort(kept, by_free_places);
+  guint sum = 0, count = 0;
+  while (count < kept->len && sum < tasks)
+    sum += g_array_index(kept, Kept, count++).places;
+  g_array_set_size(kept, count);
+  return sum >= tasks ? g_steal_pointer(&kept) : NULL;
+}
+
+static guint
+count_free_places(const GArray *kept)
+{
+  guint sum = 0;
+  for (guint i = 0; i < kept->len; i++)
+    sum += g_array_index(kept, Kept, i).free_places;
+  return sum;
+}
+
+static GArray *
+choose_best_kept(WsRoomMap *map, const WsJob *job, guint tasks, guint *counts)
+{
+  GArray *best = NULL;
+  if (!job->spec->one_zone)
+    return choose_kept(map, job, tasks, counts, WS_NONE);
+  for (guint zone = 0; zone < map->core->settings->zones->len; zone++) {
+    GArray *kept = choose_kept(map, job, tasks, counts, zone);
+    if (kept == NULL)
+      continue;
+    if (best != NULL && count_free_places(kept) <= count_free_places(best)) {
+      g_array_unref(kept);
+      continue;
+    }
+    g_clear_pointer(&best, g_array_unref);
+    best = kept;
+  }
+  return best;
+}
+
+void
+ws_gang_hold_room(WsRoomMap *map, const WsJob *job, guint tasks, guint *counts)
+{
+  g_autoptr(GArray) kept = choose_best_kept(map, job, tasks, counts);
+  for (guint i = 0; kept != NULL && i < kept->len; i++) {
+    const Kept *at = &g_array_index(kept, Kept, i);
+    map->slots[at->machine].free = (WsAmount){ 0 };
+    ws_reservations_keep(map->core, job, at->machine, at->places);
+  }
+}
+
 GArray *
 ws_gang_place(WsRoomMap *map, const WsJob *job, guint tasks, guint *counts)
 {
@@ -111,7 +224,7 @@
   if (job->spec->one_zone && zone == WS_NONE)
     return NULL;
   GArray *machines = place_in_zone(map, job, tasks, counts, zone);
-  for (guint i = 0; machines != NULL && i < machines->len; i++)
-    ws_amount_add(&map->slots[g_array_index(machines, guint, i)].free, &job->spec->need, -1);
+  if (machines != NULL)
+    change_room(map, job, machines, -1);
   return machines;
 }
--- a/src/core/ws-gang-place.h
+++ b/src/core/ws-gang-place.h
@@ -14,3 +14,12 @@
  * of machines (of guint), or NULL if there isn't room for every task.
  */
 GArray *ws_gang_place(WsRoomMap *map, const WsJob *job, guint tasks, guint *counts);
+
+/**
+ * Keeps machines for a gang that doesn't fit yet: what isn't critical gets no place there.
+ *
+ * Small tasks would take each place as it becomes free, and the gang would never find all of its
+ * places at once. The machines are those with most room already, in one zone if the gang must be,
+ * and as many as have room for all its tasks once the arrays' tasks there have ended.
+ */
+void ws_gang_hold_room(WsRoomMap *map, const WsJob *job, guint tasks, guint *counts);
--- a/src/core/ws-place.c
+++ b/src/core/ws-place.c
@@ -225,8 +225,8 @@
          || machine->owner == job->home;
 }
 
-static gboolean
-is_eligible(const WsPlaces *places, const WsMachine *machine)
+gboolean
+ws_places_is_eligible(const WsPlaces *places, const WsMachine *machine)
 {
   const WsReplica *replica = places->map->core->replica;
   const WsJob *job = places->job;
@@ -293,7 +293,7 @@
   WsCore *core = places->map->core;
   Candidate candidate = { machine->index, 0.0, FALSE };
   gboolean needs_image = kind == WS_ROOM_CACHED || kind == WS_ROOM_TAKEN_CACHED;
-  if (!is_eligible(places, machine) || !fits(places, kind, machine->index)
+  if (!ws_places_is_eligible(places, machine) || !fits(places, kind, machine->index)
       || (needs_image && !ws_machine_has_image(machine, job->image)))
     return;
   if (kind >= WS_ROOM_TAKEN) {
@@ -525,6 +525,6 @@
   WsAmount room = slot->free;
   ws_amount_add(&room, &slot->coming, 1);
   ws_amount_add(&room, freed, 1);
-  return is_eligible(places, machine) && ws_amount_fits(&places->job->spec->need, &room)
+  return ws_places_is_eligible(places, machine) && ws_amount_fits(&places->job->spec->need, &room)
          && ws_zone_allowed(places->job, places->counts, zones, machine->zone);
 }
--- a/src/core/ws-place.h
+++ b/src/core/ws-place.h
@@ -37,6 +37,8 @@
 WsMachine *ws_places_peek(WsPlaces *places, WsRoom kind);
 /* The same; the room for one task is taken, and counted in its zone. */
 WsMachine *ws_places_take(WsPlaces *places, WsRoom kind);
+/* Whether the job may use the machine at all, whatever room it has. */
+gboolean ws_places_is_eligible(const WsPlaces *places, const WsMachine *machine);
 /* From now on only machines of the zone are found; WS_NONE: of any. */
 void ws_places_keep_to_zone(WsPlaces *places, guint zone);
 /* Takes the room for one more task on a machine that was taken just now; FALSE: there is none, or
--- a/src/core/ws-plan.c
+++ b/src/core/ws-plan.c
@@ -262,20 +262,36 @@
   return ws_team_has_room(run->core->settings, job->team, &run->use[job->team], &need);
 }
 
+/* Machines are rented for a gang without room; one that has waited for long keeps what becomes
+   free, in its team and on machines, from what is placed after it. */
+static void
+gather_room(Run *run, const WsJob *job, guint tasks, guint *counts, gboolean team_has_room)
+{
+  if (team_has_room && run->demand != NULL)
+    ws_demand_add_gang(run->demand, job, tasks);
+  if (!ws_queue_is_overdue(run->core, job))
+    return;
+  ws_gang_hold_room(&run->map, job, tasks, counts);
+  ws_reservations_keep(run->core, job, WS_NONE, tasks);
+  ws_amount_add(&run->use[job->team], &job->spec->need, tasks);
+}
+
 /* All of a gang's tasks or none: a few of them would only hold their places and wait. */
 static void
 place_gang(Run *run, WsJob *job, const GArray *tasks, guint *counts)
 {
   WsCore *core = run->core;
   gboolean all = tasks->len + job->on_count + job->done_count == job->tasks;
-  if (!all || ws_gang_is_ending(job) || !team_has_room_for(run, job, tasks->len))
+  if (!all || ws_gang_is_ending(job))
     return;
-  g_autoptr(GArray) machines = ws_gang_place(&run->map, job, tasks->len, counts);
+  gboolean team_has_room = team_has_room_for(run, job, tasks->len);
+  g_autoptr(GArray) machines
+      = team_has_room ? ws_gang_place(&run->map, job, tasks->len, counts) : NULL;
   note_unplaced(core, job, machines == NULL);
-  if (machines == NULL && run->demand != NULL)
-    ws_demand_add_gang(run->demand, job, tasks->len);
-  if (machines == NULL)
+  if (machines == NULL) {
+    gather_room(run, job, tasks->len, counts, team_has_room);
     return;
+  }
   ws_amount_add(&run->use[job->team], &job->spec->need, tasks->len);
   for (guint i = 0; i < tasks->len; i++)
     ws_assign_propose(core, job->index, g_array_index(tasks, guint, i),
--- a/src/core/ws-queue.c
+++ b/src/core/ws-queue.c
@@ -45,6 +45,13 @@
   return 1 + job->tasks / 8;
 }
 
+gboolean
+ws_queue_is_overdue(const WsCore *core, const WsJob *job)
+{
+  double waited_s = (double)(core->wall - job->at_ms) / 1000.0;
+  return waited_s > WS_BEGIN_WITHIN_S && job->on_count == 0 && job->done_count == 0;
+}
+
 static void
 foresee(const WsCore *core, WsWaiting *waiting)
 {
@@ -54,7 +61,7 @@
   double waited_s = (double)(core->wall - job->at_ms) / 1000.0;
   double end_s = waited_s + HOPE * shortest_s(core, job, left);
   waiting->weight = ws_estimator_run_s(core, job) * (left - job->on_count) - PATIENCE * waited_s;
-  waiting->is_overdue = waited_s > WS_BEGIN_WITHIN_S && job->on_count == 0 && job->done_count == 0;
+  waiting->is_overdue = ws_queue_is_overdue(core, job);
   if (within_s >= 0.0 && waited_s < MAX(NOT_GIVEN_UP_S, 2.0 * within_s))
     waiting->lateness = end_s <= within_s ? 0 : end_s <= 1.5 * within_s ? 1 : 2;
 }
--- a/src/core/ws-reservation.c
+++ b/src/core/ws-reservation.c
@@ -1,5 +1,7 @@
 #include "core/ws-reservation.h"
 
+#include "core/ws-gang.h"
+
 /* Longer than a stop takes to be asked, carried out, reported and written, also when it has to be
    asked for twice. */
 #define LIFETIME_MS 5000
@@ -97,6 +99,19 @@
   drop_expired(core);
 }
 
+/* Whether the other job's tasks keep off what is reserved for the job. A gang that has waited for
+   long needs many places at once, and would never find them among tasks that are as urgent as it
+   is. */
+static gboolean
+goes_before(const WsCore *core, const WsJob *job, const WsJob *other, guint other_tasks_on)
+{
+  if (ws_preempt_outranks(core, job, other, other_tasks_on))
+    return TRUE;
+  gboolean is_older = ws_queue_is_overdue(core, other) && other->at_ms <= job->at_ms;
+  return ws_job_is_gang(job) && ws_queue_is_overdue(core, job)
+         && other->spec->priority != WS_CRITICAL && !is_older;
+}
+
 /* For how many tasks the entry still counts against another job's assignment. */
 static guint
 counted_tasks(const WsCore *core, const WsReservation *entry, const WsJob *other,
@@ -105,7 +120,7 @@
   const WsJob *job = ws_replica_job(core->replica, entry->job);
   if (core->now >= entry->until_ms || job == other || job->state != WS_JOB_ACTIVE
       || job->spec == NULL || ws_cancel_is_known(core, job)
-      || !ws_preempt_outranks(core, job, other, other_tasks_on))
+      || !goes_before(core, job, other, other_tasks_on))
     return 0;
   guint settled = job->done_count + job->on_count;
   return MIN(entry->tasks, job->tasks - MIN(settled, job->tasks));
--- a/tests/sim/sim-checker.c
+++ b/tests/sim/sim-checker.c
@@ -215,6 +215,12 @@
   return count;
 }
 
+guint
+sim_count_jobs(const Sim *sim)
+{
+  return sim->jobs->len;
+}
+
 guint
 sim_open_jobs(const Sim *sim)
 {
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -109,7 +109,8 @@
 
 /* Tasks that started more than a moment after their user was told that they are cancelled. */
 guint sim_late_starts(const Sim *sim);
-guint sim_open_jobs(const Sim *sim); /* told accepted, and neither done nor cancelled */
+guint sim_count_jobs(const Sim *sim); /* submitted so far */
+guint sim_open_jobs(const Sim *sim);  /* told accepted, and neither done nor cancelled */
 guint sim_done_jobs(const Sim *sim);
 guint sim_lost_tasks(const Sim *sim);            /* killed with the worker's lease */
 guint sim_returned_tasks(const Sim *sim);        /* that were on machines when they were returned */
--- a/tests/test-gangs.c
+++ b/tests/test-gangs.c
@@ -231,6 +231,31 @@
   }
 }
 
+/* Small tasks come all the time and take each place that becomes free; the gang, which needs
+   several at once, begins within four minutes all the same. */
+static void
+test_begins_beside_small(void)
+{
+  static const SimJob SMALL
+      = { .tasks = 2, .team = "blue", .priority = "standard", .spot = TRUE, .run_s = 7.0 };
+  SimJob anywhere = GANG;
+  anywhere.one_zone = FALSE;
+  Sim *sim = sim_new(940);
+  sim_faults(sim)->most_machines = 2;
+  sim_run(sim, 3.0);
+  for (guint i = 0; i < 8; i++)
+    sim_submit(sim, &SMALL);
+  sim_run(sim, 40.0);
+  guint gang = sim_count_jobs(sim);
+  sim_submit(sim, &anywhere);
+  for (guint step = 0; step < 160 && !sim_begun(sim, gang); step++) {
+    sim_submit(sim, &SMALL);
+    sim_run(sim, 1.5);
+  }
+  g_assert_true(sim_begun(sim, gang));
+  sim_free(sim);
+}
+
 /* Gangs among arrays and services, while troubles meet. */
 static void
 test_drawn(void)
@@ -528,6 +553,7 @@
   g_test_add_func("/gangs/leader-ends", test_leader_ends);
   g_test_add_func("/gangs/cancelled", test_cancelled);
   g_test_add_func("/gangs/cut-through", test_cut_through);
+  g_test_add_func("/gangs/begins-beside-small", test_begins_beside_small);
   g_test_add_func("/gangs/drawn", test_drawn);
   return g_test_run();
 }
