--- a/src/storage/ws-records.c
+++ b/src/storage/ws-records.c
@@ -34,16 +34,31 @@
   return bytes;
 }
 
+/* No chunk's record has more, whatever its tasks are and where: found without looking at them,
+   since it's asked for each of hundreds of tasks in each transaction. */
+static gsize
+most_bytes_without_times(const WsReplica *replica)
+{
+  gsize most_digits = count_digits(G_MAXUINT64);
+  gsize an_assignment
+      = BYTES_AROUND_ASSIGNMENT + count_digits(WS_MAX_TASKS) + most_digits + replica->longest_name;
+  return BYTES_AROUND_CHUNK + most_digits + 2 * sizeof(((WsChunk *)NULL)->done)
+         + WS_CHUNK_TASKS * MAX(an_assignment, BYTES_OF_LONG_ASSIGNMENT);
+}
+
 gboolean
 ws_chunk_fits_record(const WsChunk *chunk, const WsReplica *replica)
 {
-  return bytes_without_times(chunk, replica) <= replica->settings->state_record_bytes;
+  gsize most = replica->settings->state_record_bytes;
+  return most_bytes_without_times(replica) <= most || bytes_without_times(chunk, replica) <= most;
 }
 
 guint
 ws_chunk_free_places(const WsChunk *chunk, const WsReplica *replica)
 {
   gsize most = replica->settings->state_record_bytes;
+  if (most_bytes_without_times(replica) <= most)
+    return WS_CHUNK_TASKS;
   gsize used = chunk != NULL ? bytes_without_times(chunk, replica) : BYTES_AROUND_CHUNK;
   return used < most ? (guint)((most - used) / BYTES_OF_LONG_ASSIGNMENT) : 0;
 }
--- a/src/storage/ws-replica.c
+++ b/src/storage/ws-replica.c
@@ -143,6 +143,7 @@
   machine = g_new0(WsMachine, 1);
   char *copy = g_strdup(name);
   machine->name = copy;
+  replica->longest_name = MAX(replica->longest_name, strlen(copy));
   machine->index = replica->machines->len;
   machine->type = WS_NONE;
   machine->zone = WS_NONE;
--- a/src/storage/ws-replica.h
+++ b/src/storage/ws-replica.h
@@ -145,6 +145,7 @@
   GPtrArray *active; /* of WsJob: not in final form */
   GPtrArray *machines;
   GHashTable *machine_index;
+  gsize longest_name;        /* of a machine, in bytes */
   GPtrArray *rents;          /* of WsRent */
   GPtrArray *rental_batches; /* of WsRentalBatch */
   GQueue mailbox;            /* of json_t: what nodes left in the store for each other */
