--- a/tests/sim/rig.c
+++ b/tests/sim/rig.c
@@ -211,6 +211,31 @@
   return json_object_get(job, "spec") != NULL && sim_state_has(rig->state, "w/task/req-1/0");
 }
 
+gboolean
+rig_has_command(const Rig *rig, const char *op)
+{
+  size_t i;
+  const json_t *command;
+  json_array_foreach(json_object_get(rig->answer, "prikazy"), i, command)
+  {
+    if (strcmp(json_string_value(json_object_get(command, "ukon")), op) == 0)
+      return TRUE;
+  }
+  return FALSE;
+}
+
+void
+rig_write_key(Rig *rig, const char *key, json_t *value)
+{
+  g_assert_true(value != NULL || sim_state_has(rig->state, key));
+  json_t *change = value != NULL ? json_pack("{s:s, s:o}", "set", key, "value", value)
+                                 : json_pack("{s:s}", "remove", key);
+  g_autoptr(json_t) transaction = json_pack("{s:[], s:[o]}", "if", "apply", change);
+  Asked *asked = g_new0(Asked, 1);
+  *asked = (Asked){ rig, 0, 0 }; /* no call of the controller's */
+  sim_state_request(rig->state, rig->now_ms, "POST", "/multi", transaction, rig_on_state, asked);
+}
+
 json_t *
 rig_submission(void)
 {
--- a/tests/sim/rig.h
+++ b/tests/sim/rig.h
@@ -76,5 +76,9 @@
 void rig_send_report(Rig *rig, guint64 token, json_t *tasks);
 json_t *rig_submission(void);
 gboolean rig_is_assigned(const Rig *rig);
+/* Whether the last answer to a report has the command. */
+gboolean rig_has_command(const Rig *rig, const char *op);
+/* What somebody else writes to the state service; value NULL: removes the key, which is there. */
+void rig_write_key(Rig *rig, const char *key, json_t *value /* taken */);
 void rig_reply(Rig *rig, guint64 call, guint status, const json_t *body);
 void rig_on_state(gpointer data, guint status, json_t *body);
--- a/tests/test-regressions.c
+++ b/tests/test-regressions.c
@@ -12,28 +12,6 @@
                    why);
 }
 
-/* Whether the last answer to a report has the command. */
-static gboolean
-has_command(const Rig *rig, const char *op)
-{
-  size_t i;
-  const json_t *command;
-  json_array_foreach(json_object_get(rig->answer, "prikazy"), i,
-                     command) if (strcmp(json_string_value(json_object_get(command, "ukon")), op)
-                                  == 0) return TRUE;
-  return FALSE;
-}
-
-static void
-remove_key(Rig *rig, const char *key)
-{
-  g_autoptr(json_t) remove = json_pack("{s:[], s:[{s:s}]}", "if", "apply", "remove", key);
-  Asked *asked = g_new0(Asked, 1);
-  *asked = (Asked){ rig, 0, 0 };
-  g_assert_true(sim_state_has(rig->state, key));
-  sim_state_request(rig->state, rig->now_ms, "POST", "/multi", remove, rig_on_state, asked);
-}
-
 /* Whether the list of the transaction has an item whose field names the key. */
 static gboolean
 names_key(const json_t *txn, const char *list, const char *field, const char *key)
@@ -73,11 +51,11 @@
 {
   Rig *rig = rig_new(TRUE);
   rig_send_report(rig, 1, one_task("exited", "done"));
-  g_assert_false(has_command(rig, "reap"));
+  g_assert_false(rig_has_command(rig, "reap"));
   rig_ask(rig, "GET", "/api/jobs/req-1", NULL);
   g_assert_cmpstr(json_string_value(json_object_get(rig->answer, "stav")), ==, "done");
   rig_send_report(rig, 1, one_task("exited", "done"));
-  g_assert_true(has_command(rig, "reap"));
+  g_assert_true(rig_has_command(rig, "reap"));
   rig_free(rig);
 }
 
@@ -100,7 +78,7 @@
   rig_send_report(rig, 1, one_task("running", ""));
   rig_ask(rig, "POST", "/v1/report", rig_report_of(rig, "m-1", 1, 1, json_array()));
   g_assert_cmpuint(rig->status, ==, 200);
-  g_assert_false(has_command(rig, "launch"));
+  g_assert_false(rig_has_command(rig, "launch"));
   rig_free(rig);
 }
 
@@ -144,7 +122,7 @@
   Rig *rig = rig_new(FALSE);
   rig_send_report(rig, 1, one_task("exited", "done"));
   rig_send_report(rig, 1, one_task("exited", "done"));
-  g_assert_false(has_command(rig, "reap"));
+  g_assert_false(rig_has_command(rig, "reap"));
   rig_free(rig);
 }
 
@@ -217,7 +195,7 @@
                     json_pack("[{s:s, s:i, s:s, s:s}, {s:s, s:i, s:s}]", "kus", "req-2/0", "pokus",
                               1, "stav", "exited", "duvod", "error", "kus", "req-2/1", "pokus", 1,
                               "stav", "running"));
-  g_assert_true(has_command(rig, "halt"));
+  g_assert_true(rig_has_command(rig, "halt"));
   rig_free(rig);
 }
 
@@ -228,7 +206,7 @@
 {
   Rig *rig = rig_new(TRUE);
   g_assert_true(has_condition(rig->member_txn, "w/member/n0"));
-  remove_key(rig, "w/member/n0");
+  rig_write_key(rig, "w/member/n0", NULL);
   rig_run(rig, 2.5);
   g_assert_true(sim_state_has(rig->state, "w/member/n0"));
   rig_free(rig);
@@ -239,7 +217,7 @@
 test_ghost(void)
 {
   Rig *rig = rig_new(TRUE);
-  remove_key(rig, "w/lot/a-1-0-1");
+  rig_write_key(rig, "w/lot/a-1-0-1", NULL);
   rig_run(rig, 0.5);
   rig_send_report(rig, 1, json_array());
   g_assert_cmpuint(rig->status, ==, 503);
@@ -536,13 +514,13 @@
   rig_mesh(rig, "/cancelled", json_pack("{s:s, s:[[s, i]]}", "node", "n9", "jobs", "req-1", 0));
   g_assert_cmpuint(rig->status, ==, 400);
   rig_send_report(rig, 1, one_task("running", ""));
-  g_assert_false(has_command(rig, "halt"));
+  g_assert_false(rig_has_command(rig, "halt"));
   rig_mesh(rig, "/cancelled", json_pack("{s:s, s:[[s, i]]}", "node", "n1", "jobs", "req-1", 0));
   g_assert_cmpuint(rig->status, ==, 200);
   rig_send_report(rig, 1, one_task("running", ""));
-  g_assert_true(has_command(rig, "halt"));
+  g_assert_true(rig_has_command(rig, "halt"));
   rig_send_report(rig, 1, json_array());
-  g_assert_false(has_command(rig, "launch"));
+  g_assert_false(rig_has_command(rig, "launch"));
   rig_free(rig);
 }
 
@@ -612,7 +590,7 @@
   rig_run(rig, 5.0);
   rig_send_report(rig, 1, json_array());
   g_assert_cmpuint(rig->status, ==, 200);
-  g_assert_false(has_command(rig, "launch"));
+  g_assert_false(rig_has_command(rig, "launch"));
   rig_run(rig, 13.0);
   rig_send_report(rig, 1, one_task("running", ""));
   g_assert_cmpuint(rig->status, ==, 503);
@@ -620,7 +598,7 @@
   rig_run(rig, 2.0);
   rig_send_report(rig, 1, json_array());
   g_assert_cmpuint(rig->status, ==, 200);
-  g_assert_true(has_command(rig, "launch"));
+  g_assert_true(rig_has_command(rig, "launch"));
   rig_free(rig);
 }
 
@@ -689,7 +667,7 @@
   rig_ask(rig, "POST", "/api/jobs", urgent);
   rig_run(rig, 1.0);
   rig_send_report(rig, 1, one_task("running", ""));
-  gboolean is_stopped = has_command(rig, "halt");
+  gboolean is_stopped = rig_has_command(rig, "halt");
   rig_free(rig);
   return is_stopped;
 }
@@ -709,7 +687,7 @@
 test_lost_machine(void)
 {
   Rig *rig = rig_new(TRUE);
-  remove_key(rig, "w/lot/a-1-0-1");
+  rig_write_key(rig, "w/lot/a-1-0-1", NULL);
   rig_run(rig, 10.0);
   g_assert_true(rig_is_assigned(rig));
   rig_run(rig, 6.0);
--- a/tests/test-upgrade.c
+++ b/tests/test-upgrade.c
@@ -327,12 +327,9 @@
   rig->hold_watch = TRUE; /* this node doesn't hear of it by itself */
   rig_run(rig, 10.0);
   g_autoptr(json_t) submission = rig_submission();
-  g_autoptr(json_t) set
-      = json_pack("{s:[], s:[{s:s, s:{s:s, s:i, s:s, s:O}}]}", "if", "apply", "set", "w/job/req-1",
-                  "value", "s", "active", "at", 1, "home", "", "spec", submission);
-  Asked *asked = g_new0(Asked, 1);
-  *asked = (Asked){ rig, 0, 0 };
-  sim_state_request(rig->state, rig->now_ms, "POST", "/multi", set, rig_on_state, asked);
+  rig_write_key(
+      rig, "w/job/req-1",
+      json_pack("{s:s, s:i, s:s, s:O}", "s", "active", "at", 1, "home", "", "spec", submission));
   rig_request(rig, WS_DOOR_API, "POST", "/api/jobs", json_incref(submission));
   rig_release_watch(rig);
   rig_run(rig, 1.5);
