A release is written only while what it rests on still holds

Cause: a release (a task's attempt is gone from its machine) was kept as job, task, attempt and done. It waits for a write or for the leader, across epochs too.

Now a release carries its evidence as a type: kind (absent, exited, returned), machine, session, report and epoch. ws_release_holds is asked when it is forwarded, taken, batched and when an epoch begins: the same run of the owner must have owned the machine ever since (each machine knows the epoch from which that is so), the cloud's confirmed return holds for ever, and a completed task's result stays. An owner launches nothing for whose release it has evidence: a failed task was launched again in the machine's next session while its release waited.

Versions before 0.4 send no evidence: taken where nobody else can have launched the attempt, or if the task is done; else the worker is asked, and after a lease of repetition the machine is returned. Older versions ignore the new fields. The log says which releases are dropped (info) and what written ones rested on (debug), and the epoch's revision.

--- a/src/coordination/ws-epoch.c
+++ b/src/coordination/ws-epoch.c
@@ -60,24 +60,36 @@
                    ws_settings_node(settings, epoch->leader)->name, "members", members);
 }
 
-gboolean
-ws_epoch_has(const WsEpoch *epoch, guint node, guint64 incarnation)
+static const WsMember *
+find_member(const WsEpoch *epoch, guint node)
 {
   for (guint i = 0; i < epoch->members->len; i++) {
     const WsMember *member = &g_array_index(epoch->members, WsMember, i);
     if (member->node == node)
-      return member->incarnation == incarnation;
+      return member;
   }
-  return FALSE;
+  return NULL;
+}
+
+gboolean
+ws_epoch_has(const WsEpoch *epoch, guint node, guint64 incarnation)
+{
+  const WsMember *member = find_member(epoch, node);
+  return member != NULL && member->incarnation == incarnation;
 }
 
 gboolean
 ws_epoch_has_node(const WsEpoch *epoch, guint node)
 {
-  for (guint i = 0; i < epoch->members->len; i++)
-    if (g_array_index(epoch->members, WsMember, i).node == node)
-      return TRUE;
-  return FALSE;
+  return find_member(epoch, node) != NULL;
+}
+
+gboolean
+ws_epoch_continues(const WsEpoch *last, const WsEpoch *next, guint node)
+{
+  const WsMember *member = find_member(last, node);
+  return member != NULL && next->number == last->number + 1
+         && ws_epoch_has(next, node, member->incarnation);
 }
 
 gboolean
--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -69,26 +69,74 @@
   g_free(assign);
 }
 
+static void
+note_run_time(WsCore *core, const WsRelease *release)
+{
+  const WsJob *job = ws_replica_job(core->replica, release->job);
+  const WsAssignment *assignment = job->spec != NULL ? ws_job_assignment(job, release->task) : NULL;
+  if (release->done && assignment != NULL && assignment->attempt == release->attempt
+      && ws_is_leader(core))
+    ws_estimator_add(core, job, assignment);
+}
+
+/* What is known of an attempt is never forgotten for less: it remains done, and the cloud's word is
+   better than any report. */
+static void
+strengthen(WsRelease *known, const WsRelease *release)
+{
+  known->done = known->done || release->done;
+  if (known->evidence.kind != WS_EVIDENCE_RETURNED
+      && (release->evidence.kind == WS_EVIDENCE_RETURNED
+          || release->evidence.epoch >= known->evidence.epoch))
+    known->evidence = release->evidence;
+}
+
 void
-ws_assign_known_gone(WsCore *core, const WsJob *job, guint task, guint64 attempt, gboolean done)
+ws_assign_release(WsCore *core, const WsRelease *release)
 {
-  gpointer key = task_key(job->index, task);
-  const WsPendingRelease *old = g_hash_table_lookup(core->assign->pending, key);
-  if (old != NULL && old->release.attempt >= attempt)
+  gpointer key = task_key(release->job, release->task);
+  WsPendingRelease *known = g_hash_table_lookup(core->assign->pending, key);
+  if (known != NULL && known->release.attempt > release->attempt)
     return;
-  const WsAssignment *assignment = job->spec != NULL ? ws_job_assignment(job, task) : NULL;
-  if (done && assignment != NULL && assignment->attempt == attempt && ws_is_leader(core))
-    ws_estimator_add(core, job, assignment);
-  WsPendingRelease *known = g_new0(WsPendingRelease, 1);
-  known->release = (WsRelease){ job->index, task, attempt, done };
+  if (known != NULL && known->release.attempt == release->attempt) {
+    strengthen(&known->release, release);
+    return;
+  }
+  note_run_time(core, release);
+  known = g_new0(WsPendingRelease, 1);
+  known->release = *release;
   known->known_ms = core->now;
   g_hash_table_insert(core->assign->pending, key, known);
 }
 
 void
-ws_assign_release(WsCore *core, const WsJob *job, const WsAssignment *assignment, gboolean done)
+ws_assign_release_shown(WsCore *core, const WsJob *job, const WsAssignment *assignment,
+                        WsEvidenceKind kind, gboolean done)
 {
-  ws_assign_known_gone(core, job, assignment->task, assignment->attempt, done);
+  const WsMachine *machine = ws_replica_machine(core->replica, assignment->machine);
+  WsRelease release = { job->index, assignment->task, assignment->attempt, done,
+                        ws_evidence_new(core->replica, machine, kind) };
+  ws_assign_release(core, &release);
+}
+
+void
+ws_assign_shown_present(WsCore *core, const WsJob *job, const WsAssignment *assignment)
+{
+  gpointer key = task_key(job->index, assignment->task);
+  const WsPendingRelease *known = g_hash_table_lookup(core->assign->pending, key);
+  if (known == NULL || known->release.attempt != assignment->attempt)
+    return;
+  g_autofree char *text = ws_release_describe(core->replica, &known->release);
+  g_warning("a task that was to be released is there: %s", text);
+  g_hash_table_remove(core->assign->pending, key);
+}
+
+gboolean
+ws_assign_is_releasing(const WsCore *core, const WsJob *job, const WsAssignment *assignment)
+{
+  const WsPendingRelease *known
+      = g_hash_table_lookup(core->assign->pending, task_key(job->index, assignment->task));
+  return known != NULL && ws_release_holds(core->replica, &known->release);
 }
 
 gboolean
@@ -141,8 +189,8 @@
   }
 }
 
-void
-ws_assign_forget_proposals(WsCore *core)
+static void
+forget_proposals(WsCore *core)
 {
   WsAssign *assign = core->assign;
   g_array_set_size(assign->proposals, 0);
@@ -159,14 +207,51 @@
     ((WsPendingRelease *)known)->asked_ms = 0;
 }
 
-/* Handing in. */
-
 static gboolean
-is_over(const WsCore *core, const WsRelease *release)
+is_on_record(const WsCore *core, const WsRelease *release)
 {
   const WsJob *job = ws_replica_job(core->replica, release->job);
   const WsAssignment *assignment = job->spec != NULL ? ws_job_assignment(job, release->task) : NULL;
-  return assignment == NULL || assignment->attempt != release->attempt;
+  return assignment != NULL && assignment->attempt == release->attempt;
+}
+
+/* What was concluded before, and whose machine has had another owner since, is for the present
+   owner to conclude afresh: it may have launched the attempt again. An incident broke ran_twice so.
+ */
+static void
+drop_void_releases(WsCore *core)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init(&iter, core->assign->pending);
+  while (g_hash_table_iter_next(&iter, NULL, &value)) {
+    const WsRelease *release = &((const WsPendingRelease *)value)->release;
+    if (ws_release_holds(core->replica, release))
+      continue;
+    if (is_on_record(core, release)) {
+      g_autofree char *text = ws_release_describe(core->replica, release);
+      g_info("a release is dropped in epoch %" G_GUINT64_FORMAT ": %s", core->replica->epoch.number,
+             text);
+    }
+    g_hash_table_iter_remove(&iter);
+  }
+}
+
+void
+ws_assign_note_epoch(WsCore *core)
+{
+  forget_proposals(core);
+  drop_void_releases(core);
+}
+
+/* Handing in. */
+
+/* The owner states again, under the present epoch, what it has concluded and has stood by since. */
+static void
+restate(const WsCore *core, WsRelease *release)
+{
+  if (ws_owns(core, ws_replica_machine(core->replica, release->evidence.machine)))
+    release->evidence.epoch = core->replica->epoch.number;
 }
 
 static void
@@ -177,12 +262,12 @@
   g_hash_table_iter_init(&iter, core->assign->pending);
   while (g_hash_table_iter_next(&iter, NULL, &value)) {
     WsPendingRelease *known = value;
-    if (is_over(core, &known->release)) {
+    if (!ws_release_holds(core->replica, &known->release)) {
       g_hash_table_iter_remove(&iter);
     } else if (known->asked_ms == 0 || core->now - known->asked_ms >= RELEASE_AGAIN_MS) {
       known->asked_ms = core->now;
-      ws_peer_request_release(core, ws_replica_job(core->replica, known->release.job),
-                              known->release.task, known->release.attempt, known->release.done);
+      restate(core, &known->release);
+      ws_peer_request_release(core, &known->release);
     }
   }
 }
@@ -258,6 +343,13 @@
   g_array_set_size(assign->writing, 0);
 }
 
+static void
+log_release(const WsCore *core, const WsRelease *release)
+{
+  g_autofree char *text = ws_release_describe(core->replica, release);
+  g_debug("released under epoch %" G_GUINT64_FORMAT ": %s", core->replica->epoch.number, text);
+}
+
 static void
 batch_releases(WsCore *core, WsBatch *batch, const GArray *endings, gboolean only_ends_of_jobs)
 {
@@ -268,8 +360,11 @@
       break;
     if (ws_refused_jobs_has(core->assign->refused, core->now, release->job))
       continue;
-    if (ws_batch_release(batch, release) == WS_BATCH_UNWANTED)
+    WsBatchResult result = ws_batch_release(batch, release);
+    if (result == WS_BATCH_UNWANTED)
       g_hash_table_remove(core->assign->pending, task_key(release->job, release->task));
+    else if (result == WS_BATCH_TAKEN)
+      log_release(core, release);
   }
 }
 
@@ -407,7 +502,7 @@
 {
   launch_fresh(core);
   if (!ws_entitled(core)) {
-    ws_assign_forget_proposals(core);
+    forget_proposals(core);
     return;
   }
   if (core->now >= core->assign->next_ms && !ws_is_leader(core)) {
--- a/src/core/ws-batch.c
+++ b/src/core/ws-batch.c
@@ -268,9 +268,9 @@
 ws_batch_release(WsBatch *batch, const WsRelease *release)
 {
   const WsJob *job = ws_replica_job(batch->core->replica, release->job);
-  const WsAssignment *assignment = job->spec != NULL ? ws_job_assignment(job, release->task) : NULL;
-  if (assignment == NULL || assignment->attempt != release->attempt)
-    return WS_BATCH_UNWANTED; /* done, or somebody else's by now */
+  if (!ws_release_holds(batch->core->replica, release))
+    return WS_BATCH_UNWANTED; /* written already, somebody else's by now, or its evidence is over */
+  const WsAssignment *assignment = ws_job_assignment(job, release->task);
   if (ws_chunk_find(chunk_after(batch, job, release->task / WS_CHUNK_TASKS), release->task) == NULL)
     return WS_BATCH_TAKEN; /* by this very transaction: its use is given back once */
   if (!reserve(batch, job, release->task, NULL, ends_job(batch, job, release->done)))
--- a/src/core/ws-batch.h
+++ b/src/core/ws-batch.h
@@ -2,13 +2,7 @@
 #pragma once
 
 #include "core/ws-core-private.h"
-
-typedef struct {
-  guint job;
-  guint task;
-  guint64 attempt;
-  gboolean done;
-} WsRelease;
+#include "core/ws-evidence.h"
 
 typedef struct {
   guint job;
@@ -30,6 +24,7 @@
 void ws_batch_add_jobs(const WsBatch *batch, GArray *jobs /* of guint */);
 void ws_batch_free(WsBatch *batch);
 gboolean ws_batch_is_empty(const WsBatch *batch);
+/* What doesn't hold (any more) isn't wanted. */
 WsBatchResult ws_batch_release(WsBatch *batch, const WsRelease *release);
 WsBatchResult ws_batch_assign(WsBatch *batch, const WsProposal *proposal);
 /* The jobs that end with the transaction are added to the list. */
--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -3,6 +3,7 @@
 
 #include "storage/ws-replica.h"
 #include "core/ws-core.h"
+#include "core/ws-evidence.h"
 #include "transport/ws-rate.h"
 
 typedef void (*WsReply)(WsCore *core, guint status, const json_t *body, gpointer data);
@@ -40,6 +41,7 @@
 typedef struct _WsCancels WsCancels;
 typedef struct _WsReservations WsReservations;
 typedef struct _WsWriteStats WsWriteStats;
+typedef struct _WsUnproven WsUnproven;
 
 typedef struct {
   gint64 heard_ms;
@@ -83,6 +85,7 @@
   WsCancels *cancels;
   WsReservations *reservations;
   WsWriteStats *write_stats;
+  WsUnproven *unproven;
   gint64 vouched_ms;     /* when this node last knew all that was confirmed to users */
   GHashTable *run_times; /* by class */
   WsPeer *peers;
@@ -212,8 +215,7 @@
 /* ws-peer-requests.c */
 WsPeerRequests *ws_peer_requests_new(const WsSettings *settings);
 void ws_peer_requests_free(WsPeerRequests *peer_requests, const WsSettings *settings);
-void ws_peer_request_release(WsCore *core, const WsJob *job, guint task, guint64 attempt,
-                             gboolean done);
+void ws_peer_request_release(WsCore *core, const WsRelease *release);
 void ws_peer_request_assignment(WsCore *core, const WsJob *job, guint task,
                                 const WsMachine *machine);
 void ws_peer_request_mark(WsCore *core, const WsMachine *machine, const char *why, gboolean now);
@@ -227,11 +229,17 @@
 /* ws-assign.c */
 WsAssign *ws_assign_new(void);
 void ws_assign_free(WsAssign *assign);
-/* The task's attempt is known to be gone, whoever found out. */
-void ws_assign_known_gone(WsCore *core, const WsJob *job, guint task, guint64 attempt,
-                          gboolean done);
-void ws_assign_release(WsCore *core, const WsJob *job, const WsAssignment *assignment,
-                       gboolean done);
+/* The attempt is known to be gone, whoever found out: it is written as soon as may be, as long as
+   the evidence holds. */
+void ws_assign_release(WsCore *core, const WsRelease *release);
+/* The release of what a message of the machine's worker shows to be gone. */
+void ws_assign_release_shown(WsCore *core, const WsJob *job, const WsAssignment *assignment,
+                             WsEvidenceKind kind, gboolean done);
+/* The worker shows the attempt: what said that it is gone was wrong. */
+void ws_assign_shown_present(WsCore *core, const WsJob *job, const WsAssignment *assignment);
+/* Whether the attempt's release waits to be written: until then nobody may launch it. */
+gboolean ws_assign_is_releasing(const WsCore *core, const WsJob *job,
+                                const WsAssignment *assignment);
 void ws_assign_propose(WsCore *core, guint job, guint task, guint machine);
 gboolean ws_assign_pending(const WsCore *core, guint job, guint task);
 gboolean ws_assign_idle(const WsCore *core);
@@ -241,7 +249,8 @@
  */
 gint64 ws_assign_oldest_ms(const WsCore *core, gboolean of_ends);
 void ws_assign_pump(WsCore *core);
-void ws_assign_forget_proposals(WsCore *core);
+/* In a new epoch the owners of machines, and with them what was proposed, may be others. */
+void ws_assign_note_epoch(WsCore *core);
 typedef void (*WsProposalFunc)(const WsJob *job, guint machine, gpointer data);
 /* What was handed in to the leader and has not come back through the store yet. */
 void ws_assign_each_forwarded(const WsCore *core, WsProposalFunc take, gpointer data);
--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -4,6 +4,7 @@
 #include "core/ws-rentals.h"
 #include "core/ws-reservation.h"
 #include "core/ws-returns.h"
+#include "core/ws-unproven.h"
 #include "core/ws-write-stats.h"
 
 #include <string.h>
@@ -39,6 +40,7 @@
   core->cancels = ws_cancels_new(settings);
   core->reservations = ws_reservations_new();
   core->write_stats = ws_write_stats_new();
+  core->unproven = ws_unproven_new();
   core->run_times = ws_estimator_new();
   core->peers = g_new0(WsPeer, settings->nodes->len);
   core->partition_ms = g_new0(gint64, MAX(settings->zones->len, 1u));
@@ -88,6 +90,7 @@
   ws_cancels_free(core->cancels);
   ws_reservations_free(core->reservations);
   ws_write_stats_free(core->write_stats);
+  ws_unproven_free(core->unproven);
   g_hash_table_unref(core->run_times);
   ws_replica_free(core->replica);
   g_free(core->peers);
@@ -223,7 +226,8 @@
   core->epoch_ms = core->now;
   core->plan_due = TRUE;
   core->wants_epoch = FALSE;
-  ws_assign_forget_proposals(core);
+  ws_assign_note_epoch(core);
+  ws_unproven_note_epoch(core);
   ws_peer_requests_forget(core);
   ws_reservations_clear(core);
   ws_mesh_new_epoch(core);
@@ -236,7 +240,8 @@
       machine->owned_ms = core->now;
     machine->owner_seen = machine->owner;
   }
-  g_info("epoch %" G_GUINT64_FORMAT ": %u members, leader %s", core->epoch_seen,
+  g_info("epoch %" G_GUINT64_FORMAT " at revision %" G_GUINT64_FORMAT ": %u members, leader %s",
+         core->epoch_seen, ws_replica_version(core->replica, WS_KEY_EPOCH),
          core->replica->epoch.members->len,
          core->replica->epoch.leader != WS_NONE
              ? ws_settings_node(core->settings, core->replica->epoch.leader)->name
--- /dev/null
+++ b/src/core/ws-evidence.c
@@ -0,0 +1,84 @@
+#include "core/ws-evidence.h"
+
+#include <string.h>
+
+/* Places in the item of a message; those before are all that versions before 0.4 know. */
+#define ITEM_MACHINE 4
+#define ITEM_KIND 5
+#define ITEM_EPOCH 6
+#define ITEM_SESSION 7
+
+static const char *const KIND_NAMES[] = { "absent", "exited", "returned" };
+
+WsEvidence
+ws_evidence_new(const WsReplica *replica, const WsMachine *machine, WsEvidenceKind kind)
+{
+  return (WsEvidence){ .kind = kind,
+                       .machine = machine->index,
+                       .epoch = replica->epoch.number,
+                       .session = machine->session,
+                       .seq = machine->seq };
+}
+
+gboolean
+ws_release_holds(const WsReplica *replica, const WsRelease *release)
+{
+  const WsEvidence *evidence = &release->evidence;
+  const WsJob *job = ws_replica_job(replica, release->job);
+  const WsAssignment *assignment = job->spec != NULL ? ws_job_assignment(job, release->task) : NULL;
+  if (assignment == NULL || assignment->attempt != release->attempt
+      || assignment->machine != evidence->machine)
+    return FALSE;
+  if (release->done || evidence->kind == WS_EVIDENCE_RETURNED)
+    return TRUE;
+  return evidence->epoch >= ws_replica_machine(replica, evidence->machine)->owner_since;
+}
+
+char *
+ws_release_describe(const WsReplica *replica, const WsRelease *release)
+{
+  const WsEvidence *evidence = &release->evidence;
+  return g_strdup_printf("%s/%u attempt %" G_GUINT64_FORMAT " %s %s (epoch %" G_GUINT64_FORMAT
+                         ", session %" G_GUINT64_FORMAT ", report %" G_GUINT64_FORMAT ")",
+                         ws_replica_job(replica, release->job)->id, release->task, release->attempt,
+                         release->done ? "done:" : KIND_NAMES[evidence->kind],
+                         ws_replica_machine(replica, evidence->machine)->name, evidence->epoch,
+                         evidence->session, evidence->seq);
+}
+
+json_t *
+ws_release_encode(const WsReplica *replica, const WsRelease *release)
+{
+  const WsEvidence *evidence = &release->evidence;
+  return json_pack("[s, i, I, b, s, s, I, I]", ws_replica_job(replica, release->job)->id,
+                   (int)release->task, (json_int_t)release->attempt, release->done,
+                   ws_replica_machine(replica, evidence->machine)->name, KIND_NAMES[evidence->kind],
+                   (json_int_t)evidence->epoch, (json_int_t)evidence->session);
+}
+
+static gboolean
+parse_kind(const char *name, WsEvidenceKind *kind)
+{
+  for (guint k = 0; name != NULL && k < G_N_ELEMENTS(KIND_NAMES); k++)
+    if (strcmp(KIND_NAMES[k], name) == 0) {
+      *kind = (WsEvidenceKind)k;
+      return TRUE;
+    }
+  return FALSE;
+}
+
+gboolean
+ws_evidence_parse(const WsReplica *replica, const json_t *item, WsEvidence *evidence)
+{
+  const char *name = json_string_value(json_array_get(item, ITEM_MACHINE));
+  const json_t *epoch = json_array_get(item, ITEM_EPOCH);
+  const WsMachine *machine = name != NULL ? ws_replica_find_machine(replica, name) : NULL;
+  *evidence = (WsEvidence){ 0 };
+  if (machine == NULL || !json_is_integer(epoch) || json_integer_value(epoch) < 0
+      || !parse_kind(json_string_value(json_array_get(item, ITEM_KIND)), &evidence->kind))
+    return FALSE;
+  evidence->machine = machine->index;
+  evidence->epoch = (guint64)json_integer_value(epoch);
+  evidence->session = (guint64)json_integer_value(json_array_get(item, ITEM_SESSION));
+  return TRUE;
+}
--- a/src/core/ws-peer-requests.c
+++ b/src/core/ws-peer-requests.c
@@ -10,6 +10,7 @@
    again. It counts only in the epoch in which it was made. */
 #include "core/ws-direct.h"
 #include "core/ws-reservation.h"
+#include "core/ws-unproven.h"
 
 #include <string.h>
 
@@ -57,10 +58,9 @@
 }
 
 void
-ws_peer_request_release(WsCore *core, const WsJob *job, guint task, guint64 attempt, gboolean done)
+ws_peer_request_release(WsCore *core, const WsRelease *release)
 {
-  add(core, core->replica->epoch.leader, "releases",
-      json_pack("[s, i, I, b]", job->id, (int)task, (json_int_t)attempt, done));
+  add(core, core->replica->epoch.leader, "releases", ws_release_encode(core->replica, release));
 }
 
 void
@@ -105,14 +105,30 @@
   return job;
 }
 
+static void
+log_refused(const WsCore *core, const WsRelease *release)
+{
+  g_autofree char *text = ws_release_describe(core->replica, release);
+  g_debug("a release isn't taken under epoch %" G_GUINT64_FORMAT ": %s",
+          core->replica->epoch.number, text);
+}
+
 static void
 take_release(WsCore *core, const json_t *item)
 {
   guint task = 0;
   const WsJob *job = job_of(core, item, &task);
-  if (job != NULL)
-    ws_assign_known_gone(core, job, task, (guint64)json_integer_value(json_array_get(item, 2)),
-                         json_is_true(json_array_get(item, 3)));
+  if (job == NULL)
+    return;
+  WsRelease release = { .job = job->index, .task = task };
+  release.attempt = (guint64)json_integer_value(json_array_get(item, 2));
+  release.done = json_is_true(json_array_get(item, 3));
+  if (!ws_evidence_parse(core->replica, item, &release.evidence))
+    ws_unproven_release(core, &release);
+  else if (ws_release_holds(core->replica, &release))
+    ws_assign_release(core, &release);
+  else
+    log_refused(core, &release);
 }
 
 static void
--- a/src/core/ws-returns.c
+++ b/src/core/ws-returns.c
@@ -134,7 +134,7 @@
     WsJob *job = ws_replica_job(core->replica, ref->job);
     const WsAssignment *assignment = ws_job_assignment(job, ref->task);
     if (assignment != NULL)
-      ws_assign_release(core, job, assignment, FALSE);
+      ws_assign_release_shown(core, job, assignment, WS_EVIDENCE_RETURNED, FALSE);
   }
 }
 
@@ -149,7 +149,8 @@
 }
 
 /* Whatever is on record for a machine that no rental batch names any more, and that hasn't been
-   heard for as long as its lease, waits for nothing. */
+   heard for as long as its lease, waits for nothing. Only the cloud's confirmed return takes a
+   machine out of its rental batch, and nothing is assigned to one that is in none. */
 static gboolean
 is_lost(const WsCore *core, const WsMachine *machine)
 {
--- a/src/core/ws-store.c
+++ b/src/core/ws-store.c
@@ -272,6 +272,7 @@
   ws_replica_advance(core->replica, store->load_revision);
   store->loading = FALSE;
   store->loaded = TRUE;
+  core->replica->is_loading = FALSE;
   core->plan_due = TRUE;
   g_info("state read: revision %" G_GUINT64_FORMAT ", %u jobs open, %u machines",
          store->load_revision, core->replica->active->len, core->replica->machines->len);
@@ -326,6 +327,7 @@
 {
   WsStore *store = core->store;
   store->loading = TRUE;
+  core->replica->is_loading = TRUE;
   g_clear_pointer(&store->load_last, g_free);
   g_clear_pointer(&store->load_keys, g_hash_table_unref);
   store->load_keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
--- /dev/null
+++ b/src/core/ws-unproven.c
@@ -0,0 +1,142 @@
+#include "core/ws-unproven.h"
+
+#include <string.h>
+
+#define STATUS_TIMEOUT_MS 1000
+#define STATUS_AGAIN_MS 1500
+/* Those versions repeat a release every 2 s; after such a pause it begins anew. */
+#define REPEATED_WITHIN_MS 5000
+
+typedef struct {
+  WsRelease release;
+  gint64 since_ms;
+  gint64 last_ms;  /* when it was last repeated */
+  gint64 asked_ms; /* when its worker was last asked */
+} Hint;
+
+struct _WsUnproven {
+  GArray *hints; /* of Hint */
+};
+
+WsUnproven *
+ws_unproven_new(void)
+{
+  WsUnproven *unproven = g_new0(WsUnproven, 1);
+  unproven->hints = g_array_new(FALSE, FALSE, sizeof(Hint));
+  return unproven;
+}
+
+void
+ws_unproven_free(WsUnproven *unproven)
+{
+  g_array_unref(unproven->hints);
+  g_free(unproven);
+}
+
+/* The assignment that the release is about; NULL: it is over. */
+static const WsAssignment *
+find_assignment(const WsCore *core, const WsRelease *release)
+{
+  const WsJob *job = ws_replica_job(core->replica, release->job);
+  const WsAssignment *assignment = job->spec != NULL ? ws_job_assignment(job, release->task) : NULL;
+  return assignment != NULL && assignment->attempt == release->attempt ? assignment : NULL;
+}
+
+static Hint *
+find_hint(WsCore *core, const WsRelease *release)
+{
+  GArray *hints = core->unproven->hints;
+  for (guint i = 0; i < hints->len; i++) {
+    Hint *hint = &g_array_index(hints, Hint, i);
+    if (hint->release.job == release->job && hint->release.task == release->task
+        && hint->release.attempt == release->attempt)
+      return hint;
+  }
+  Hint hint = { .release = *release };
+  g_array_append_val(hints, hint);
+  return &g_array_index(hints, Hint, hints->len - 1);
+}
+
+static void
+take(WsCore *core, const WsRelease *hint, const WsMachine *machine, WsEvidenceKind kind)
+{
+  WsRelease release = *hint;
+  release.evidence = ws_evidence_new(core->replica, machine, kind);
+  ws_assign_release(core, &release);
+}
+
+static gboolean
+shows_end(const WsCore *core, const WsReport *report, const WsRelease *release)
+{
+  const char *id = ws_replica_job(core->replica, release->job)->id;
+  for (guint i = 0; i < report->tasks->len; i++) {
+    const WsReportTask *task = &g_array_index(report->tasks, WsReportTask, i);
+    if (task->task == release->task && task->attempt == release->attempt
+        && strcmp(task->job, id) == 0)
+      return task->state == WS_TASK_EXITED;
+  }
+  return FALSE;
+}
+
+/* An end that the worker holds under the present token stays with it until it's released. */
+static void
+on_status(WsCore *core, guint status, const json_t *body, gpointer data)
+{
+  const WsMachine *machine = ws_replica_machine(core->replica, GPOINTER_TO_UINT(data));
+  g_autofree char *reason = NULL;
+  g_autoptr(WsReport) report = status == 200 ? ws_report_parse(body, &reason) : NULL;
+  if (report == NULL || strcmp(report->machine, machine->name) != 0
+      || report->token != core->replica->epoch.number || !ws_is_leader(core))
+    return;
+  const GArray *hints = core->unproven->hints;
+  for (guint i = 0; i < hints->len; i++) {
+    const Hint *hint = &g_array_index(hints, Hint, i);
+    const WsAssignment *assignment = find_assignment(core, &hint->release);
+    if (assignment != NULL && assignment->machine == machine->index
+        && shows_end(core, report, &hint->release))
+      take(core, &hint->release, machine, WS_EVIDENCE_EXITED);
+  }
+}
+
+static void
+ask_worker(WsCore *core, Hint *hint, const WsMachine *machine)
+{
+  if (machine->endpoint == NULL
+      || (hint->asked_ms > 0 && core->now - hint->asked_ms < STATUS_AGAIN_MS))
+    return;
+  hint->asked_ms = core->now;
+  ws_call(core, "GET", machine->endpoint, "/status", NULL, STATUS_TIMEOUT_MS, on_status,
+          GUINT_TO_POINTER(machine->index));
+}
+
+void
+ws_unproven_release(WsCore *core, const WsRelease *release)
+{
+  const WsAssignment *assignment = find_assignment(core, release);
+  if (assignment == NULL)
+    return;
+  WsMachine *machine = ws_replica_machine(core->replica, assignment->machine);
+  if (release->done || assignment->since_version > machine->owner_since_version) {
+    take(core, release, machine, release->done ? WS_EVIDENCE_EXITED : WS_EVIDENCE_ABSENT);
+    return;
+  }
+  if (machine->owner == core->settings->self)
+    return;
+  Hint *hint = find_hint(core, release);
+  if (core->now - hint->last_ms > REPEATED_WITHIN_MS)
+    hint->since_ms = core->now;
+  hint->last_ms = core->now;
+  if ((double)(core->now - hint->since_ms) > core->settings->lease_s * 1000.0)
+    ws_termination_mark(core, machine, "unproven", TRUE);
+  else
+    ask_worker(core, hint, machine);
+}
+
+void
+ws_unproven_note_epoch(WsCore *core)
+{
+  GArray *hints = core->unproven->hints;
+  for (guint i = hints->len; i-- > 0;)
+    if (find_assignment(core, &g_array_index(hints, Hint, i).release) == NULL)
+      g_array_remove_index_fast(hints, i);
+}
--- /dev/null
+++ b/src/core/ws-unproven.h
@@ -0,0 +1,21 @@
+/**
+ * Releases by controllers of versions before 0.4, which don't say what they rest on.
+ *
+ * Such a release is a hint, not proof: it may come from a former owner of the machine. It is taken
+ * where nobody else can have launched the attempt, and for a completed task, whose result stays.
+ * Otherwise the leader asks the worker, and takes an end that it still shows; a machine that the
+ * hint is repeated for during a whole lease is returned, which is proof. A machine's owner of the
+ * present version finds out by itself and needs no hint.
+ */
+#pragma once
+
+#include "core/ws-core-private.h"
+
+WsUnproven *ws_unproven_new(void);
+void ws_unproven_free(WsUnproven *unproven);
+
+/** Takes a release without evidence; its evidence isn't read. For the leader. */
+void ws_unproven_release(WsCore *core, const WsRelease *release);
+
+/** Forgets the hints whose attempts are no longer on the records. */
+void ws_unproven_note_epoch(WsCore *core);
--- a/src/core/ws-workers.c
+++ b/src/core/ws-workers.c
@@ -109,9 +109,10 @@
     return;
   if (task->state == WS_TASK_EXITED) {
     note_exit(core, machine, job, assignment, task->why);
-    ws_assign_release(core, job, assignment, task->why == WS_EXIT_DONE);
+    ws_assign_release_shown(core, job, assignment, WS_EVIDENCE_EXITED, task->why == WS_EXIT_DONE);
     return;
   }
+  ws_assign_shown_present(core, job, assignment);
   if (task->state != assignment->state)
     g_debug("task %s/%u on %s: state %d", job->id, assignment->task, machine->name, task->state);
   assignment->state = task->state;
@@ -250,12 +251,15 @@
 }
 
 /* A task that is assigned and missing is launched (again); it's released only when it isn't wanted
-   here any more, the report answers our token, and no launch of it can come late. */
+   here any more, the report answers our token, and no launch of it can come late. What is about to
+   be released isn't launched again: one that had failed, in the machine's next session, then ran on
+   two machines. */
 static void
 command_absent(Answer *answer, WsJob *job, WsAssignment *assignment)
 {
   gboolean unwanted = ws_cancel_is_known(answer->core, job) || assignment->stopping
-                      || answer->machine->marked || ws_gang_is_ending(job);
+                      || answer->machine->marked || ws_gang_is_ending(job)
+                      || ws_assign_is_releasing(answer->core, job, assignment);
   if (!unwanted && !ws_knows_all_cancellations(answer->core))
     return; /* it may be cancelled, and nobody could have told us */
   if (!unwanted) {
@@ -265,7 +269,7 @@
     return;
   }
   if (answer->confirmed && answer->machine->indeterminate_launches == 0)
-    ws_assign_release(answer->core, job, assignment, FALSE);
+    ws_assign_release_shown(answer->core, job, assignment, WS_EVIDENCE_ABSENT, FALSE);
 }
 
 static void
--- a/src/storage/ws-chunk.h
+++ b/src/storage/ws-chunk.h
@@ -18,6 +18,7 @@
   guint64 attempt;
   gint64 at_ms; /* wall clock of the assignment */
   /* soft: */
+  guint64 since_version; /* of the record that first named it; 0: not known */
   WsTaskState state;
   gboolean seen_gone;   /* the worker has shown that a cancelled task's attempt is not there */
   gint64 stop_asked_ms; /* when another owner was last asked to stop it */
--- a/src/storage/ws-records.c
+++ b/src/storage/ws-records.c
@@ -424,6 +424,34 @@
   replica->leader_node = ws_settings_find_node(replica->settings, name);
 }
 
+static void
+find_owner(WsReplica *replica, WsMachine *machine, const WsEpoch *last)
+{
+  guint owner = ws_epoch_owner(&replica->epoch, machine->name, replica->settings);
+  if (owner != machine->owner || !ws_epoch_continues(last, &replica->epoch, owner)) {
+    machine->owner_since = replica->epoch.number;
+    machine->owner_since_version = replica->applying;
+  }
+  machine->owner = owner;
+}
+
+static void
+apply_epoch(WsReplica *replica, const json_t *value)
+{
+  WsEpoch last = replica->epoch;
+  WsEpoch next;
+  ws_epoch_init(&next);
+  if (value == NULL || !ws_epoch_parse(&next, value, replica->settings)) {
+    g_warning("the epoch's record is missing or damaged");
+    ws_epoch_clear(&next);
+    return;
+  }
+  replica->epoch = next;
+  for (guint i = 0; i < replica->machines->len; i++)
+    find_owner(replica, ws_replica_machine(replica, i), &last);
+  ws_epoch_clear(&last);
+}
+
 static void
 apply_value(WsReplica *replica, const char *key, const json_t *value)
 {
@@ -440,12 +468,7 @@
                 { WS_KEYS_MEMBER, apply_member },
                 { WS_KEYS_MAILBOX, apply_mailbox } };
   if (strcmp(key, WS_KEY_EPOCH) == 0) {
-    if (value == NULL || !ws_epoch_parse(&replica->epoch, value, replica->settings))
-      g_warning("the epoch's record is missing or damaged");
-    for (guint i = 0; i < replica->machines->len; i++) {
-      WsMachine *machine = ws_replica_machine(replica, i);
-      machine->owner = ws_epoch_owner(&replica->epoch, machine->name, replica->settings);
-    }
+    apply_epoch(replica, value);
     return;
   }
   if (strcmp(key, WS_KEY_LEADER) == 0) {
@@ -485,6 +508,7 @@
     note_removed(replica, key, version);
   known->version = version;
   known->present = value != NULL;
+  replica->applying = version;
   apply_value(replica, key, value);
   return TRUE;
 }
--- a/src/storage/ws-replica.c
+++ b/src/storage/ws-replica.c
@@ -154,6 +154,8 @@
   g_ptr_array_add(replica->machines, machine);
   g_hash_table_insert(replica->machine_index, copy, machine);
   machine->owner = ws_epoch_owner(&replica->epoch, copy, replica->settings);
+  machine->owner_since = replica->epoch.number;
+  machine->owner_since_version = ws_replica_version(replica, WS_KEY_EPOCH);
   return machine;
 }
 
@@ -338,6 +340,7 @@
       *fresh = *known;
       continue;
     }
+    fresh->since_version = replica->is_loading ? 0 : replica->applying;
     WsTaskRef ref = { job->index, fresh->task };
     g_array_append_val(replica->fresh, ref);
     ws_replica_machine(replica, fresh->machine)->sparse_ms = 0; /* its hold begins anew */
--- a/src/storage/ws-replica.h
+++ b/src/storage/ws-replica.h
@@ -43,7 +43,10 @@
 typedef struct {
   guint index;
   const char *name;
-  guint owner;     /* a node of the present epoch, WS_NONE: there is none */
+  guint owner;         /* a node of the present epoch, WS_NONE: there is none */
+  guint64 owner_since; /* the epoch from which on the same run of the owner has owned it, as far
+                          as this node can tell */
+  guint64 owner_since_version; /* of that epoch's record */
   gboolean stored; /* a rental batch names it: the machine is ours, and is charged for */
   gboolean gone;   /* no rental batch names it any more: the cloud has confirmed its return */
   const char *rental_batch; /* interned: the last one that named it */
@@ -136,6 +139,8 @@
   GArray *fresh;        /* of WsTaskRef: assigned since somebody last emptied it */
   GArray *cancelled;    /* of guint: jobs with tasks cancelled since somebody last emptied it */
   guint64 revision;     /* everything up to here has been applied */
+  gboolean is_loading;  /* what is applied has been read, and may be of any age */
+  guint64 applying;     /* the version that is being applied */
   WsEpoch epoch;
   guint64 leader_incarnation;
   guint leader_node; /* of the leader key, WS_NONE: none */
