A leader commands nothing by records that are older than its own epoch

Found while going through the paths with the incident's flaw, an action on stale knowledge: a leader knows the epoch that it wrote at once, but what was written before it only when the watch brings it, which takes seconds where an answer is lost. Under the new token it then launched an attempt that the last leader had just taken elsewhere, halted a task that had just been assigned and let the worker forget an end. Only its writes were kept back until then.

Answers to reports now carry none of these commands until the replica has reached the epoch's revision; the same function guards the writes.

--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -403,21 +403,12 @@
   }
 }
 
-/* A new leader knows the epoch that it wrote before all that was written until then. A mark that
-   came and went with its machine meanwhile is absent once more, and a condition on its absence
-   holds: tasks were assigned to a machine that had been returned. */
-static gboolean
-knows_all_before(const WsCore *core)
-{
-  return core->replica->revision >= ws_replica_version(core->replica, WS_KEY_EPOCH);
-}
-
 static void
 write_all(WsCore *core)
 {
   WsAssign *assign = core->assign;
   if (assign->busy || core->now < assign->next_ms || core->replica->catalog == NULL
-      || !knows_all_before(core)
+      || !ws_knows_all_before_epoch(core)
       || (g_hash_table_size(assign->pending) == 0 && assign->proposals->len == 0)
       || !ws_store_may_write(core, WORTH_A_TXN))
     return;
--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -119,6 +119,11 @@
 gboolean ws_entitled(const WsCore *core);
 gboolean ws_is_leader(const WsCore *core);
 gboolean ws_owns(const WsCore *core, const WsMachine *machine);
+/* A new leader knows the epoch that it wrote before all that was written until then. Acting on its
+   records before that is acting on another leader's past: tasks were assigned to a machine that had
+   been returned, since a mark that came and went meanwhile is absent once more; an attempt that had
+   been taken elsewhere was launched again, and one just assigned was halted. */
+gboolean ws_knows_all_before_epoch(const WsCore *core);
 
 /* ws-store.c */
 WsStore *ws_store_new(const WsSettings *settings);
--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -181,6 +181,12 @@
   return ws_entitled(core) && core->replica->epoch.leader == core->settings->self;
 }
 
+gboolean
+ws_knows_all_before_epoch(const WsCore *core)
+{
+  return core->replica->revision >= ws_replica_version(core->replica, WS_KEY_EPOCH);
+}
+
 gboolean
 ws_owns(const WsCore *core, const WsMachine *machine)
 {
--- a/src/core/ws-workers.c
+++ b/src/core/ws-workers.c
@@ -193,6 +193,7 @@
   const WsReport *report;
   json_t *commands;
   gboolean confirmed; /* the worker has seen our token */
+  gboolean is_behind; /* the records are older than the epoch */
   gboolean halts;
   gboolean is_unacknowledged; /* it was told already, and the report doesn't show it */
 } Answer;
@@ -220,6 +221,8 @@
   WsJob *job;
   WsMachine *machine = answer->machine;
   WsAssignment *assignment = matching(answer->core, machine, task, &job);
+  if (assignment == NULL && answer->is_behind)
+    return;
   if (assignment == NULL) {
     if (task->state != WS_TASK_EXITED)
       command(answer, WS_OP_HALT, task->job, task->task, task->attempt, 0.0);
@@ -260,6 +263,8 @@
   gboolean unwanted = ws_cancel_is_known(answer->core, job) || assignment->stopping
                       || answer->machine->marked || ws_gang_is_ending(job)
                       || ws_assign_is_releasing(answer->core, job, assignment);
+  if (answer->is_behind)
+    return;
   if (!unwanted && !ws_knows_all_cancellations(answer->core))
     return; /* it may be cancelled, and nobody could have told us */
   if (!unwanted) {
@@ -312,7 +317,8 @@
                     .machine = machine,
                     .report = report,
                     .commands = json_array(),
-                    .confirmed = report->token == token(core) };
+                    .confirmed = report->token == token(core),
+                    .is_behind = !ws_knows_all_before_epoch(core) };
   gboolean was_usable = ws_machine_up(core, machine) && machine->notice_ms == 0;
   if (!take_header(core, machine, report))
     return ws_commands_answer(token(core), answer.commands);
--- a/tests/test-evidence.c
+++ b/tests/test-evidence.c
@@ -233,6 +233,72 @@
   end(&world);
 }
 
+/* The watch brings nothing while somebody else's last transaction under the old epoch moves the
+   task to another machine; then n0's own next epoch is in force, which it knows at once. */
+static void
+be_behind_own_epoch(World *world)
+{
+  Rig *rig = world->rig;
+  rig->hold_watch = TRUE;
+  rig_write_key(rig, "w/unused", json_object()); /* answers the watch that is open */
+  rig_run(rig, 1.0);
+  g_assert_cmpuint(rig->held_watch, !=, 0);
+  rig_write_key(rig, "w/task/req-1/0",
+                json_pack("{s:i, s:[[i, s, i, i]], s:s}", "a", 2, "on", 0, "m-elsewhere", 2, 1000,
+                          "d", "00000000000000000000000000000000"));
+  rig_mesh(rig, "/gossip",
+           json_pack("{s:s, s:i, s:b, s:i, s:b, s:b, s:i, s:i, s:i, s:i, s:b, s:i, s:[]}", "node",
+                     "n1", "epoch", 1, "store", 1, "reaches", 7, "wants_epoch", 1, "unheard", 0,
+                     "base", 0, "rev", 0, "ack", 0, "incarnation", 1, "loaded", 1, "untold", 0,
+                     "machines"));
+  rig_run(rig, 0.5);
+  g_assert_cmpuint(epoch_number(rig), ==, 2);
+}
+
+/* A leader whose replica is older than its own epoch launches nothing by it: the attempt may have
+   been taken elsewhere meanwhile. */
+static void
+test_no_launch_behind_own_epoch(void)
+{
+  World world;
+  begin(&world);
+  be_behind_own_epoch(&world);
+  report(&world, 1, json_array());
+  report(&world, 2, json_array());
+  g_assert_cmpuint(world.rig->status, ==, 200);
+  g_assert_false(rig_has_command(world.rig, "launch"));
+  rig_release_watch(world.rig);
+  rig_run(world.rig, 1.0);
+  report(&world, 2, json_array());
+  g_assert_false(rig_has_command(world.rig, "launch"));
+  end(&world);
+}
+
+/* Nor does it halt or reap what it doesn't know: that may have been assigned meanwhile. */
+static void
+test_no_halt_behind_own_epoch(void)
+{
+  World world;
+  begin(&world);
+  be_behind_own_epoch(&world);
+  static const char *const STATES[] = { "running", "exited" };
+  for (guint i = 0; i < G_N_ELEMENTS(STATES); i++) {
+    json_t *tasks = task_in_state(STATES[i]);
+    json_object_set_new(json_array_get(tasks, 0), "pokus", json_integer(3));
+    json_object_set_new(json_array_get(tasks, 0), "duvod", json_string("done"));
+    report(&world, 2, json_deep_copy(tasks));
+    g_assert_cmpuint(world.rig->status, ==, 200);
+    g_assert_false(rig_has_command(world.rig, "halt"));
+    g_assert_false(rig_has_command(world.rig, "reap"));
+    json_decref(tasks);
+  }
+  rig_release_watch(world.rig);
+  rig_run(world.rig, 1.0);
+  report(&world, 2, task_in_state("running")); /* this attempt isn't on the records any more */
+  g_assert_true(rig_has_command(world.rig, "halt"));
+  end(&world);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -244,5 +310,7 @@
   g_test_add_func("/evidence/bare-from-former-owner", test_bare_from_former_owner);
   g_test_add_func("/evidence/new-session-before-the-write", test_new_session_before_the_write);
   g_test_add_func("/evidence/same-owner-over-an-epoch", test_same_owner_over_an_epoch);
+  g_test_add_func("/evidence/no-launch-behind-own-epoch", test_no_launch_behind_own_epoch);
+  g_test_add_func("/evidence/no-halt-behind-own-epoch", test_no_halt_behind_own_epoch);
   return g_test_run();
 }
