--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -1,17 +1,17 @@
 /* Assignments and releases on their way to the state service.
 
    A task is assigned there before it is launched, and its team's use is counted in the same
-   transaction; a task is released only when ws-workers.c or ws-returns.c knows that it is gone. The
-   leader writes for everybody, one transaction at a time; the other nodes hand theirs in. */
+   transaction; what is to be released is kept by ws-releases.c. The leader writes for everybody,
+   one transaction at a time; the other nodes hand theirs in. */
 #include "core/ws-direct.h"
 #include "core/ws-refused-jobs.h"
 #include "core/ws-release-order.h"
+#include "core/ws-releases.h"
 
 #define GATHER_MS 50
 #define CONFLICT_PAUSE_MS 60
 #define FAILURE_PAUSE_MS 400
 /* What was handed in and came to nothing for so long is handed in again. */
-#define RELEASE_AGAIN_MS 2000
 #define PROPOSE_AGAIN_MS 1500
 /* Changes that the budget must allow before a transaction is drafted: meanwhile others gather. */
 #define WORTH_A_TXN 4
@@ -22,7 +22,6 @@
 } Forwarded;
 
 struct _WsAssign {
-  GHashTable *pending;  /* task -> WsPendingRelease: releases */
   GArray *proposals;    /* of WsProposal, the most urgent first */
   GHashTable *proposed; /* task: among the proposals, in the transaction, or handed in */
   GArray *writing;      /* of WsProposal: in the transaction on its way */
@@ -34,17 +33,10 @@
   gint64 next_ms;
 };
 
-static gpointer
-task_key(guint job, guint task)
-{
-  return GSIZE_TO_POINTER((gsize)job * WS_MAX_TASKS + task + 1);
-}
-
 WsAssign *
 ws_assign_new(void)
 {
   WsAssign *assign = g_new0(WsAssign, 1);
-  assign->pending = g_hash_table_new_full(NULL, NULL, NULL, g_free);
   assign->proposals = g_array_new(FALSE, FALSE, sizeof(WsProposal));
   assign->proposed = g_hash_table_new(NULL, NULL);
   assign->writing = g_array_new(FALSE, FALSE, sizeof(WsProposal));
@@ -58,7 +50,6 @@
 void
 ws_assign_free(WsAssign *assign)
 {
-  g_hash_table_unref(assign->pending);
   g_array_unref(assign->proposals);
   g_hash_table_unref(assign->proposed);
   g_array_unref(assign->writing);
@@ -69,87 +60,17 @@
   g_free(assign);
 }
 
-static void
-note_run_time(WsCore *core, const WsRelease *release)
-{
-  const WsJob *job = ws_replica_job(core->replica, release->job);
-  const WsAssignment *assignment = job->spec != NULL ? ws_job_assignment(job, release->task) : NULL;
-  if (release->done && assignment != NULL && assignment->attempt == release->attempt
-      && ws_is_leader(core))
-    ws_estimator_add(core, job, assignment);
-}
-
-/* What is known of an attempt is never forgotten for less: it remains done, and the cloud's word is
-   better than any report. */
-static void
-strengthen(WsRelease *known, const WsRelease *release)
-{
-  known->done = known->done || release->done;
-  if (known->evidence.kind != WS_EVIDENCE_RETURNED
-      && (release->evidence.kind == WS_EVIDENCE_RETURNED
-          || release->evidence.epoch >= known->evidence.epoch))
-    known->evidence = release->evidence;
-}
-
-void
-ws_assign_release(WsCore *core, const WsRelease *release)
-{
-  gpointer key = task_key(release->job, release->task);
-  WsPendingRelease *known = g_hash_table_lookup(core->assign->pending, key);
-  if (known != NULL && known->release.attempt > release->attempt)
-    return;
-  if (known != NULL && known->release.attempt == release->attempt) {
-    strengthen(&known->release, release);
-    return;
-  }
-  note_run_time(core, release);
-  known = g_new0(WsPendingRelease, 1);
-  known->release = *release;
-  known->known_ms = core->now;
-  g_hash_table_insert(core->assign->pending, key, known);
-}
-
-void
-ws_assign_release_shown(WsCore *core, const WsJob *job, const WsAssignment *assignment,
-                        WsEvidenceKind kind, gboolean done)
-{
-  const WsMachine *machine = ws_replica_machine(core->replica, assignment->machine);
-  WsRelease release = { job->index, assignment->task, assignment->attempt, done,
-                        ws_evidence_new(core->replica, machine, kind) };
-  ws_assign_release(core, &release);
-}
-
-void
-ws_assign_shown_present(WsCore *core, const WsJob *job, const WsAssignment *assignment)
-{
-  gpointer key = task_key(job->index, assignment->task);
-  const WsPendingRelease *known = g_hash_table_lookup(core->assign->pending, key);
-  if (known == NULL || known->release.attempt != assignment->attempt)
-    return;
-  g_autofree char *text = ws_release_describe(core->replica, &known->release);
-  g_warning("a task that was to be released is there: %s", text);
-  g_hash_table_remove(core->assign->pending, key);
-}
-
-gboolean
-ws_assign_is_releasing(const WsCore *core, const WsJob *job, const WsAssignment *assignment)
-{
-  const WsPendingRelease *known
-      = g_hash_table_lookup(core->assign->pending, task_key(job->index, assignment->task));
-  return known != NULL && ws_release_holds(core->replica, &known->release);
-}
-
 gboolean
 ws_assign_pending(const WsCore *core, guint job, guint task)
 {
-  return g_hash_table_contains(core->assign->proposed, task_key(job, task));
+  return g_hash_table_contains(core->assign->proposed, ws_task_key(job, task));
 }
 
 void
 ws_assign_propose(WsCore *core, guint job, guint task, guint machine)
 {
   WsProposal proposal = { job, task, machine, core->now };
-  if (g_hash_table_add(core->assign->proposed, task_key(job, task)))
+  if (g_hash_table_add(core->assign->proposed, ws_task_key(job, task)))
     g_array_append_val(core->assign->proposals, proposal);
 }
 
@@ -161,15 +82,10 @@
 }
 
 gint64
-ws_assign_oldest_ms(const WsCore *core, gboolean of_ends)
+ws_assign_oldest_ms(const WsCore *core)
 {
   gint64 oldest_ms = core->now;
-  GHashTableIter iter;
-  gpointer known;
-  g_hash_table_iter_init(&iter, core->assign->pending);
-  while (of_ends && g_hash_table_iter_next(&iter, NULL, &known))
-    oldest_ms = MIN(oldest_ms, ((const WsPendingRelease *)known)->known_ms);
-  for (guint i = 0; !of_ends && i < core->assign->proposals->len; i++)
+  for (guint i = 0; i < core->assign->proposals->len; i++)
     oldest_ms = MIN(oldest_ms, g_array_index(core->assign->proposals, WsProposal, i).planned_ms);
   return core->now - oldest_ms;
 }
@@ -177,7 +93,7 @@
 gboolean
 ws_assign_is_behind(const WsCore *core)
 {
-  return core->assign->proposals->len > 0 || g_hash_table_size(core->assign->pending) > 0;
+  return core->assign->proposals->len > 0 || ws_releases_count(core) > 0;
 }
 
 void
@@ -198,80 +114,20 @@
   g_hash_table_remove_all(assign->proposed);
   for (guint i = 0; i < assign->writing->len; i++) {
     const WsProposal *proposal = &g_array_index(assign->writing, WsProposal, i);
-    g_hash_table_add(assign->proposed, task_key(proposal->job, proposal->task));
-  }
-  GHashTableIter iter;
-  gpointer known;
-  g_hash_table_iter_init(&iter, assign->pending);
-  while (g_hash_table_iter_next(&iter, NULL, &known))
-    ((WsPendingRelease *)known)->asked_ms = 0;
-}
-
-static gboolean
-is_on_record(const WsCore *core, const WsRelease *release)
-{
-  const WsJob *job = ws_replica_job(core->replica, release->job);
-  const WsAssignment *assignment = job->spec != NULL ? ws_job_assignment(job, release->task) : NULL;
-  return assignment != NULL && assignment->attempt == release->attempt;
-}
-
-/* What was concluded before, and whose machine has had another owner since, is for the present
-   owner to conclude afresh: it may have launched the attempt again. An incident broke ran_twice so.
- */
-static void
-drop_void_releases(WsCore *core)
-{
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init(&iter, core->assign->pending);
-  while (g_hash_table_iter_next(&iter, NULL, &value)) {
-    const WsRelease *release = &((const WsPendingRelease *)value)->release;
-    if (ws_release_holds(core->replica, release))
-      continue;
-    if (is_on_record(core, release)) {
-      g_autofree char *text = ws_release_describe(core->replica, release);
-      g_info("a release is dropped in epoch %" G_GUINT64_FORMAT ": %s", core->replica->epoch.number,
-             text);
-    }
-    g_hash_table_iter_remove(&iter);
+    g_hash_table_add(assign->proposed, ws_task_key(proposal->job, proposal->task));
   }
+  ws_releases_forward_again(core);
 }
 
 void
 ws_assign_note_epoch(WsCore *core)
 {
   forget_proposals(core);
-  drop_void_releases(core);
+  ws_releases_note_epoch(core);
 }
 
 /* Handing in. */
 
-/* The owner states again, under the present epoch, what it has concluded and has stood by since. */
-static void
-restate(const WsCore *core, WsRelease *release)
-{
-  if (ws_owns(core, ws_replica_machine(core->replica, release->evidence.machine)))
-    release->evidence.epoch = core->replica->epoch.number;
-}
-
-static void
-forward_releases(WsCore *core)
-{
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init(&iter, core->assign->pending);
-  while (g_hash_table_iter_next(&iter, NULL, &value)) {
-    WsPendingRelease *known = value;
-    if (!ws_release_holds(core->replica, &known->release)) {
-      g_hash_table_iter_remove(&iter);
-    } else if (known->asked_ms == 0 || core->now - known->asked_ms >= RELEASE_AGAIN_MS) {
-      known->asked_ms = core->now;
-      restate(core, &known->release);
-      ws_peer_request_release(core, &known->release);
-    }
-  }
-}
-
 static void
 forward_proposals(WsCore *core)
 {
@@ -296,7 +152,7 @@
     if (core->now <= at->until_ms && job->spec != NULL
         && ws_job_assignment(job, at->proposal.task) == NULL)
       continue;
-    g_hash_table_remove(core->assign->proposed, task_key(at->proposal.job, at->proposal.task));
+    g_hash_table_remove(core->assign->proposed, ws_task_key(at->proposal.job, at->proposal.task));
     g_array_remove_index_fast(forwarded, i);
   }
 }
@@ -324,7 +180,7 @@
   core->plan_due = TRUE;
   for (guint i = 0; i < assign->writing->len; i++) {
     const WsProposal *proposal = &g_array_index(assign->writing, WsProposal, i);
-    g_hash_table_remove(assign->proposed, task_key(proposal->job, proposal->task));
+    g_hash_table_remove(assign->proposed, ws_task_key(proposal->job, proposal->task));
   }
   if (result == WS_TXN_INVALID)
     ws_refused_jobs_note(assign->refused, core->now, assign->jobs);
@@ -362,7 +218,7 @@
       continue;
     WsBatchResult result = ws_batch_release(batch, release);
     if (result == WS_BATCH_UNWANTED)
-      g_hash_table_remove(core->assign->pending, task_key(release->job, release->task));
+      ws_releases_remove(core, release);
     else if (result == WS_BATCH_TAKEN)
       log_release(core, release);
   }
@@ -399,7 +255,7 @@
     else if (result == WS_BATCH_FULL)
       g_array_append_vals(assign->proposals, proposal, 1);
     else
-      g_hash_table_remove(assign->proposed, task_key(proposal->job, proposal->task));
+      g_hash_table_remove(assign->proposed, ws_task_key(proposal->job, proposal->task));
   }
 }
 
@@ -408,8 +264,7 @@
 {
   WsAssign *assign = core->assign;
   if (assign->busy || core->now < assign->next_ms || core->replica->catalog == NULL
-      || !ws_knows_all_before_epoch(core)
-      || (g_hash_table_size(assign->pending) == 0 && assign->proposals->len == 0)
+      || !ws_knows_all_before_epoch(core) || !ws_assign_is_behind(core)
       || !ws_store_may_write(core, WORTH_A_TXN))
     return;
   WsBatch *batch = ws_batch_new(core);
@@ -419,7 +274,7 @@
     ws_batch_keep_to_one_job(batch);
   /* Somebody waits for a critical task; when a cut heals or a wave has passed, the ends of hundreds
      of others would fill one transaction after another before it. */
-  g_autoptr(GArray) endings = ws_release_order(core, assign->pending);
+  g_autoptr(GArray) endings = ws_releases_in_order(core);
   batch_proposals(core, batch, TRUE);
   ws_batch_bound(batch, core->settings->state_txn_ops / 2);
   batch_releases(core, batch, endings, TRUE);
@@ -500,7 +355,7 @@
     core->assign->next_ms = core->now + GATHER_MS;
     forget_forwarded(core);
     forward_proposals(core);
-    forward_releases(core);
+    ws_releases_forward(core);
   }
   if (ws_is_leader(core))
     write_all(core);
--- a/src/core/ws-cancel.c
+++ b/src/core/ws-cancel.c
@@ -397,14 +397,14 @@
   for (guint c = 0; c < core->cancels->list->len; c++) {
     const Cancel *cancel = g_ptr_array_index(core->cancels->list, c);
     const WsJob *job = ws_replica_find_job(core->replica, cancel->id);
-    for (guint k = 0; job != NULL && job->spec != NULL && k < job->chunks->len; k++) {
-      const WsChunk *chunk = g_ptr_array_index(job->chunks, k);
-      for (guint i = 0; chunk != NULL && i < chunk->on->len; i++) {
-        const WsAssignment *assignment = &g_array_index(chunk->on, WsAssignment, i);
-        if (!assignment->seen_gone && g_hash_table_add(seen, GUINT_TO_POINTER(assignment->machine)))
-          tend_machine(core, ws_replica_machine(core->replica, assignment->machine));
-      }
-    }
+    WsAssignmentIter iter;
+    const WsAssignment *assignment;
+    if (job == NULL)
+      continue;
+    ws_assignment_iter_init(&iter, job);
+    while ((assignment = ws_assignment_iter_next(&iter)) != NULL)
+      if (!assignment->seen_gone && g_hash_table_add(seen, GUINT_TO_POINTER(assignment->machine)))
+        tend_machine(core, ws_replica_machine(core->replica, assignment->machine));
   }
 }
 
--- a/src/core/ws-core-private.h
+++ b/src/core/ws-core-private.h
@@ -42,6 +42,7 @@
 typedef struct _WsReservations WsReservations;
 typedef struct _WsWriteStats WsWriteStats;
 typedef struct _WsUnproven WsUnproven;
+typedef struct _WsReleases WsReleases;
 
 typedef struct {
   gint64 heard_ms;
@@ -86,6 +87,7 @@
   WsReservations *reservations;
   WsWriteStats *write_stats;
   WsUnproven *unproven;
+  WsReleases *releases;
   gint64 vouched_ms;     /* when this node last knew all that was confirmed to users */
   GHashTable *run_times; /* by class */
   WsPeer *peers;
@@ -232,27 +234,21 @@
 void ws_peer_requests_pump(WsCore *core);
 
 /* ws-assign.c */
+/* The key of a task in hash tables. */
+static inline gpointer
+ws_task_key(guint job, guint task)
+{
+  return GSIZE_TO_POINTER((gsize)job * WS_MAX_TASKS + task + 1);
+}
 WsAssign *ws_assign_new(void);
 void ws_assign_free(WsAssign *assign);
-/* The attempt is known to be gone, whoever found out: it is written as soon as may be, as long as
-   the evidence holds. */
-void ws_assign_release(WsCore *core, const WsRelease *release);
-/* The release of what a message of the machine's worker shows to be gone. */
-void ws_assign_release_shown(WsCore *core, const WsJob *job, const WsAssignment *assignment,
-                             WsEvidenceKind kind, gboolean done);
-/* The worker shows the attempt: what said that it is gone was wrong. */
-void ws_assign_shown_present(WsCore *core, const WsJob *job, const WsAssignment *assignment);
-/* Whether the attempt's release waits to be written: until then nobody may launch it. */
-gboolean ws_assign_is_releasing(const WsCore *core, const WsJob *job,
-                                const WsAssignment *assignment);
 void ws_assign_propose(WsCore *core, guint job, guint task, guint machine);
 gboolean ws_assign_pending(const WsCore *core, guint job, guint task);
 gboolean ws_assign_idle(const WsCore *core);
 /* Whether assignments or ends of tasks wait to be written. */
 gboolean ws_assign_is_behind(const WsCore *core);
-/* For how long the oldest end of a task, or else the oldest assignment, has waited to be written.
- */
-gint64 ws_assign_oldest_ms(const WsCore *core, gboolean of_ends);
+/* For how long the oldest assignment has waited to be written. */
+gint64 ws_assign_oldest_ms(const WsCore *core);
 void ws_assign_pump(WsCore *core);
 /* In a new epoch the owners of machines, and with them what was proposed, may be others. */
 void ws_assign_note_epoch(WsCore *core);
--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -2,6 +2,7 @@
 #include "core/ws-fleet.h"
 #include "core/ws-gang.h"
 #include "core/ws-rentals.h"
+#include "core/ws-releases.h"
 #include "core/ws-reservation.h"
 #include "core/ws-returns.h"
 #include "core/ws-unproven.h"
@@ -41,6 +42,7 @@
   core->reservations = ws_reservations_new();
   core->write_stats = ws_write_stats_new();
   core->unproven = ws_unproven_new();
+  core->releases = ws_releases_new();
   core->run_times = ws_estimator_new();
   core->peers = g_new0(WsPeer, settings->nodes->len);
   core->partition_ms = g_new0(gint64, MAX(settings->zones->len, 1u));
@@ -91,6 +93,7 @@
   ws_reservations_free(core->reservations);
   ws_write_stats_free(core->write_stats);
   ws_unproven_free(core->unproven);
+  ws_releases_free(core->releases);
   g_hash_table_unref(core->run_times);
   ws_replica_free(core->replica);
   g_free(core->peers);
--- a/src/core/ws-evidence.c
+++ b/src/core/ws-evidence.c
@@ -20,14 +20,20 @@
                        .seq = machine->seq };
 }
 
+const WsAssignment *
+ws_release_assignment(const WsReplica *replica, const WsRelease *release)
+{
+  const WsAssignment *assignment
+      = ws_job_assignment(ws_replica_job(replica, release->job), release->task);
+  return assignment != NULL && assignment->attempt == release->attempt ? assignment : NULL;
+}
+
 gboolean
 ws_release_holds(const WsReplica *replica, const WsRelease *release)
 {
   const WsEvidence *evidence = &release->evidence;
-  const WsJob *job = ws_replica_job(replica, release->job);
-  const WsAssignment *assignment = job->spec != NULL ? ws_job_assignment(job, release->task) : NULL;
-  if (assignment == NULL || assignment->attempt != release->attempt
-      || assignment->machine != evidence->machine)
+  const WsAssignment *assignment = ws_release_assignment(replica, release);
+  if (assignment == NULL || assignment->machine != evidence->machine)
     return FALSE;
   if (release->done || evidence->kind == WS_EVIDENCE_RETURNED)
     return TRUE;
--- a/src/core/ws-evidence.h
+++ b/src/core/ws-evidence.h
@@ -39,6 +39,9 @@
 /** Evidence of the present epoch, from the newest message of the machine's worker. */
 WsEvidence ws_evidence_new(const WsReplica *replica, const WsMachine *machine, WsEvidenceKind kind);
 
+/** The assignment of this very attempt; NULL: it is off the records. */
+const WsAssignment *ws_release_assignment(const WsReplica *replica, const WsRelease *release);
+
 /**
  * Whether the release may be written: the records show this attempt on the machine that the
  * evidence is about, and nobody but the owner who stated it has had the right to launch it there
--- a/src/core/ws-gang.c
+++ b/src/core/ws-gang.c
@@ -45,12 +45,12 @@
 has_any(const WsJob *job, AssignmentTest test)
 {
   guint64 last_attempt = ws_job_last_attempt(job);
-  for (guint c = 0; c < job->chunks->len; c++) {
-    const WsChunk *chunk = g_ptr_array_index(job->chunks, c);
-    for (guint i = 0; chunk != NULL && i < chunk->on->len; i++)
-      if (test(&g_array_index(chunk->on, WsAssignment, i), last_attempt))
-        return TRUE;
-  }
+  WsAssignmentIter iter;
+  ws_assignment_iter_init(&iter, job);
+  const WsAssignment *assignment;
+  while ((assignment = ws_assignment_iter_next(&iter)) != NULL)
+    if (test(assignment, last_attempt))
+      return TRUE;
   return FALSE;
 }
 
@@ -88,14 +88,12 @@
 static gboolean
 all_reachable(const WsCore *core, const WsJob *job)
 {
-  for (guint c = 0; c < job->chunks->len; c++) {
-    const WsChunk *chunk = g_ptr_array_index(job->chunks, c);
-    for (guint i = 0; chunk != NULL && i < chunk->on->len; i++) {
-      guint machine = g_array_index(chunk->on, WsAssignment, i).machine;
-      if (!is_reachable(core, ws_replica_machine(core->replica, machine)))
-        return FALSE;
-    }
-  }
+  WsAssignmentIter iter;
+  ws_assignment_iter_init(&iter, job);
+  const WsAssignment *assignment;
+  while ((assignment = ws_assignment_iter_next(&iter)) != NULL)
+    if (!is_reachable(core, ws_replica_machine(core->replica, assignment->machine)))
+      return FALSE;
   return TRUE;
 }
 
@@ -117,11 +115,11 @@
   if (!all_reachable(core, job))
     return FALSE;
   g_info("gang %s stops: %u tasks save their progress", job->id, job->on_count);
-  for (guint c = 0; c < job->chunks->len; c++) {
-    const WsChunk *chunk = g_ptr_array_index(job->chunks, c);
-    for (guint i = 0; chunk != NULL && i < chunk->on->len; i++)
-      stop_task(core, job, &g_array_index(chunk->on, WsAssignment, i));
-  }
+  WsAssignmentIter iter;
+  ws_assignment_iter_init(&iter, job);
+  WsAssignment *assignment;
+  while ((assignment = ws_assignment_iter_next(&iter)) != NULL)
+    stop_task(core, job, assignment);
   return TRUE;
 }
 
@@ -137,32 +135,36 @@
 static gboolean
 must_be_drained(const WsCore *core, const WsJob *job)
 {
-  for (guint c = 0; c < job->chunks->len; c++) {
-    const WsChunk *chunk = g_ptr_array_index(job->chunks, c);
-    for (guint i = 0; chunk != NULL && i < chunk->on->len; i++)
-      if (is_to_be_drained(core, &g_array_index(chunk->on, WsAssignment, i)))
-        return TRUE;
-  }
+  WsAssignmentIter iter;
+  ws_assignment_iter_init(&iter, job);
+  const WsAssignment *assignment;
+  while ((assignment = ws_assignment_iter_next(&iter)) != NULL)
+    if (is_to_be_drained(core, assignment))
+      return TRUE;
   return FALSE;
 }
 
-/* One halt of each task on this node's machines, unless one was sent a moment ago. What saves has
-   heard it. */
+/* Whether the task on this node's machine may be sent a halt now. What saves has heard it. */
+static gboolean
+may_halt(const WsCore *core, const WsAssignment *assignment)
+{
+  return ws_owns(core, ws_replica_machine(core->replica, assignment->machine))
+         && assignment->state < WS_TASK_SAVING && assignment->state != WS_TASK_ASSIGNED
+         && core->now - assignment->stop_asked_ms >= HALT_AGAIN_MS;
+}
+
+/* One halt of each task on this node's machines, unless one was sent a moment ago. */
 static void
 halt_again(WsCore *core, WsJob *job, gboolean all)
 {
-  for (guint c = 0; c < job->chunks->len; c++) {
-    const WsChunk *chunk = g_ptr_array_index(job->chunks, c);
-    for (guint i = 0; chunk != NULL && i < chunk->on->len; i++) {
-      WsAssignment *assignment = &g_array_index(chunk->on, WsAssignment, i);
-      const WsMachine *machine = ws_replica_machine(core->replica, assignment->machine);
-      if ((!all && !assignment->stopping) || !ws_owns(core, machine)
-          || assignment->state >= WS_TASK_SAVING || assignment->state == WS_TASK_ASSIGNED
-          || core->now - assignment->stop_asked_ms < HALT_AGAIN_MS)
-        continue;
-      assignment->stop_asked_ms = core->now;
-      ws_direct_halt(core, job, assignment);
-    }
+  WsAssignmentIter iter;
+  ws_assignment_iter_init(&iter, job);
+  WsAssignment *assignment;
+  while ((assignment = ws_assignment_iter_next(&iter)) != NULL) {
+    if ((!all && !assignment->stopping) || !may_halt(core, assignment))
+      continue;
+    assignment->stop_asked_ms = core->now;
+    ws_direct_halt(core, job, assignment);
   }
 }
 
--- a/src/core/ws-peer-requests.c
+++ b/src/core/ws-peer-requests.c
@@ -9,6 +9,7 @@
    in the state service. It may be lost: whoever asks notices that nothing came of it and asks
    again. It counts only in the epoch in which it was made. */
 #include "core/ws-direct.h"
+#include "core/ws-releases.h"
 #include "core/ws-reservation.h"
 #include "core/ws-unproven.h"
 
@@ -126,7 +127,7 @@
   if (!ws_evidence_parse(core->replica, item, &release.evidence))
     ws_unproven_release(core, &release);
   else if (ws_release_holds(core->replica, &release))
-    ws_assign_release(core, &release);
+    ws_releases_add(core, &release);
   else
     log_refused(core, &release);
 }
--- a/src/core/ws-preempt.c
+++ b/src/core/ws-preempt.c
@@ -152,15 +152,15 @@
 {
   gboolean is_cancelled = ws_cancel_is_known(core, candidate);
   gboolean may_stop = !is_cancelled && ws_preempt_allowed(core, job, candidate);
-  for (guint c = 0; c < candidate->chunks->len; c++) {
-    WsChunk *chunk = g_ptr_array_index(candidate->chunks, c);
-    for (guint i = 0; chunk != NULL && i < chunk->on->len; i++) {
-      TeamVictim victim = { candidate, &g_array_index(chunk->on, WsAssignment, i) };
-      if (is_cancelled || victim.assignment->stopping)
-        ws_amount_add(coming, &candidate->spec->need, 1);
-      else if (may_stop)
-        g_array_append_val(victims, victim);
-    }
+  WsAssignmentIter iter;
+  ws_assignment_iter_init(&iter, candidate);
+  WsAssignment *assignment;
+  while ((assignment = ws_assignment_iter_next(&iter)) != NULL) {
+    TeamVictim victim = { candidate, assignment };
+    if (is_cancelled || assignment->stopping)
+      ws_amount_add(coming, &candidate->spec->need, 1);
+    else if (may_stop)
+      g_array_append_val(victims, victim);
   }
 }
 
--- a/src/core/ws-returns.c
+++ b/src/core/ws-returns.c
@@ -2,6 +2,7 @@
 
 #include "core/ws-fleet.h"
 #include "core/ws-rentals.h"
+#include "core/ws-releases.h"
 
 #include <string.h>
 
@@ -134,7 +135,7 @@
     WsJob *job = ws_replica_job(core->replica, ref->job);
     const WsAssignment *assignment = ws_job_assignment(job, ref->task);
     if (assignment != NULL)
-      ws_assign_release_shown(core, job, assignment, WS_EVIDENCE_RETURNED, FALSE);
+      ws_releases_add_shown(core, job, assignment, WS_EVIDENCE_RETURNED, FALSE);
   }
 }
 
--- a/src/core/ws-unproven.c
+++ b/src/core/ws-unproven.c
@@ -1,5 +1,7 @@
 #include "core/ws-unproven.h"
 
+#include "core/ws-releases.h"
+
 #include <string.h>
 
 #define STATUS_TIMEOUT_MS 1000
@@ -33,15 +35,6 @@
   g_free(unproven);
 }
 
-/* The assignment that the release is about; NULL: it is over. */
-static const WsAssignment *
-find_assignment(const WsCore *core, const WsRelease *release)
-{
-  const WsJob *job = ws_replica_job(core->replica, release->job);
-  const WsAssignment *assignment = job->spec != NULL ? ws_job_assignment(job, release->task) : NULL;
-  return assignment != NULL && assignment->attempt == release->attempt ? assignment : NULL;
-}
-
 static Hint *
 find_hint(WsCore *core, const WsRelease *release)
 {
@@ -62,7 +55,7 @@
 {
   WsRelease release = *hint;
   release.evidence = ws_evidence_new(core->replica, machine, kind);
-  ws_assign_release(core, &release);
+  ws_releases_add(core, &release);
 }
 
 static gboolean
@@ -91,7 +84,7 @@
   const GArray *hints = core->unproven->hints;
   for (guint i = 0; i < hints->len; i++) {
     const Hint *hint = &g_array_index(hints, Hint, i);
-    const WsAssignment *assignment = find_assignment(core, &hint->release);
+    const WsAssignment *assignment = ws_release_assignment(core->replica, &hint->release);
     if (assignment != NULL && assignment->machine == machine->index
         && shows_end(core, report, &hint->release))
       take(core, &hint->release, machine, WS_EVIDENCE_EXITED);
@@ -112,7 +105,7 @@
 void
 ws_unproven_release(WsCore *core, const WsRelease *release)
 {
-  const WsAssignment *assignment = find_assignment(core, release);
+  const WsAssignment *assignment = ws_release_assignment(core->replica, release);
   if (assignment == NULL)
     return;
   WsMachine *machine = ws_replica_machine(core->replica, assignment->machine);
@@ -137,6 +130,6 @@
 {
   GArray *hints = core->unproven->hints;
   for (guint i = hints->len; i-- > 0;)
-    if (find_assignment(core, &g_array_index(hints, Hint, i).release) == NULL)
+    if (ws_release_assignment(core->replica, &g_array_index(hints, Hint, i).release) == NULL)
       g_array_remove_index_fast(hints, i);
 }
--- a/src/core/ws-workers.c
+++ b/src/core/ws-workers.c
@@ -6,6 +6,7 @@
 #include "core/ws-cloud-list.h"
 #include "core/ws-direct.h"
 #include "core/ws-gang.h"
+#include "core/ws-releases.h"
 #include "core/ws-returns.h"
 
 #include <string.h>
@@ -109,10 +110,10 @@
     return;
   if (task->state == WS_TASK_EXITED) {
     note_exit(core, machine, job, assignment, task->why);
-    ws_assign_release_shown(core, job, assignment, WS_EVIDENCE_EXITED, task->why == WS_EXIT_DONE);
+    ws_releases_add_shown(core, job, assignment, WS_EVIDENCE_EXITED, task->why == WS_EXIT_DONE);
     return;
   }
-  ws_assign_shown_present(core, job, assignment);
+  ws_releases_shown_present(core, job, assignment);
   if (task->state != assignment->state)
     g_debug("task %s/%u on %s: state %d", job->id, assignment->task, machine->name, task->state);
   assignment->state = task->state;
@@ -262,7 +263,7 @@
 {
   gboolean unwanted = ws_cancel_is_known(answer->core, job) || assignment->stopping
                       || answer->machine->marked || ws_gang_is_ending(job)
-                      || ws_assign_is_releasing(answer->core, job, assignment);
+                      || ws_releases_has(answer->core, job, assignment);
   if (answer->is_behind)
     return;
   if (!unwanted && !ws_knows_all_cancellations(answer->core))
@@ -274,7 +275,7 @@
     return;
   }
   if (answer->confirmed && answer->machine->indeterminate_launches == 0)
-    ws_assign_release_shown(answer->core, job, assignment, WS_EVIDENCE_ABSENT, FALSE);
+    ws_releases_add_shown(answer->core, job, assignment, WS_EVIDENCE_ABSENT, FALSE);
 }
 
 static void
--- a/src/core/ws-write-stats.c
+++ b/src/core/ws-write-stats.c
@@ -1,5 +1,7 @@
 #include "core/ws-write-stats.h"
 
+#include "core/ws-releases.h"
+
 #define INTERVAL_MS 30000
 
 static const struct {
@@ -62,7 +64,7 @@
   if (*text != '\0')
     g_info("changes in %.0f s: %s; waiting: assignments for %.1f s, ends for %.1f s",
            (double)(core->now - stats->since_ms) / 1000.0, text,
-           (double)ws_assign_oldest_ms(core, FALSE) / 1000.0,
-           (double)ws_assign_oldest_ms(core, TRUE) / 1000.0);
+           (double)ws_assign_oldest_ms(core) / 1000.0,
+           (double)ws_releases_oldest_ms(core) / 1000.0);
   *stats = (WsWriteStats){ .since_ms = core->now };
 }
--- a/src/storage/ws-replica.c
+++ b/src/storage/ws-replica.c
@@ -247,17 +247,34 @@
   return ws_chunk_find(ws_job_chunk(job, task), task);
 }
 
+void
+ws_assignment_iter_init(WsAssignmentIter *iter, const WsJob *job)
+{
+  *iter = (WsAssignmentIter){ .job = job };
+}
+
+WsAssignment *
+ws_assignment_iter_next(WsAssignmentIter *iter)
+{
+  for (; iter->chunk < iter->job->chunks->len; iter->chunk++) {
+    const WsChunk *chunk = g_ptr_array_index(iter->job->chunks, iter->chunk);
+    if (chunk != NULL && iter->place < chunk->on->len)
+      return &g_array_index(chunk->on, WsAssignment, iter->place++);
+    iter->place = 0;
+  }
+  return NULL;
+}
+
 void
 ws_job_count_zones(const WsReplica *replica, const WsJob *job, guint *counts)
 {
-  for (guint c = 0; c < job->chunks->len; c++) {
-    const WsChunk *chunk = g_ptr_array_index(job->chunks, c);
-    for (guint i = 0; chunk != NULL && i < chunk->on->len; i++) {
-      guint zone
-          = ws_replica_machine(replica, g_array_index(chunk->on, WsAssignment, i).machine)->zone;
-      if (zone != WS_NONE)
-        counts[zone]++;
-    }
+  WsAssignmentIter iter;
+  ws_assignment_iter_init(&iter, job);
+  const WsAssignment *assignment;
+  while ((assignment = ws_assignment_iter_next(&iter)) != NULL) {
+    guint zone = ws_replica_machine(replica, assignment->machine)->zone;
+    if (zone != WS_NONE)
+      counts[zone]++;
   }
 }
 
--- a/src/storage/ws-replica.h
+++ b/src/storage/ws-replica.h
@@ -193,7 +193,17 @@
 guint ws_replica_find_zone(const WsReplica *replica, const char *name);
 
 WsChunk *ws_job_chunk(const WsJob *job, guint task);
-WsAssignment *ws_job_assignment(const WsJob *job, guint task);
+WsAssignment *ws_job_assignment(const WsJob *job, guint task); /* NULL: there is none */
+
+/** Goes through the assignments of a job, whose records must not change meanwhile. */
+typedef struct {
+  const WsJob *job;
+  guint chunk;
+  guint place;
+} WsAssignmentIter;
+
+void ws_assignment_iter_init(WsAssignmentIter *iter, const WsJob *job);
+WsAssignment *ws_assignment_iter_next(WsAssignmentIter *iter); /* NULL: that was the last one */
 /* How long the job may take in all, by its deadline or its class; negative: nothing is said. */
 double ws_job_allowed_s(const WsReplica *replica, const WsJob *job);
 /* How long its image takes to fetch; the catalog must be known. */
