--- a/src/core/ws-workers.c
+++ b/src/core/ws-workers.c
@@ -202,6 +202,14 @@
 static void
 command(Answer *answer, WsOp op, const char *job, guint task, guint64 attempt, double grace_s)
 {
+  static const char *const NAMES[]
+      = { [WS_OP_LAUNCH] = "launch", [WS_OP_HALT] = "halt", [WS_OP_REAP] = "reap" };
+  const WsReport *report = answer->report;
+  g_debug("%s is told to %s %s/%u attempt %" G_GUINT64_FORMAT " under token %" G_GUINT64_FORMAT
+          ": report %" G_GUINT64_FORMAT " of session %" G_GUINT64_FORMAT
+          " has token %" G_GUINT64_FORMAT,
+          report->machine, NAMES[op], job, task, attempt, token(answer->core), report->seq,
+          report->session, report->token);
   answer->halts = answer->halts || op == WS_OP_HALT;
   json_array_append_new(answer->commands, ws_command_encode(op, job, task, attempt, grace_s));
 }
