Tests: evidence against generated histories of owners, releases without evidence, guards

30 generated histories of 40 epochs (members that come, go and begin anew, epochs that this node misses): what holds is compared with a plain record of who owned each machine. Releases of older versions: believed of the only owner, confirmed by the worker, not lost. Releases through messages and back, damaged ones.

--- a/tests/sim/rig.c
+++ b/tests/sim/rig.c
@@ -96,6 +96,8 @@
     rig->direct++;
     if (rig->workers_answer)
       rig_reply(rig, output->call, 409, NULL);
+  } else if (strcmp(path, "/status") == 0 && rig->status_report != NULL) {
+    rig_reply(rig, output->call, 200, rig->status_report);
   } else if (strcmp(path, "/machines/return") == 0 && rig->cloud_returns) {
     rig->returned++;
     rig_reply(rig, output->call, 200, NULL);
@@ -316,6 +318,7 @@
   ws_properties_free(rig->properties);
   ws_settings_free(rig->settings);
   json_decref(rig->answer);
+  json_decref(rig->status_report);
   json_decref(rig->last_txn);
   json_decref(rig->assign_txn);
   json_decref(rig->member_txn);
--- a/tests/sim/rig.h
+++ b/tests/sim/rig.h
@@ -17,6 +17,7 @@
   gboolean peers_silent;   /* the other controllers aren't there */
   gboolean state_out;      /* the state service answers 503 */
   gboolean workers_answer; /* direct commands */
+  json_t *status_report;   /* what workers answer to /status; NULL: nothing */
   gboolean hold_watch;     /* the next watch gets no answer until it is released */
   guint64 held_watch;
   gboolean small_type;    /* the cloud has a smaller type too */
--- a/tests/test-evidence.c
+++ b/tests/test-evidence.c
@@ -2,11 +2,14 @@
 
    A release is written only while what it rests on still holds: an incident broke ran_twice when a
    former owner's release was written after the next owner had launched the same attempt. */
-#include "coordination/ws-epoch.h"
+#include "core/ws-evidence.h"
 #include "sim/rig.h"
+#include "sim/troubles.h"
+#include "ws-site.h"
 
 #define NEW_EPOCH_S 1.5
 #define WRITE_S 2.0
+#define REPEATED_EVERY_S 2.0
 
 /* Whether the machine is n1's while the first nodes are members, so many of them. */
 static gboolean
@@ -100,6 +103,14 @@
                    "req-1", 0, 1, 0, world->machine, "absent", (json_int_t)seen_under, 1);
 }
 
+/* n1 says so, and the machine that it owned isn't there any more. */
+static json_t *
+return_seen_by_n1(const World *world, guint64 epoch)
+{
+  return json_pack("{s:I, s:[[s, i, i, b, s, s, I, i]]}", "epoch", (json_int_t)epoch, "releases",
+                   "req-1", 0, 1, 0, world->machine, "returned", 1, 1);
+}
+
 /* The same, said by a version that doesn't say what it rests on. */
 static json_t *
 bare_release_of_n1(guint64 epoch)
@@ -191,6 +202,89 @@
   from_former_owner(FALSE);
 }
 
+/* The cloud's word holds whoever owns the machine since. */
+static void
+test_returned_over_epochs(void)
+{
+  World world;
+  begin(&world);
+  change_epoch(&world, TRUE);
+  change_epoch(&world, FALSE);
+  change_epoch(&world, TRUE);
+  rig_request(world.rig, WS_DOOR_MESH, "POST", "/ask", return_seen_by_n1(&world, 4));
+  rig_run(world.rig, WRITE_S);
+  g_assert_false(is_first_attempt_on_record(&world));
+  end(&world);
+}
+
+/* A version that doesn't say what a release rests on is believed where nobody else has had the
+   right to launch the attempt: it was assigned to a machine that the sender's version has owned
+   since. */
+static void
+test_bare_of_the_only_owner(void)
+{
+  World world;
+  begin(&world);
+  change_epoch(&world, TRUE);
+  Rig *rig = world.rig;
+  rig_write_key(rig, "w/task/req-1/0",
+                json_pack("{s:i, s:[[i, s, i, i]], s:s}", "a", 2, "on", 0, world.machine, 2, 1000,
+                          "d", "00000000000000000000000000000000"));
+  rig_run(rig, 1.0);
+  rig_request(rig, WS_DOOR_MESH, "POST", "/ask",
+              json_pack("{s:i, s:[[s, i, i, b]]}", "epoch", 2, "releases", "req-1", 0, 2, 0));
+  rig_run(rig, 0.4);
+  g_assert_cmpstr(
+      json_string_value(json_array_get(
+          json_array_get(json_object_get(sim_state_get(rig->state, "w/task/req-1/0"), "on"), 0),
+          1)),
+      !=, world.machine);
+  end(&world);
+}
+
+/* Otherwise the worker is asked, and an end that it still holds is proof, with whatever reason. */
+static void
+test_bare_confirmed_by_worker(void)
+{
+  World world;
+  begin(&world);
+  change_epoch(&world, TRUE);
+  Rig *rig = world.rig;
+  for (guint64 token = 1; token <= 2; token++) { /* only what is said under our token counts */
+    json_t *tasks = json_pack("[{s:s, s:i, s:s, s:s}]", "kus", "req-1/0", "pokus", 1, "stav",
+                              "exited", "duvod", "error");
+    json_decref(rig->status_report);
+    rig->status_report = rig_report_of(rig, world.machine, token, 100 + token, tasks);
+    rig_run(rig, WRITE_S);
+    rig_request(rig, WS_DOOR_MESH, "POST", "/ask", bare_release_of_n1(2));
+    rig_run(rig, 0.4);
+    g_assert_true(is_first_attempt_on_record(&world) == (token == 1));
+  }
+  end(&world);
+}
+
+/* What can't be proven and is repeated for a lease isn't lost: the machine is returned. */
+static void
+test_bare_is_not_lost(void)
+{
+  World world;
+  begin(&world);
+  change_epoch(&world, TRUE);
+  Rig *rig = world.rig;
+  g_autofree char *mark = g_strdup_printf("w/mark/%s", world.machine);
+  guint repeats = (guint)(rig->settings->lease_s / REPEATED_EVERY_S) + 1;
+  for (guint i = 0; i < repeats; i++) {
+    g_assert_false(sim_state_has(rig->state, mark));
+    rig_request(rig, WS_DOOR_MESH, "POST", "/ask", bare_release_of_n1(2));
+    rig_run(rig, REPEATED_EVERY_S);
+  }
+  rig_request(rig, WS_DOOR_MESH, "POST", "/ask", bare_release_of_n1(2));
+  rig_run(rig, 1.0);
+  g_assert_true(sim_state_has(rig->state, mark));
+  g_assert_true(is_first_attempt_on_record(&world));
+  end(&world);
+}
+
 /* The task failed, its release is on its way, and the machine begins a new session without it: the
    owner launches nothing that it is about to release. */
 static void
@@ -299,6 +393,217 @@
   end(&world);
 }
 
+/* What holds, against a plain history of who owned the machines. */
+
+#define EPOCHS 40
+#define MACHINES 12
+
+typedef struct {
+  guint64 number;
+  guint64 incarnation[SIM_NODES]; /* 0: not a member */
+} PastEpoch;
+
+static PastEpoch
+next_epoch(GRand *rand, const PastEpoch *last)
+{
+  PastEpoch next = *last;
+  next.number += g_rand_int_range(rand, 0, 6) == 0 ? 2 : 1; /* this node may miss one */
+  guint node = (guint)g_rand_int_range(rand, 0, SIM_NODES);
+  if (next.incarnation[node] == 0 || g_rand_boolean(rand))
+    next.incarnation[node] = next.number * 10 + node + 1; /* it began, or began anew */
+  else if (g_rand_boolean(rand))
+    next.incarnation[node] = 0;
+  return next;
+}
+
+static json_t *
+epoch_record(const PastEpoch *epoch)
+{
+  json_t *members = json_array();
+  for (guint node = 0; node < SIM_NODES; node++) {
+    g_autofree char *name = g_strdup_printf("n%u", node);
+    if (epoch->incarnation[node] != 0)
+      json_array_append_new(members, json_pack("{s:s, s:I}", "node", name, "incarnation",
+                                               (json_int_t)epoch->incarnation[node]));
+  }
+  return json_pack("{s:I, s:s, s:o}", "number", (json_int_t)epoch->number, "leader", "n0",
+                   "members", members);
+}
+
+/* The run that owned the machine under the epoch; 0: none did. */
+static guint64
+owner_run(const PastEpoch *past, const char *machine, const WsSettings *settings)
+{
+  WsEpoch epoch;
+  g_autoptr(json_t) record = epoch_record(past);
+  ws_epoch_init(&epoch);
+  g_assert_true(ws_epoch_parse(&epoch, record, settings));
+  guint owner = ws_epoch_owner(&epoch, machine, settings);
+  ws_epoch_clear(&epoch);
+  return owner != WS_NONE ? past->incarnation[owner] : 0;
+}
+
+/* Whether one run owned the machine from one epoch to the other, and none was missed between. */
+static gboolean
+is_of_one_owner(const PastEpoch *history, guint from, guint to, const char *machine,
+                const WsSettings *settings)
+{
+  guint64 run = owner_run(&history[from], machine, settings);
+  for (guint i = from + 1; i <= to; i++)
+    if (run == 0 || history[i].number != history[i - 1].number + 1
+        || owner_run(&history[i], machine, settings) != run)
+      return FALSE;
+  return TRUE;
+}
+
+static void
+apply(WsReplica *replica, const char *key, json_t *value /* taken */)
+{
+  static guint64 version = 100;
+  ws_replica_apply(replica, key, value, ++version);
+  json_decref(value);
+}
+
+static void
+add_assignments(WsReplica *replica)
+{
+  json_t *spec = rig_submission();
+  json_object_set_new(spec, "kusy", json_integer(MACHINES));
+  apply(replica, "w/job/req-1",
+        json_pack("{s:s, s:i, s:s, s:o}", "s", "active", "at", 1, "home", "", "spec", spec));
+  json_t *on = json_array();
+  for (guint m = 0; m < MACHINES; m++) {
+    g_autofree char *name = g_strdup_printf("m-%u", m);
+    json_array_append_new(on, json_pack("[i, s, i, i]", (int)m, name, (int)m + 1, 1));
+  }
+  apply(replica, "w/task/req-1/0",
+        json_pack("{s:i, s:o, s:s}", "a", MACHINES, "on", on, "d",
+                  "00000000000000000000000000000000"));
+}
+
+static WsRelease
+release_on(const WsReplica *replica, guint m, WsEvidenceKind kind)
+{
+  const WsJob *job = ws_replica_find_job(replica, "req-1");
+  const WsAssignment *assignment = ws_job_assignment(job, m);
+  const WsMachine *machine = ws_replica_machine(replica, assignment->machine);
+  return (WsRelease){ job->index, m, assignment->attempt, FALSE,
+                      ws_evidence_new(replica, machine, kind) };
+}
+
+static void
+check_history(guint32 seed)
+{
+  g_autoptr(GRand) rand = g_rand_new_with_seed(seed);
+  g_autoptr(WsSettings) settings = ws_test_settings(0);
+  WsReplica *replica = ws_replica_new(settings);
+  PastEpoch history[EPOCHS] = { { .number = 1, .incarnation = { 1 } } };
+  WsRelease absent[EPOCHS][MACHINES], returned[EPOCHS][MACHINES];
+  apply(replica, "w/epoch", epoch_record(&history[0]));
+  add_assignments(replica);
+  for (guint now = 0; now < EPOCHS; now++) {
+    if (now > 0) {
+      history[now] = next_epoch(rand, &history[now - 1]);
+      apply(replica, "w/epoch", epoch_record(&history[now]));
+    }
+    for (guint m = 0; m < MACHINES; m++) {
+      absent[now][m] = release_on(replica, m, WS_EVIDENCE_ABSENT);
+      returned[now][m] = release_on(replica, m, WS_EVIDENCE_RETURNED);
+    }
+    for (guint m = 0; m < MACHINES; m++) {
+      g_autofree char *name = g_strdup_printf("m-%u", m);
+      for (guint then = 0; then <= now; then++) {
+        g_assert_true(ws_release_holds(replica, &returned[then][m]));
+        gboolean holds = ws_release_holds(replica, &absent[then][m]);
+        g_assert_true(holds == is_of_one_owner(history, then, now, name, settings));
+        WsRelease done = absent[then][m];
+        done.done = TRUE;
+        g_assert_true(ws_release_holds(replica, &done));
+        WsRelease elsewhere = returned[then][m];
+        elsewhere.evidence.machine = returned[0][(m + 1) % MACHINES].evidence.machine;
+        g_assert_false(ws_release_holds(replica, &elsewhere));
+      }
+    }
+  }
+  ws_replica_free(replica);
+}
+
+static void
+test_histories(void)
+{
+  sim_play_seeds(4000, 30, check_history);
+}
+
+/* A release comes through a message as it was; damaged evidence is none. */
+static void
+test_round_trip(void)
+{
+  g_autoptr(WsSettings) settings = ws_test_settings(0);
+  WsReplica *replica = ws_replica_new(settings);
+  add_assignments(replica);
+  for (guint m = 0; m < MACHINES; m++) {
+    WsRelease release = release_on(replica, m, (WsEvidenceKind)(m % 3));
+    release.evidence.epoch = 1u + m;
+    release.evidence.session = m;
+    g_autoptr(json_t) item = ws_release_encode(replica, &release);
+    WsEvidence evidence;
+    g_assert_true(ws_evidence_parse(replica, item, &evidence));
+    g_assert_cmpuint(evidence.kind, ==, release.evidence.kind);
+    g_assert_cmpuint(evidence.machine, ==, release.evidence.machine);
+    g_assert_cmpuint(evidence.epoch, ==, release.evidence.epoch);
+    g_assert_cmpuint(evidence.session, ==, release.evidence.session);
+    for (size_t place = 4; place < 7; place++) {
+      g_autoptr(json_t) damaged = json_deep_copy(item);
+      json_array_set_new(damaged, place, json_pack("[i]", 1));
+      g_assert_false(ws_evidence_parse(replica, damaged, &evidence));
+    }
+    while (json_array_size(item) > 4) {
+      json_array_remove(item, json_array_size(item) - 1);
+      if (json_array_size(item) < 7)
+        g_assert_false(ws_evidence_parse(replica, item, &evidence));
+    }
+  }
+  ws_replica_free(replica);
+}
+
+/* Again and again an epoch begins, tasks are assigned whose machines don't know it yet, more urgent
+   work takes their room, and the leader loses its place for a while before it can write that they
+   are gone. */
+static void
+flapping_day(guint32 seed)
+{
+  static const SimJob LOW
+      = { .tasks = 8, .team = "blue", .priority = "best_effort", .spot = TRUE, .run_s = 7.0 };
+  static const SimJob URGENT
+      = { .tasks = 3, .team = "blue", .priority = "urgent", .spot = TRUE, .run_s = 4.0 };
+  Sim *sim = sim_new(seed);
+  GRand *rand = sim_rand(sim);
+  sim_properties(sim)->hold_s = 60.0;
+  sim_faults(sim)->most_machines = 3;
+  sim_run(sim, 3.0);
+  sim_submit(sim, &LOW);
+  sim_run(sim, 25.0);
+  for (guint round = 0; round < 8; round++) {
+    sim_submit(sim, &LOW);
+    sim_crash(sim, sim_other_node(sim_leader_or_first(sim)), 0.3);
+    sim_run(sim, g_rand_double_range(rand, 0.6, 2.0));
+    sim_submit(sim, &URGENT);
+    sim_run(sim, g_rand_double_range(rand, 0.1, 2.0));
+    sim_faults(sim)->state_refuses = 1u << sim_leader_or_first(sim);
+    sim_run(sim, g_rand_double_range(rand, 5.0, 9.0));
+    sim_faults(sim)->state_refuses = 0;
+    sim_run(sim, g_rand_double_range(rand, 0.5, 4.0));
+  }
+  sim_serve_all(sim);
+  sim_free(sim);
+}
+
+static void
+test_flapping(void)
+{
+  sim_play_seeds(3000, 5, flapping_day);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -312,5 +617,12 @@
   g_test_add_func("/evidence/same-owner-over-an-epoch", test_same_owner_over_an_epoch);
   g_test_add_func("/evidence/no-launch-behind-own-epoch", test_no_launch_behind_own_epoch);
   g_test_add_func("/evidence/no-halt-behind-own-epoch", test_no_halt_behind_own_epoch);
+  g_test_add_func("/evidence/returned-over-epochs", test_returned_over_epochs);
+  g_test_add_func("/evidence/bare-of-the-only-owner", test_bare_of_the_only_owner);
+  g_test_add_func("/evidence/bare-confirmed-by-worker", test_bare_confirmed_by_worker);
+  g_test_add_func("/evidence/bare-is-not-lost", test_bare_is_not_lost);
+  g_test_add_func("/evidence/histories", test_histories);
+  g_test_add_func("/evidence/round-trip", test_round_trip);
+  g_test_add_func("/evidence/flapping", test_flapping);
   return g_test_run();
 }
