On reading the change once more: one search of a report, one place for owners, no line twice

No behaviour changes but for the wording and the number of one debug line. ws_report_find replaces two searches of a report (ws-workers, ws-unproven); a machine's owner and since when is noted by one function for new machines and new epochs; pending releases are marked for forwarding once at an epoch, not twice; what a transaction releases is logged where it is added to the batch, so once per transaction and without saying that it is written already; records behind the epoch are checked once for all absent tasks.

--- a/src/core/ws-assign.c
+++ b/src/core/ws-assign.c
@@ -116,7 +116,6 @@
     const WsProposal *proposal = &g_array_index(assign->writing, WsProposal, i);
     g_hash_table_add(assign->proposed, ws_task_key(proposal->job, proposal->task));
   }
-  ws_releases_forward_again(core);
 }
 
 void
@@ -199,13 +198,6 @@
   g_array_set_size(assign->writing, 0);
 }
 
-static void
-log_release(const WsCore *core, const WsRelease *release)
-{
-  g_autofree char *text = ws_release_describe(core->replica, release);
-  g_debug("released under epoch %" G_GUINT64_FORMAT ": %s", core->replica->epoch.number, text);
-}
-
 static void
 batch_releases(WsCore *core, WsBatch *batch, const GArray *endings, gboolean only_ends_of_jobs)
 {
@@ -216,11 +208,8 @@
       break;
     if (ws_refused_jobs_has(core->assign->refused, core->now, release->job))
       continue;
-    WsBatchResult result = ws_batch_release(batch, release);
-    if (result == WS_BATCH_UNWANTED)
+    if (ws_batch_release(batch, release) == WS_BATCH_UNWANTED)
       ws_releases_remove(core, release);
-    else if (result == WS_BATCH_TAKEN)
-      log_release(core, release);
   }
 }
 
@@ -349,6 +338,7 @@
   launch_fresh(core);
   if (!ws_entitled(core)) {
     forget_proposals(core);
+    ws_releases_forward_again(core);
     return;
   }
   if (core->now >= core->assign->next_ms && !ws_is_leader(core)) {
--- a/src/core/ws-batch.c
+++ b/src/core/ws-batch.c
@@ -264,6 +264,14 @@
   }
 }
 
+static void
+log_release(const WsCore *core, const WsRelease *release)
+{
+  g_autofree char *text = ws_release_describe(core->replica, release);
+  g_debug("a transaction of epoch %" G_GUINT64_FORMAT " releases %s", core->replica->epoch.number,
+          text);
+}
+
 WsBatchResult
 ws_batch_release(WsBatch *batch, const WsRelease *release)
 {
@@ -275,6 +283,7 @@
     return WS_BATCH_TAKEN; /* by this very transaction: its use is given back once */
   if (!reserve(batch, job, release->task, NULL, ends_job(batch, job, release->done)))
     return WS_BATCH_FULL;
+  log_release(batch->core, release);
   if (ws_job_is_gang(job) && release->done && job->state == WS_JOB_ACTIVE) {
     finish_gang(batch, job);
     return WS_BATCH_TAKEN;
--- a/src/core/ws-batch.h
+++ b/src/core/ws-batch.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include "core/ws-core-private.h"
-#include "core/ws-evidence.h"
 
 typedef struct {
   guint job;
--- a/src/core/ws-unproven.c
+++ b/src/core/ws-unproven.c
@@ -61,14 +61,9 @@
 static gboolean
 shows_end(const WsCore *core, const WsReport *report, const WsRelease *release)
 {
-  const char *id = ws_replica_job(core->replica, release->job)->id;
-  for (guint i = 0; i < report->tasks->len; i++) {
-    const WsReportTask *task = &g_array_index(report->tasks, WsReportTask, i);
-    if (task->task == release->task && task->attempt == release->attempt
-        && strcmp(task->job, id) == 0)
-      return task->state == WS_TASK_EXITED;
-  }
-  return FALSE;
+  const WsReportTask *task = ws_report_find(report, ws_replica_job(core->replica, release->job)->id,
+                                            release->task, release->attempt);
+  return task != NULL && task->state == WS_TASK_EXITED;
 }
 
 /* An end that the worker holds under the present token stays with it until it's released. */
--- a/src/core/ws-workers.c
+++ b/src/core/ws-workers.c
@@ -250,18 +250,6 @@
             ws_direct_grace_s(answer->core, job, assignment));
 }
 
-static gboolean
-is_reported(const Answer *answer, const WsJob *job, const WsAssignment *assignment)
-{
-  for (guint i = 0; i < answer->report->tasks->len; i++) {
-    const WsReportTask *task = &g_array_index(answer->report->tasks, WsReportTask, i);
-    if (task->task == assignment->task && task->attempt == assignment->attempt
-        && strcmp(task->job, job->id) == 0)
-      return TRUE;
-  }
-  return FALSE;
-}
-
 /* A task that is assigned and missing is launched (again); it's released only when it isn't wanted
    here any more, the report answers our token, and no launch of it can come late. What is about to
    be released isn't launched again: one that had failed, in the machine's next session, then ran on
@@ -272,8 +260,6 @@
   gboolean unwanted = ws_cancel_is_known(answer->core, job) || assignment->stopping
                       || answer->machine->marked || ws_gang_is_ending(job)
                       || ws_releases_has(answer->core, job, assignment);
-  if (answer->is_behind)
-    return;
   if (!unwanted && !ws_knows_all_cancellations(answer->core))
     return; /* it may be cancelled, and nobody could have told us */
   if (!unwanted) {
@@ -292,12 +278,12 @@
   WsReplica *replica = answer->core->replica;
   for (guint i = 0; i < answer->report->tasks->len; i++)
     command_present(answer, &g_array_index(answer->report->tasks, WsReportTask, i));
-  for (guint i = 0; i < answer->machine->tasks->len; i++) {
+  for (guint i = 0; !answer->is_behind && i < answer->machine->tasks->len; i++) {
     const WsTaskRef *ref = &g_array_index(answer->machine->tasks, WsTaskRef, i);
     WsJob *job = ws_replica_job(replica, ref->job);
     WsAssignment *assignment = ws_job_assignment(job, ref->task);
     if (assignment != NULL && assignment->machine == answer->machine->index
-        && !is_reported(answer, job, assignment))
+        && ws_report_find(answer->report, job->id, assignment->task, assignment->attempt) == NULL)
       command_absent(answer, job, assignment);
   }
 }
--- a/src/protocol/ws-report.c
+++ b/src/protocol/ws-report.c
@@ -144,6 +144,17 @@
   return g_steal_pointer(&report);
 }
 
+const WsReportTask *
+ws_report_find(const WsReport *report, const char *job, guint task, guint64 attempt)
+{
+  for (guint i = 0; i < report->tasks->len; i++) {
+    const WsReportTask *at = &g_array_index(report->tasks, WsReportTask, i);
+    if (at->task == task && at->attempt == attempt && strcmp(at->job, job) == 0)
+      return at;
+  }
+  return NULL;
+}
+
 void
 ws_report_free(WsReport *report)
 {
--- a/src/protocol/ws-report.h
+++ b/src/protocol/ws-report.h
@@ -44,6 +44,10 @@
   GArray *tasks;   /* of WsReportTask */
 } WsReport;
 
+/* The attempt as the report shows it; NULL: it doesn't. */
+const WsReportTask *ws_report_find(const WsReport *report, const char *job, guint task,
+                                   guint64 attempt);
+
 typedef enum { WS_OP_LAUNCH, WS_OP_HALT, WS_OP_REAP } WsOp;
 
 WsReport *ws_report_parse(const json_t *message, char **reason);
--- a/src/storage/ws-records.c
+++ b/src/storage/ws-records.c
@@ -424,17 +424,6 @@
   replica->leader_node = ws_settings_find_node(replica->settings, name);
 }
 
-static void
-find_owner(WsReplica *replica, WsMachine *machine, const WsEpoch *last)
-{
-  guint owner = ws_epoch_owner(&replica->epoch, machine->name, replica->settings);
-  if (owner != machine->owner || !ws_epoch_continues(last, &replica->epoch, owner)) {
-    machine->owner_since = replica->epoch.number;
-    machine->owner_since_version = replica->applying;
-  }
-  machine->owner = owner;
-}
-
 static void
 apply_epoch(WsReplica *replica, const json_t *value)
 {
@@ -448,7 +437,7 @@
   }
   replica->epoch = next;
   for (guint i = 0; i < replica->machines->len; i++)
-    find_owner(replica, ws_replica_machine(replica, i), &last);
+    ws_replica_find_owner(replica, ws_replica_machine(replica, i), &last);
   ws_epoch_clear(&last);
 }
 
--- a/src/storage/ws-replica.c
+++ b/src/storage/ws-replica.c
@@ -134,6 +134,18 @@
   return g_hash_table_lookup(replica->machine_index, name);
 }
 
+void
+ws_replica_find_owner(WsReplica *replica, WsMachine *machine, const WsEpoch *last)
+{
+  guint owner = ws_epoch_owner(&replica->epoch, machine->name, replica->settings);
+  if (last == NULL || owner != machine->owner
+      || !ws_epoch_continues(last, &replica->epoch, owner)) {
+    machine->owner_since = replica->epoch.number;
+    machine->owner_since_version = ws_replica_version(replica, WS_KEY_EPOCH);
+  }
+  machine->owner = owner;
+}
+
 WsMachine *
 ws_replica_get_machine(WsReplica *replica, const char *name)
 {
@@ -153,9 +165,7 @@
   machine->images = g_array_new(FALSE, FALSE, sizeof(guint));
   g_ptr_array_add(replica->machines, machine);
   g_hash_table_insert(replica->machine_index, copy, machine);
-  machine->owner = ws_epoch_owner(&replica->epoch, copy, replica->settings);
-  machine->owner_since = replica->epoch.number;
-  machine->owner_since_version = ws_replica_version(replica, WS_KEY_EPOCH);
+  ws_replica_find_owner(replica, machine, NULL);
   return machine;
 }
 
--- a/src/storage/ws-replica.h
+++ b/src/storage/ws-replica.h
@@ -180,6 +180,8 @@
 void ws_replica_describe_machine(WsReplica *replica, WsMachine *machine, const char *type,
                                  const char *zone, gboolean spot);
 /* What records change; see ws-records.c. */
+/* The machine's owner under the present epoch; last: the epoch before, NULL: the machine is new. */
+void ws_replica_find_owner(WsReplica *replica, WsMachine *machine, const WsEpoch *last);
 WsJob *ws_replica_add_job(WsReplica *replica, const char *id);
 void ws_replica_describe_job(WsReplica *replica, WsJob *job, WsSubmission *spec /* taken */);
 void ws_replica_shrink_job(WsReplica *replica, WsJob *job);
--- a/tests/test-evidence.c
+++ b/tests/test-evidence.c
@@ -95,20 +95,12 @@
   g_assert_cmpuint(epoch_number(world->rig), ==, before + 1);
 }
 
-/* n1 says that it has seen the task's absence under the token. */
+/* n1 says what it knew of the task under the token: that it is absent, or its machine returned. */
 static json_t *
-release_of_n1(const World *world, guint64 epoch, guint64 seen_under)
+release_of_n1(const World *world, guint64 epoch, const char *kind, guint64 seen_under)
 {
   return json_pack("{s:I, s:[[s, i, i, b, s, s, I, i]]}", "epoch", (json_int_t)epoch, "releases",
-                   "req-1", 0, 1, 0, world->machine, "absent", (json_int_t)seen_under, 1);
-}
-
-/* n1 says so, and the machine that it owned isn't there any more. */
-static json_t *
-return_seen_by_n1(const World *world, guint64 epoch)
-{
-  return json_pack("{s:I, s:[[s, i, i, b, s, s, I, i]]}", "epoch", (json_int_t)epoch, "releases",
-                   "req-1", 0, 1, 0, world->machine, "returned", 1, 1);
+                   "req-1", 0, 1, 0, world->machine, kind, (json_int_t)seen_under, 1);
 }
 
 /* The same, said by a version that doesn't say what it rests on. */
@@ -127,6 +119,23 @@
   return json_integer_value(json_array_get(json_array_get(on, 0), 2)) == 1;
 }
 
+/* A second for the transaction that is to be held. */
+static void
+wait_for_held(Rig *rig)
+{
+  for (guint i = 0; i < 20 && rig->held == 0; i++)
+    rig_run(rig, 0.05);
+}
+
+/* Somebody writes that the task's second attempt is on the machine. */
+static void
+assign_second_attempt(Rig *rig, const char *machine)
+{
+  rig_write_key(rig, "w/task/req-1/0",
+                json_pack("{s:i, s:[[i, s, i, i]], s:s}", "a", 2, "on", 0, machine, 2, 1000, "d",
+                          "00000000000000000000000000000000"));
+}
+
 /* The machine is n0's now, and hears that it is to launch the task. */
 static void
 launch_by_n0(World *world)
@@ -148,9 +157,8 @@
   change_epoch(&world, TRUE);
   world.rig->hold = TRUE;
   rig_request(world.rig, WS_DOOR_MESH, "POST", "/ask",
-              has_evidence ? release_of_n1(&world, 2, 2) : bare_release_of_n1(2));
-  for (guint i = 0; i < 20 && world.rig->held == 0; i++)
-    rig_run(world.rig, 0.05);
+              has_evidence ? release_of_n1(&world, 2, "absent", 2) : bare_release_of_n1(2));
+  wait_for_held(world.rig);
   change_epoch(&world, FALSE);
   launch_by_n0(&world);
   if (world.rig->held != 0)
@@ -184,7 +192,7 @@
   launch_by_n0(&world);
   change_epoch(&world, TRUE);
   rig_request(world.rig, WS_DOOR_MESH, "POST", "/ask",
-              has_evidence ? release_of_n1(&world, 4, 2) : bare_release_of_n1(4));
+              has_evidence ? release_of_n1(&world, 4, "absent", 2) : bare_release_of_n1(4));
   rig_run(world.rig, WRITE_S);
   g_assert_true(is_first_attempt_on_record(&world));
   end(&world);
@@ -211,7 +219,7 @@
   change_epoch(&world, TRUE);
   change_epoch(&world, FALSE);
   change_epoch(&world, TRUE);
-  rig_request(world.rig, WS_DOOR_MESH, "POST", "/ask", return_seen_by_n1(&world, 4));
+  rig_request(world.rig, WS_DOOR_MESH, "POST", "/ask", release_of_n1(&world, 4, "returned", 1));
   rig_run(world.rig, WRITE_S);
   g_assert_false(is_first_attempt_on_record(&world));
   end(&world);
@@ -227,9 +235,7 @@
   begin(&world);
   change_epoch(&world, TRUE);
   Rig *rig = world.rig;
-  rig_write_key(rig, "w/task/req-1/0",
-                json_pack("{s:i, s:[[i, s, i, i]], s:s}", "a", 2, "on", 0, world.machine, 2, 1000,
-                          "d", "00000000000000000000000000000000"));
+  assign_second_attempt(rig, world.machine);
   rig_run(rig, 1.0);
   rig_request(rig, WS_DOOR_MESH, "POST", "/ask",
               json_pack("{s:i, s:[[s, i, i, b]]}", "epoch", 2, "releases", "req-1", 0, 2, 0));
@@ -297,8 +303,7 @@
   report(&world, 1,
          json_pack("[{s:s, s:i, s:s, s:s}]", "kus", "req-1/0", "pokus", 1, "stav", "exited",
                    "duvod", "error"));
-  for (guint i = 0; i < 20 && rig->held == 0; i++)
-    rig_run(rig, 0.05);
+  wait_for_held(rig);
   g_assert_cmpuint(rig->held, !=, 0);
   json_t *anew = rig_report_of(rig, world.machine, 1, ++world.seq, json_array());
   json_object_set_new(anew, "smena", json_integer(2));
@@ -321,7 +326,7 @@
   rig_write_key(world.rig, "w/member/n2", json_pack("{s:i}", "incarnation", 1));
   rig_run(world.rig, NEW_EPOCH_S);
   g_assert_cmpuint(epoch_number(world.rig), ==, 3);
-  rig_request(world.rig, WS_DOOR_MESH, "POST", "/ask", release_of_n1(&world, 3, 2));
+  rig_request(world.rig, WS_DOOR_MESH, "POST", "/ask", release_of_n1(&world, 3, "absent", 2));
   rig_run(world.rig, WRITE_S);
   g_assert_false(is_first_attempt_on_record(&world));
   end(&world);
@@ -337,9 +342,7 @@
   rig_write_key(rig, "w/unused", json_object()); /* answers the watch that is open */
   rig_run(rig, 1.0);
   g_assert_cmpuint(rig->held_watch, !=, 0);
-  rig_write_key(rig, "w/task/req-1/0",
-                json_pack("{s:i, s:[[i, s, i, i]], s:s}", "a", 2, "on", 0, "m-elsewhere", 2, 1000,
-                          "d", "00000000000000000000000000000000"));
+  assign_second_attempt(rig, "m-elsewhere");
   rig_mesh(rig, "/gossip",
            json_pack("{s:s, s:i, s:b, s:i, s:b, s:b, s:i, s:i, s:i, s:i, s:b, s:i, s:[]}", "node",
                      "n1", "epoch", 1, "store", 1, "reaches", 7, "wants_epoch", 1, "unheard", 0,
