--- a/review/lib/world.c
+++ b/review/lib/world.c
@@ -625,7 +625,7 @@
   task->next_ms = job->run_s >= 0.0 ? clock_ms() + (gint64)(job->run_s * 1000.0) : G_MAXINT64;
   if (job->completed != NULL && job->completed[task->number] != 0)
     task->next_ms = clock_ms();
-  if (machine->is_sick) {
+  if (machine->is_sick || job->is_broken) {
     machine->sick_starts++;
     task->next_ms = clock_ms() + SICK_MS;
   }
@@ -638,7 +638,7 @@
 {
   Job *job = g_hash_table_lookup(machine->world->jobs_by_id, task->job);
   gboolean was_saving = strcmp(task->state, "flushing") == 0;
-  gboolean has_failed = !was_saving && machine->is_sick;
+  gboolean has_failed = !was_saving && (machine->is_sick || job->is_broken);
   task->state = "exited";
   task->why = was_saving ? "stopped" : (has_failed ? "error" : "done");
   task->stored = was_saving;
--- a/review/lib/world.h
+++ b/review/lib/world.h
@@ -76,7 +76,8 @@
   World *world;
   char *id;
   json_t *body;
-  double run_s; /**< of each task; negative: runs until it is cancelled */
+  double run_s;       /**< of each task; negative: runs until it is cancelled */
+  gboolean is_broken; /**< submitted with a mistake: its tasks fail on every machine */
   gboolean is_submitted, is_accepted, is_refused, is_cancelling;
   guint refusal;
   gint64 submitted_ms, accepted_ms, cancel_asked_ms, cancelled_ms, done_ms, last_answer_ms;
