--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+. "$(dirname "$0")/../lib/run.sh"
--- a/review/lib/world.c
+++ b/review/lib/world.c
@@ -52,19 +52,42 @@
   g_string_append_printf(world->violations, "%s ", rule);
 }
 
+/* The zones: those of the controllers, each once, then those without one. Returns their number. */
+static guint
+list_zones(const Plan *plan, const char **zones)
+{
+  guint count = 0;
+  for (guint n = 0; n < plan->nodes; n++) {
+    gboolean is_new = TRUE;
+    for (guint k = 0; k < count; k++)
+      is_new = is_new && strcmp(zones[k], plan->zones[n]) != 0;
+    if (is_new)
+      zones[count++] = plan->zones[n];
+  }
+  for (guint i = 0; i < MAX_NODES && plan->more_zones[i] != NULL; i++)
+    zones[count++] = plan->more_zones[i];
+  return count;
+}
+
+static json_t *
+zones_as_json(const Plan *plan)
+{
+  const char *zones[2 * MAX_NODES];
+  guint count = list_zones(plan, zones);
+  json_t *list = json_array();
+  for (guint i = 0; i < count; i++)
+    json_array_append_new(list, json_string(zones[i]));
+  return list;
+}
+
 /* Controllers. */
 
 static json_t *
 node_settings(const World *world, guint self)
 {
   const Plan *plan = world->plan;
-  json_t *peers = json_array(), *zones = json_array();
+  json_t *peers = json_array(), *zones = zones_as_json(plan);
   for (guint n = 0; n < plan->nodes; n++) {
-    gboolean is_new = TRUE;
-    for (guint k = 0; k < n; k++)
-      is_new = is_new && strcmp(plan->zones[k], plan->zones[n]) != 0;
-    if (is_new)
-      json_array_append_new(zones, json_string(plan->zones[n]));
     if (n == self)
       continue;
     g_autofree char *endpoint
@@ -471,6 +494,12 @@
   machine_off(machine, "stopped with all that was on it");
 }
 
+void
+world_machine_taken(Machine *machine)
+{
+  machine_off(machine, "taken by the cloud without a notice");
+}
+
 static void
 next_node(Machine *machine, guint node, gint64 after_ms)
 {
@@ -746,9 +775,8 @@
   return count;
 }
 
-/* Whether a machine that is up has room for a task of the job. */
-static gboolean
-any_room(const World *world, const Job *job)
+gboolean
+world_has_room(const World *world, const Job *job)
 {
   const char *zone = job_text(job, "hala");
   for (guint m = 0; m < world->machines->len; m++) {
@@ -762,16 +790,16 @@
   return FALSE;
 }
 
-static gboolean
-has_task_anywhere(const World *world, const Job *job)
+guint
+world_tasks_of(const World *world, const Job *job)
 {
+  guint count = 0;
   for (guint m = 0; m < world->machines->len; m++) {
     const Machine *machine = g_ptr_array_index(world->machines, m);
     for (guint i = 0; i < machine->tasks->len; i++)
-      if (strcmp(((const Task *)g_ptr_array_index(machine->tasks, i))->job, job->id) == 0)
-        return TRUE;
+      count += strcmp(((const Task *)g_ptr_array_index(machine->tasks, i))->job, job->id) == 0;
   }
-  return FALSE;
+  return count;
 }
 
 void
@@ -781,7 +809,7 @@
     return;
   const World *world = job->world;
   gboolean waits = job->is_accepted && job->starts == 0 && !job->is_cancelling
-                   && !has_task_anywhere(world, job) && any_room(world, job);
+                   && world_tasks_of(world, job) == 0 && world_has_room(world, job);
   if (!waits)
     job->room_since_ms = 0;
   else if (job->room_since_ms == 0)
@@ -828,9 +856,11 @@
 static const char *
 known_zone(const World *world, const char *name)
 {
-  for (guint n = 0; name != NULL && n < world->plan->nodes; n++)
-    if (strcmp(world->plan->zones[n], name) == 0)
-      return world->plan->zones[n];
+  const char *zones[2 * MAX_NODES];
+  guint count = list_zones(world->plan, zones);
+  for (guint i = 0; name != NULL && i < count; i++)
+    if (strcmp(zones[i], name) == 0)
+      return zones[i];
   return NULL;
 }
 
@@ -936,9 +966,9 @@
   }
   world->cloud_tokens -= 1.0;
   if (strcmp(path, "/catalog") == 0) {
-    json_t *zones = json_array();
-    for (guint n = 0; n < world->plan->nodes; n++)
-      json_array_append_new(zones, json_string(world->plan->zones[n]));
+    json_t *zones = sku->zones[0] == NULL ? zones_as_json(world->plan) : json_array();
+    for (guint i = 0; i < MAX_NODES && sku->zones[i] != NULL; i++)
+      json_array_append_new(zones, json_string(sku->zones[i]));
     exchange_reply(exchange, 200,
                    json_pack("{s:[{s:s,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:o}]}", "typy", "sku",
                              sku->sku, "cpus", sku->cpus, "accelerators", sku->gpus, "mem_gb",
--- a/review/lib/world.h
+++ b/review/lib/world.h
@@ -16,12 +16,14 @@
 typedef struct {
   const char *sku;
   double cpus, gpus, mem_gb, boot_s;
+  const char *zones[MAX_NODES]; /**< where it is offered; none: in all zones */
 } Sku;
 
 /** What a scenario chooses. */
 typedef struct {
   guint nodes;
-  const char *zones[MAX_NODES]; /**< zone of each controller */
+  const char *zones[MAX_NODES];      /**< zone of each controller */
+  const char *more_zones[MAX_NODES]; /**< zones without a controller; NULL: no more */
   double report_s, lease_s, cancel_s;
   double rps, write_rps, value_kb;
   guint txn_ops;
@@ -163,6 +165,12 @@
  * machine although a machine that fits was up and had room for one.
  */
 void world_watch_room(Job *job);
+/** The number of the job's tasks on any machine, in any state. */
+guint world_tasks_of(const World *world, const Job *job);
+/** Whether a machine that is up has room for a task of the job. */
+gboolean world_has_room(const World *world, const Job *job);
+/** The cloud takes the machine without a notice. */
+void world_machine_taken(Machine *machine);
 /** Kills the controller; it is back after the plan's time if @restart. */
 void world_kill_node(Node *node, gboolean restart);
 /**
