--- a/review/1/case.c
+++ b/review/1/case.c
@@ -23,7 +23,7 @@
   .memory_mb = 104.0,
   .cpu_share = 0.064,
   .restart_s = 6.0,
-  .sku = { "ardoise", 24.0, 2.0, 144.0, 2.0 },
+  .sku = { "ardoise", 24.0, 2.0, 144.0, 35.0, 2.0, { NULL } },
   .capacity = 8,
   .spot_capacity = 5,
   .teams
--- a/review/lib/world.c
+++ b/review/lib/world.c
@@ -1190,7 +1190,7 @@
   world->run = argv + 3;
   world->start_ms = clock_ms();
   world->poll_factor = 1.0;
-  world->boot_ms = (gint64)(plan->sku.boot_s * 1000.0);
+  world->boot_ms = (gint64)(plan->sku.up_s * 1000.0);
   world->violations = g_string_new(NULL);
   world->loop = g_main_loop_new(NULL, FALSE);
   world->state
--- a/review/lib/world.h
+++ b/review/lib/world.h
@@ -15,7 +15,9 @@
 /** The type of all machines. */
 typedef struct {
   const char *sku;
-  double cpus, gpus, mem_gb, boot_s;
+  double cpus, gpus, mem_gb;
+  double boot_s;                /**< as the catalog says */
+  double up_s;                  /**< after which machines are up, more or less */
   const char *zones[MAX_NODES]; /**< where it is offered; none: in all zones */
 } Sku;
 
