Log: what a controller knew when it halts a task, and at which revisions it loaded its replica

- Halting a task that isn't assigned to its machine now logs the replica's revision, the epoch, and the versions of the job's and the chunk's records (0: not read).
- A chunk record without a job record is logged with its version.
- 'replica loaded' names the number of pages and the revision of the last one.
- 'task assigned to machine' names attempt and version.

--- a/src/storage/ws-replica-jobs.c
+++ b/src/storage/ws-replica-jobs.c
@@ -183,6 +183,10 @@
   g_autofree char *id = g_strndup(job_and_number, (gsize)(slash - job_and_number));
   WsJob *job = ws_replica_find_job(replica, id);
   guint64 index;
+  if (job == NULL && value != NULL)
+    g_info("chunk record %s, version %" G_GUINT64_FORMAT
+           ", has no job record at revision %" G_GUINT64_FORMAT,
+           job_and_number, replica->applying_version, replica->revision);
   if (job == NULL || job->spec == NULL
       || !g_ascii_string_to_unsigned(slash + 1, DECIMAL_BASE, 0, ws_job_chunk_count(job) - 1,
                                      &index, NULL))
--- a/src/store/ws-store-load.c
+++ b/src/store/ws-store-load.c
@@ -33,8 +33,10 @@
   load->is_loaded = TRUE;
   core->replica->is_loading = FALSE;
   core->replan_is_needed = TRUE;
-  g_info("replica loaded: revision %" G_GUINT64_FORMAT ", %u active jobs, %u machines",
-         load->revision, core->replica->active_jobs->len, core->replica->machines->len);
+  g_info("replica loaded: revision %" G_GUINT64_FORMAT
+         ", %u active jobs, %u machines; %u pages, the last one at revision %" G_GUINT64_FORMAT,
+         load->revision, core->replica->active_jobs->len, core->replica->machines->len,
+         load->page_count, load->last_revision);
 }
 
 static void
@@ -43,6 +45,8 @@
   WsStoreLoad *load = &core->store->load;
   if (load->last_key == NULL)
     load->revision = page->revision;
+  load->last_revision = page->revision;
+  load->page_count++;
   for (guint i = 0; i < page->items->len; i++) {
     const WsKvItem *item = &g_array_index(page->items, WsKvItem, i);
     ws_replica_apply(core->replica, item->key, item->value, item->version);
@@ -88,6 +92,7 @@
   load->is_loading = TRUE;
   core->replica->is_loading = TRUE;
   ws_store_load_clear(load);
+  load->page_count = 0;
   load->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   load_page(core);
 }
--- a/src/store/ws-store-private.h
+++ b/src/store/ws-store-private.h
@@ -30,10 +30,12 @@
 typedef struct {
   gboolean is_loaded;
   gboolean is_loading;
-  gint64 retry_ms;  /**< no load starts before this time */
-  guint64 revision; /**< of the first page */
-  GHashTable *keys; /**< set of the keys on the pages loaded so far */
-  char *last_key;   /**< of the previous page; NULL: no page was loaded yet */
+  gint64 retry_ms;       /**< no load starts before this time */
+  guint64 revision;      /**< of the first page */
+  guint64 last_revision; /**< of the last page loaded so far */
+  guint page_count;      /**< pages loaded so far */
+  GHashTable *keys;      /**< set of the keys on the pages loaded so far */
+  char *last_key;        /**< of the previous page; NULL: no page was loaded yet */
 } WsStoreLoad;
 
 /** The watch, which reports changes made after the load. */
--- a/src/workers/ws-launch.c
+++ b/src/workers/ws-launch.c
@@ -38,6 +38,16 @@
   return launches;
 }
 
+static void
+log_launch(const WsCore *core, const Launch *launch, const WsMachine *machine)
+{
+  const WsJob *job = ws_replica_job(core->replica, launch->job);
+  const WsAssignment *assignment = ws_job_assignment(job, launch->task);
+  g_info("task %s/%u assigned to machine %s: attempt %" G_GUINT64_FORMAT
+         ", chunk record version %" G_GUINT64_FORMAT,
+         job->id, launch->task, machine->name, assignment->attempt, assignment->assigned_version);
+}
+
 /* Launches all tasks on the machine of the launch at index @first. Returns the index of the first
    launch on the next machine. @launches: sorted by machine */
 static guint
@@ -51,8 +61,7 @@
     const Launch *launch = &g_array_index(launches, Launch, i);
     WsTaskRef ref = { launch->job, launch->task };
     g_array_append_val(tasks, ref);
-    g_info("task %s/%u assigned to machine %s", ws_replica_job(core->replica, launch->job)->id,
-           launch->task, machine->name);
+    log_launch(core, launch, machine);
   }
   ws_worker_rpc_launch(core, machine, tasks);
   return i;
--- a/src/workers/ws-reconciliation.c
+++ b/src/workers/ws-reconciliation.c
@@ -55,16 +55,35 @@
   return ws_termination_may_stop_task(core, machine, job, assignment);
 }
 
+/* Logs what this node knows of a task that it halts: a task that another record assigns is expected
+   here, while one of an unknown job or without any assignment may mean that the replica lacks a
+   record. */
+static void
+log_unassigned_task(const Reconciliation *run, const WsTaskStatus *task)
+{
+  const WsReplica *replica = run->core->replica;
+  g_autofree char *job_key = ws_key_job(task->job);
+  g_autofree char *chunk_key = ws_key_chunk(task->job, task->task / WS_CHUNK_TASKS);
+  g_info("halting task %s/%u on machine %s: attempt %" G_GUINT64_FORMAT
+         " is not assigned to it at revision %" G_GUINT64_FORMAT ", epoch %" G_GUINT64_FORMAT
+         " (job record version %" G_GUINT64_FORMAT ", chunk record version %" G_GUINT64_FORMAT ")",
+         task->job, task->task, run->machine->name, task->attempt, replica->revision,
+         replica->epoch.number, ws_replica_version(replica, job_key),
+         ws_replica_version(replica, chunk_key));
+}
+
 /* Halts a task that the records don't assign to this machine, or reaps it if it has exited. */
 static void
 handle_unassigned_task(Reconciliation *run, const WsTaskStatus *task)
 {
   if (run->replica_is_behind)
     return;
-  if (task->state != WS_TASK_EXITED)
+  if (task->state != WS_TASK_EXITED) {
+    log_unassigned_task(run, task);
     add_command(run, WS_OP_HALT, task->job, task->task, task->attempt, 0.0);
-  else if (is_conclusive(run))
+  } else if (is_conclusive(run)) {
     add_command(run, WS_OP_REAP, task->job, task->task, task->attempt, 0.0);
+  }
 }
 
 /* Adds the command, if any, for a task in the heartbeat. */
