Replica: a chunk that is read before its job's record keeps no version

What callers saw: one controller restarts while jobs are accepted. If the controller becomes the leader in this state, it assigns such a task a second time.

Cause: a load reads pages in the order of the keys, at different revisions. A job that is accepted and assigned after its place among the job records has been passed is missing from the job pages, but its assignment is found on the task pages. ws_replica_apply recorded the version of that chunk, ws_replica_apply_chunk dropped its content. The watch then brings the job and the same version of the chunk, which is refused as not newer: the replica has the right version and no assignment. The owner of the machine halts the task, and a transaction conditional on the version passes.

Change: the version of a key is recorded only together with its value. A chunk without its job is refused as a whole. It is newer than the first page, since its job is, so the watch, which starts at that page's revision, delivers the job and then the chunk. The same holds for a reload after 410.

--- a/src/storage/ws-replica-apply.c
+++ b/src/storage/ws-replica-apply.c
@@ -60,12 +60,27 @@
   g_queue_push_tail(&replica->removed, removed);
 }
 
+/* Whether the value can't be applied since the record that it refers to hasn't been applied yet.
+   Only a chunk can't do without such a record: that of its job. */
+static gboolean
+lacks_referenced_record(const WsReplica *replica, const char *key, const json_t *value)
+{
+  return value != NULL && g_str_has_prefix(key, WS_KEY_PREFIX_CHUNK)
+         && !ws_replica_has_job_of_chunk(replica, key + strlen(WS_KEY_PREFIX_CHUNK));
+}
+
 gboolean
 ws_replica_apply(WsReplica *replica, const char *key, const json_t *value, guint64 version)
 {
   WsKeyVersion *newest = g_hash_table_lookup(replica->versions, key);
   if (newest != NULL && newest->version >= version)
     return FALSE;
+  if (lacks_referenced_record(replica, key, value)) {
+    g_info("record %s, version %" G_GUINT64_FORMAT
+           ", not applied: its job's record is unknown at revision %" G_GUINT64_FORMAT,
+           key, version, replica->revision);
+    return FALSE;
+  }
   if (newest == NULL) {
     newest = g_new0(WsKeyVersion, 1);
     g_hash_table_insert(replica->versions, g_strdup(key), newest);
--- a/src/storage/ws-replica-internal.h
+++ b/src/storage/ws-replica-internal.h
@@ -28,7 +28,10 @@
 /** Adds or updates a job. The removal of a record is logged and leaves the job unchanged. */
 void ws_replica_apply_job(WsReplica *replica, const char *id, const json_t *value);
 
-/** Replaces a chunk of a job. Chunks of unknown jobs and of jobs in final form are ignored. */
+/** Whether the replica has the job of the chunk, without which the chunk can't be applied. */
+gboolean ws_replica_has_job_of_chunk(const WsReplica *replica, const char *job_and_number);
+
+/** Replaces a chunk of a job. Chunks of jobs in final form are ignored. */
 void ws_replica_apply_chunk(WsReplica *replica, const char *job_and_number, const json_t *value);
 
 /** Frees a job and its chunks. */
--- a/src/storage/ws-replica-jobs.c
+++ b/src/storage/ws-replica-jobs.c
@@ -174,22 +174,35 @@
     parse_and_set_spec(replica, job, record.spec);
 }
 
-void
-ws_replica_apply_chunk(WsReplica *replica, const char *job_and_number, const json_t *value)
+/* The job of a chunk's key without its prefix; NULL if the replica lacks it. @number: set to the
+   text after the job's id */
+static WsJob *
+find_job_of_chunk(const WsReplica *replica, const char *job_and_number, const char **number)
 {
   const char *slash = strrchr(job_and_number, '/');
   if (slash == NULL)
-    return;
+    return NULL;
   g_autofree char *id = g_strndup(job_and_number, (gsize)(slash - job_and_number));
-  WsJob *job = ws_replica_find_job(replica, id);
+  *number = slash + 1;
+  return ws_replica_find_job(replica, id);
+}
+
+gboolean
+ws_replica_has_job_of_chunk(const WsReplica *replica, const char *job_and_number)
+{
+  const char *number;
+  return find_job_of_chunk(replica, job_and_number, &number) != NULL;
+}
+
+void
+ws_replica_apply_chunk(WsReplica *replica, const char *job_and_number, const json_t *value)
+{
+  const char *number;
+  WsJob *job = find_job_of_chunk(replica, job_and_number, &number);
   guint64 index;
-  if (job == NULL && value != NULL)
-    g_info("chunk record %s, version %" G_GUINT64_FORMAT
-           ", has no job record at revision %" G_GUINT64_FORMAT,
-           job_and_number, replica->applying_version, replica->revision);
   if (job == NULL || job->spec == NULL
-      || !g_ascii_string_to_unsigned(slash + 1, DECIMAL_BASE, 0, ws_job_chunk_count(job) - 1,
-                                     &index, NULL))
+      || !g_ascii_string_to_unsigned(number, DECIMAL_BASE, 0, ws_job_chunk_count(job) - 1, &index,
+                                     NULL))
     return;
   WsChunk *chunk = value != NULL ? ws_chunk_parse(replica, value) : NULL;
   if (value != NULL && chunk == NULL) {
--- a/src/storage/ws-replica.h
+++ b/src/storage/ws-replica.h
@@ -6,6 +6,12 @@
  * the store confirms them, and the watch may deliver them again later. Only ws_replica_apply and
  * ws_replica_remove_missing change stored state. A node's local status is in ws-status.h.
  *
+ * The version of a key is recorded only together with its value, unless the value is damaged:
+ * transactions are conditional on it, and it keeps the same version from being applied later. The
+ * pages of a load are read at different revisions, and may contain a record without the one that it
+ * refers to. Such a record is newer than the first page, so the watch, which starts there, delivers
+ * both in order.
+ *
  * Jobs and machines are never removed from the replica, so their indices and addresses stay valid.
  */
 #pragma once
@@ -77,8 +83,10 @@
 /**
  * Applies one version of a key.
  *
- * Returns FALSE if this version or a newer one was applied before. A damaged value does not affect
- * other records. For most kinds of records it is logged and ignored, see ws-replica-internal.h.
+ * Returns FALSE if this version or a newer one was applied before, or if the value refers to a job
+ * whose record has not been applied: neither its value nor its version is then recorded. A damaged
+ * value does not affect other records. For most kinds of records it is logged and ignored, see
+ * ws-replica-internal.h.
  *
  * @value: borrowed; NULL if the key was removed
  */
--- /dev/null
+++ b/tests/load/load.h
@@ -0,0 +1,14 @@
+/**
+ * The tests of the program test-load, one file for each harness.
+ */
+#pragma once
+
+/* one-node.c */
+void test_no_halt_of_job_accepted_during_load(void);
+void test_no_second_attempt_of_job_accepted_during_load(void);
+void test_no_halt_of_job_accepted_during_reload(void);
+
+/* simulated.c */
+void test_restarts_during_submissions_recover(void);
+void test_failovers_during_submissions_recover(void);
+void test_compactions_during_submissions_recover(void);
--- /dev/null
+++ b/tests/load/simulated.c
@@ -0,0 +1,131 @@
+/**
+ * Three controllers with their users, workers and network: controllers read the store in short
+ * pages from a slow store while jobs are submitted, assigned and end. The simulation's checker
+ * fails on a task that starts twice, and on a job that waits although a machine has free capacity.
+ */
+#include "load/load.h"
+
+#include "sim/fault-injection.h"
+
+#define FIRST_SEED 4000
+#define SEEDS 12
+/* With the delays of the store a load takes several seconds, as that of a long store does. */
+#define MAX_PAGE_ITEMS 1
+#define STORE_DELAY_MS 300
+#define SUBMISSION_INTERVAL_S 1.0
+#define RESTARTS 4
+
+static Sim *
+new_cluster_with_slow_loads(guint32 seed)
+{
+  /* Together they need as many machines as the quotas allow. */
+  static const SimJob FIRST_JOBS[]
+      = { { .tasks = 8, .team = "blue", .priority = "standard", .run_s = 3.0 },
+          { .tasks = 6, .team = "red", .priority = "standard", .run_s = 3.0 } };
+  Sim *sim = sim_new(seed);
+  sim_properties(sim)->idle_timeout_s = 600.0;
+  sim_scatter_job_ids(sim);
+  sim_set_max_page_items(sim, MAX_PAGE_ITEMS);
+  sim_run(sim, 3.0);
+  for (guint i = 0; i < G_N_ELEMENTS(FIRST_JOBS); i++)
+    sim_submit(sim, &FIRST_JOBS[i]);
+  sim_run(sim, 25.0);
+  sim_faults(sim)->store_delay_ms = STORE_DELAY_MS;
+  return sim;
+}
+
+/* Submits jobs of one task, in turn of each team, one after the other. */
+static void
+submit_jobs(Sim *sim, guint count)
+{
+  static const SimJob JOBS[]
+      = { { .tasks = 1, .team = "blue", .priority = "standard", .run_s = 6.0 },
+          { .tasks = 1, .team = "red", .priority = "standard", .run_s = 5.0 } };
+  for (guint i = 0; i < count; i++) {
+    sim_submit(sim, &JOBS[i % G_N_ELEMENTS(JOBS)]);
+    sim_run(sim, SUBMISSION_INTERVAL_S);
+  }
+}
+
+static void
+expect_recovery(Sim *sim)
+{
+  sim_properties(sim)->idle_timeout_s = 5.0;
+  sim_expect_recovery(sim);
+  sim_free(sim);
+}
+
+static void
+restart_node(Sim *sim, guint node)
+{
+  sim_crash_node(sim, node, g_rand_double_range(sim_rand(sim), 0.1, 2.0));
+}
+
+static void
+run_restarts(guint32 seed)
+{
+  Sim *sim = new_cluster_with_slow_loads(seed);
+  for (guint i = 0; i < RESTARTS; i++) {
+    guint leader = sim_leader_or_first(sim);
+    restart_node(sim, i % 2 == 0 ? sim_next_node(leader) : leader);
+    submit_jobs(sim, 20);
+  }
+  expect_recovery(sim);
+}
+
+/* Guards against jobs that are accepted while a restarted controller reads the store, lose their
+   assignment in its replica, are halted by it and wait for ever. */
+void
+test_restarts_during_submissions_recover(void)
+{
+  sim_play_seeds(FIRST_SEED, SEEDS, run_restarts);
+}
+
+static void
+run_failovers(guint32 seed)
+{
+  Sim *sim = new_cluster_with_slow_loads(seed);
+  for (guint i = 0; i < RESTARTS; i++) {
+    restart_node(sim, sim_next_node(sim_leader_or_first(sim)));
+    submit_jobs(sim, (guint)g_rand_int_range(sim_rand(sim), 3, 12));
+    sim_crash_node(sim, sim_leader_or_first(sim), 6.0);
+    submit_jobs(sim, 8);
+  }
+  expect_recovery(sim);
+}
+
+/* Guards against tasks that a restarted controller, which lost their assignment in its replica,
+   starts a second time while they run, as soon as it leads. */
+void
+test_failovers_during_submissions_recover(void)
+{
+  sim_play_seeds(FIRST_SEED, SEEDS, run_failovers);
+}
+
+/* Rejects the node for a while, so that the store has compacted the revision of its watch. */
+static void
+compact_behind_node(Sim *sim, guint node)
+{
+  sim_faults(sim)->store_rejects_nodes = 1u << node;
+  submit_jobs(sim, 3);
+  sim_compact_store(sim);
+  sim_faults(sim)->store_rejects_nodes = 0;
+}
+
+static void
+run_compactions(guint32 seed)
+{
+  Sim *sim = new_cluster_with_slow_loads(seed);
+  for (guint i = 0; i < RESTARTS; i++) {
+    compact_behind_node(sim, (sim_leader_or_first(sim) + i) % SIM_NODES);
+    submit_jobs(sim, 17);
+  }
+  expect_recovery(sim);
+}
+
+/* Guards against the same in a controller that reloads its replica after a compaction. */
+void
+test_compactions_during_submissions_recover(void)
+{
+  sim_play_seeds(FIRST_SEED, SEEDS, run_compactions);
+}
--- a/tests/sim/fixture.c
+++ b/tests/sim/fixture.c
@@ -107,6 +107,8 @@
     record_transaction(fixture, output, body);
   if (hold_store_call(fixture, output, path))
     return;
+  if (fixture->on_page != NULL && g_str_has_prefix(path, "/kv?"))
+    fixture->on_page(fixture, path);
   StoreCall *store_call = g_new0(StoreCall, 1);
   *store_call = (StoreCall){ fixture, output->call, fixture->run };
   sim_store_request(fixture->store, fixture->now_ms, output->method, path, body,
--- a/tests/sim/fixture.h
+++ b/tests/sim/fixture.h
@@ -17,14 +17,15 @@
   WsCore *core;
   guint run; /* the number of restarts of the controller */
   gint64 now_ms;
-  const char *zone;                /* of the machines that send heartbeats */
-  gboolean spot;                   /* whether these machines are spot machines */
-  gboolean peers_unreachable;      /* gossip to the other controllers fails */
-  gboolean store_unavailable;      /* the store answers 503 */
-  gboolean workers_answer;         /* workers answer direct commands, with 409 */
-  json_t *status_report;           /* the workers' answer to /status; NULL: the request fails */
-  gboolean hold_watch;             /* watches get no answer until fixture_release_watch() */
-  guint64 held_watch;              /* the last call that hold_watch held back */
+  const char *zone;           /* of the machines that send heartbeats */
+  gboolean spot;              /* whether these machines are spot machines */
+  gboolean peers_unreachable; /* gossip to the other controllers fails */
+  gboolean store_unavailable; /* the store answers 503 */
+  gboolean workers_answer;    /* workers answer direct commands, with 409 */
+  json_t *status_report;      /* the workers' answer to /status; NULL: the request fails */
+  gboolean hold_watch;        /* watches get no answer until fixture_release_watch() */
+  guint64 held_watch;         /* the last call that hold_watch held back */
+  void (*on_page)(struct Fixture *fixture, const char *path); /* called before a page is read */
   gboolean has_small_type;         /* the catalog also has a type with one accelerator */
   gboolean cloud_confirms_returns; /* the cloud acknowledges return requests */
   gboolean peers_lack_store;       /* peers report in gossip that they don't reach the store */
--- a/tests/sim/sim-faults.c
+++ b/tests/sim/sim-faults.c
@@ -17,6 +17,18 @@
   ws_core_free(core);
 }
 
+void
+sim_set_max_page_items(Sim *sim, guint max_page_items)
+{
+  sim_store_set_max_page_items(sim->store, max_page_items);
+}
+
+void
+sim_compact_store(Sim *sim)
+{
+  sim_store_compact(sim->store);
+}
+
 void
 sim_crash_node(Sim *sim, guint node, double back_after_s)
 {
--- a/tests/sim/sim-private.h
+++ b/tests/sim/sim-private.h
@@ -106,6 +106,7 @@
   WsProperties *properties;
   GPtrArray *machines;
   GPtrArray *jobs;
+  gboolean has_scattered_job_ids;
   GHashTable *rentals; /* rental request id -> JSON array of machine names */
 };
 
--- a/tests/sim/sim-users.c
+++ b/tests/sim/sim-users.c
@@ -5,6 +5,10 @@
 
 #include <string.h>
 
+/* Ids have six digits. */
+#define ID_COUNT 1000000
+#define ID_FACTOR 618033
+
 Job *
 sim_find_job(const Sim *sim, const char *id)
 {
@@ -144,11 +148,27 @@
     record_reported_state(sim, job, json_string_value(json_object_get(call->answer, "stav")));
 }
 
+/* The factor has no common divisor with the number of ids, so that no id occurs twice. */
+static char *
+next_job_id(const Sim *sim)
+{
+  guint64 number = sim->jobs->len;
+  if (sim->has_scattered_job_ids)
+    number = number * ID_FACTOR % ID_COUNT;
+  return g_strdup_printf("req-%06" G_GUINT64_FORMAT, number);
+}
+
+void
+sim_scatter_job_ids(Sim *sim)
+{
+  sim->has_scattered_job_ids = TRUE;
+}
+
 void
 sim_submit(Sim *sim, const SimJob *spec)
 {
   Job *job = g_new0(Job, 1);
-  job->id = g_strdup_printf("req-%06u", sim->jobs->len);
+  job->id = next_job_id(sim);
   job->spec = *spec;
   job->completed = g_new0(guint8, spec->tasks);
   job->message = json_pack(
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -78,6 +78,12 @@
 WsProperties *sim_properties(Sim *sim);
 /** The simulated time in milliseconds. */
 gint64 sim_now_ms(const Sim *sim);
+/** Has the ids of later jobs come in no order; otherwise they ascend. */
+void sim_scatter_job_ids(Sim *sim);
+/** Sets the most items that a page of the store's keys has; 0: any number. */
+void sim_set_max_page_items(Sim *sim, guint max_page_items);
+/** Has the store forget all changes made so far: watches from an earlier revision get 410. */
+void sim_compact_store(Sim *sim);
 /** Advances the simulated time by @seconds and runs the events that are due. */
 void sim_run(Sim *sim, double seconds);
 /** Ends the node's controller; a new one starts after @back_after_s. */
--- a/tests/sim/store.c
+++ b/tests/sim/store.c
@@ -31,6 +31,8 @@
   GPtrArray *log; /* of json_t events */
   GArray *watches;
   guint64 revision;
+  guint64 compacted_revision; /* changes up to it are no longer in the log */
+  guint max_page_items;       /* 0: no limit but that of the request */
   guint64 next_lease;
   gint64 ticked_ms;
   guint max_operations;
@@ -125,7 +127,10 @@
     if (is_unavailable || (watch.from >= store->revision && now_ms < watch.until_ms))
       continue;
     g_array_remove_index(store->watches, i);
-    watch.reply(watch.data, 200, events_since(store, watch.from));
+    if (watch.from < store->compacted_revision)
+      watch.reply(watch.data, 410, json_object());
+    else
+      watch.reply(watch.data, 200, events_since(store, watch.from));
   }
 }
 
@@ -292,12 +297,14 @@
   return NULL;
 }
 
-/* The entries with a prefix whose keys sort after @from; pairs is NULL to count them only. */
+/* The first entries with a prefix whose keys sort after @from; pairs is NULL to count them only. */
 typedef struct {
   const char *prefix;
   const char *from;
+  guint max_count; /* 0: no limit */
   json_t *pairs;
   guint count;
+  gboolean has_more; /* there are entries beyond the limit */
 } Listing;
 
 static gboolean
@@ -308,6 +315,9 @@
   if (!g_str_has_prefix(key, listing->prefix)
       || (listing->from != NULL && strcmp(key, listing->from) <= 0))
     return FALSE;
+  listing->has_more = listing->max_count > 0 && listing->count == listing->max_count;
+  if (listing->has_more)
+    return TRUE;
   listing->count++;
   if (listing->pairs != NULL)
     json_array_append_new(listing->pairs,
@@ -321,9 +331,11 @@
 {
   g_autofree char *prefix = query_parameter(path, "starts");
   g_autofree char *from = query_parameter(path, "from");
-  Listing listing = { prefix, from, json_array(), 0 };
+  Listing listing = {
+    .prefix = prefix, .from = from, .max_count = store->max_page_items, .pairs = json_array()
+  };
   g_tree_foreach(store->entries, list_entry, &listing);
-  return json_pack("{s:o, s:b, s:I}", "pairs", listing.pairs, "more", 0, "zmena",
+  return json_pack("{s:o, s:b, s:I}", "pairs", listing.pairs, "more", listing.has_more, "zmena",
                    (json_int_t)store->revision);
 }
 
@@ -381,6 +393,19 @@
   store->max_value_bytes = max_value_bytes;
 }
 
+void
+sim_store_set_max_page_items(SimStore *store, guint max_page_items)
+{
+  store->max_page_items = max_page_items;
+}
+
+void
+sim_store_compact(SimStore *store)
+{
+  store->compacted_revision = store->revision;
+  g_ptr_array_set_size(store->log, 0);
+}
+
 guint
 sim_store_count_rejected_for_size(const SimStore *store)
 {
@@ -390,7 +415,7 @@
 guint
 sim_store_count_keys(const SimStore *store, const char *prefix)
 {
-  Listing listing = { prefix, NULL, NULL, 0 };
+  Listing listing = { .prefix = prefix };
   g_tree_foreach(store->entries, list_entry, &listing);
   return listing.count;
 }
--- a/tests/sim/store.h
+++ b/tests/sim/store.h
@@ -25,6 +25,10 @@
                        const json_t *body, SimStoreReply reply, gpointer data);
 /** Sets limits: larger transactions and values get 400. What is stored stays readable. */
 void sim_store_set_limits(SimStore *store, guint max_operations, gsize max_value_bytes);
+/** Sets the most items that a page of keys has; 0: any number. */
+void sim_store_set_max_page_items(SimStore *store, guint max_page_items);
+/** Forgets all changes made so far: watches from an earlier revision get 410. */
+void sim_store_compact(SimStore *store);
 /** The number of transactions that were rejected for their size. */
 guint sim_store_count_rejected_for_size(const SimStore *store);
 /** The number of keys with the prefix. */
--- a/tests/test-storage.c
+++ b/tests/test-storage.c
@@ -173,6 +173,26 @@
   ws_replica_free(replica);
 }
 
+/* Guards against a version that is recorded without its value: the version of a chunk that was read
+   before its job's record must be applied when it arrives again. */
+static void
+test_chunk_read_before_its_job_is_applied_later(void)
+{
+  g_autoptr(WsSettings) settings = ws_test_settings(0);
+  g_autoptr(json_t) job = job_record();
+  g_autoptr(json_t) chunk = json_pack("{s:i, s:[[i, s, i]], s:s}", "a", 3, "on", 0, "m-1", 3, "d",
+                                      "00000000000000000000000000000000");
+  WsReplica *replica = ws_replica_new(settings);
+  g_assert_false(ws_replica_apply(replica, "w/task/req-1/0", chunk, 8));
+  g_assert_cmpuint(ws_replica_version(replica, "w/task/req-1/0"), ==, 0);
+  g_assert_true(ws_replica_apply(replica, "w/job/req-1", job, 7));
+  g_assert_true(ws_replica_apply(replica, "w/task/req-1/0", chunk, 8));
+  g_assert_cmpuint(ws_replica_version(replica, "w/task/req-1/0"), ==, 8);
+  g_assert_cmpuint(ws_replica_find_job(replica, "req-1")->assigned_count, ==, 1);
+  g_assert_false(ws_replica_apply(replica, "w/task/req-1/0", chunk, 8));
+  ws_replica_free(replica);
+}
+
 static void
 add_teams(WsSettings *settings, guint count)
 {
@@ -221,6 +241,7 @@
   { "/storage/early", test_early_own_writes_and_watch_give_same_state },
   { "/storage/forget", test_full_read_removes_missing_older_keys },
   { "/storage/damaged", test_damaged_chunk_is_logged_and_ignored },
+  { "/storage/chunk-before-job", test_chunk_read_before_its_job_is_applied_later },
   { "/storage/team-use", test_team_use_is_read_as_written },
 };
 
