Store: the replica counts as loaded once the watch has reached the last page's revision

What callers saw: after a compaction of its watch's revision (410) a controller reloads its replica, stays a member of the epoch and acts as soon as the last page has been read. The pages are of different revisions, and the replica's revision is that of the first one. A job that was accepted and assigned meanwhile is unknown, so the owner of its machine halts the healthy task, and the job's work is lost. At the first load the epoch that takes the node in hides this: it is newer than all pages, and nothing is done before the replica has caught up with it.

Cause: "loaded" meant that all pages had been read, not that the replica is the state at one revision. ws_has_caught_up_with_epoch() can't tell, because the epoch is older than the reload.

Change: the load has typed phases. When the pages are read, the watch is opened from the first page's revision, without a long poll; the load is complete when the replica has reached the revision of the last page. Until then the node doesn't act, as while it reads. A load during which nothing changes is complete at once, as before.

Test: /load/not-loaded-before-last-page-revision. Before: the heartbeat is answered 200 (503 expected), and with that check taken out for a trial, with "halt". After: passes.

--- a/src/store/ws-store-load.c
+++ b/src/store/ws-store-load.c
@@ -1,5 +1,7 @@
-/* The initial load of the replica: reads all keys page by page. Changes made during the load arrive
-   through the watch, which starts at the revision of the first page. */
+/* The load of the replica: reads all keys page by page. Changes made during the load arrive through
+   the watch, which starts at the revision of the first page. Until the watch has reached the
+   revision of the last page, the replica mixes records of different revisions and counts as not
+   loaded. */
 #include "store/ws-store-private.h"
 
 #include "protocol/ws-kv.h"
@@ -20,18 +22,33 @@
 gboolean
 ws_store_is_loaded(const WsCore *core)
 {
-  return core->store->load.is_loaded;
+  return core->store->load.phase == WS_LOAD_COMPLETE;
+}
+
+void
+ws_store_load_restart(WsCore *core)
+{
+  core->store->load.phase = WS_LOAD_NEEDED;
 }
 
 static void
-finish_loading(WsCore *core)
+finish_reading(WsCore *core)
 {
   WsStoreLoad *load = &core->store->load;
   ws_replica_remove_missing(core->replica, load->keys, load->revision);
   ws_replica_advance(core->replica, load->revision);
-  load->is_loading = FALSE;
-  load->is_loaded = TRUE;
   core->replica->is_loading = FALSE;
+  load->phase = WS_LOAD_CATCHING_UP;
+  ws_store_load_catch_up(core);
+}
+
+void
+ws_store_load_catch_up(WsCore *core)
+{
+  WsStoreLoad *load = &core->store->load;
+  if (load->phase != WS_LOAD_CATCHING_UP || core->replica->revision < load->last_revision)
+    return;
+  load->phase = WS_LOAD_COMPLETE;
   core->replan_is_needed = TRUE;
   g_info("replica loaded: revision %" G_GUINT64_FORMAT
          ", %u active jobs, %u machines; %u pages, the last one at revision %" G_GUINT64_FORMAT,
@@ -63,13 +80,13 @@
   WsStoreLoad *load = &core->store->load;
   g_autoptr(WsKvPage) page = status == WS_KV_OK ? ws_kv_page_parse(body) : NULL;
   if (page == NULL) {
-    load->is_loading = FALSE;
+    load->phase = WS_LOAD_NEEDED;
     load->retry_ms = core->now_ms + LOAD_RETRY_DELAY_MS;
     return;
   }
   apply_page(core, page);
   if (page->is_last)
-    finish_loading(core);
+    finish_reading(core);
   else
     load_page(core);
 }
@@ -86,10 +103,9 @@
 ws_store_load_tick(WsCore *core)
 {
   WsStoreLoad *load = &core->store->load;
-  if (load->is_loaded || load->is_loading || core->store->watch.is_open
-      || core->now_ms < load->retry_ms)
+  if (load->phase != WS_LOAD_NEEDED || core->store->watch.is_open || core->now_ms < load->retry_ms)
     return;
-  load->is_loading = TRUE;
+  load->phase = WS_LOAD_READING;
   core->replica->is_loading = TRUE;
   ws_store_load_clear(load);
   load->page_count = 0;
--- a/src/store/ws-store-private.h
+++ b/src/store/ws-store-private.h
@@ -26,10 +26,20 @@
   gboolean is_revision_requested; /**< a request is queued or in flight */
 } WsStoreReads;
 
-/** The initial load of the replica, page by page. */
+/** The phases of a load. */
+typedef enum {
+  WS_LOAD_NEEDED,      /**< a load starts once the retry delay has passed */
+  WS_LOAD_READING,     /**< the pages are being read */
+  WS_LOAD_CATCHING_UP, /**< the watch has not reached the revision of the last page */
+  WS_LOAD_COMPLETE     /**< the watch keeps the replica up to date */
+} WsLoadPhase;
+
+/**
+ * The load of the replica, page by page, at the start and after the store has compacted the
+ * revision of the watch.
+ */
 typedef struct {
-  gboolean is_loaded;
-  gboolean is_loading;
+  WsLoadPhase phase;
   gint64 retry_ms;       /**< no load starts before this time */
   guint64 revision;      /**< of the first page */
   guint64 last_revision; /**< of the last page loaded so far */
@@ -91,7 +101,16 @@
  */
 void ws_store_load_tick(WsCore *core);
 
-/** Opens the watch if the replica is loaded, no watch is open, and the next one is due. */
+/** Called when the watch has advanced the replica: completes the load if it was catching up. */
+void ws_store_load_catch_up(WsCore *core);
+
+/** Has the replica loaded again: the store has compacted the revision of the watch. */
+void ws_store_load_restart(WsCore *core);
+
+/**
+ * Opens the watch if the replica is loaded or catching up, no watch is open, and the next one is
+ * due.
+ */
 void ws_store_watch_open(WsCore *core);
 
 /** Counts a committed operation on the key. */
--- a/src/store/ws-store-watch.c
+++ b/src/store/ws-store-watch.c
@@ -30,7 +30,7 @@
   store->watch.is_open = FALSE;
   if (status == WS_KV_COMPACTED) {
     g_info("watch failed: its revision was compacted; reloading the replica");
-    store->load.is_loaded = FALSE;
+    ws_store_load_restart(core);
     return;
   }
   g_autoptr(WsKvPage) page = status == WS_KV_OK ? ws_kv_watch_parse(body) : NULL;
@@ -40,6 +40,7 @@
   }
   apply_events(core, page->items);
   ws_replica_advance(core->replica, page->revision);
+  ws_store_load_catch_up(core);
   ws_store_reads_finish(core);
 }
 
@@ -60,11 +61,13 @@
 ws_store_watch_open(WsCore *core)
 {
   WsStoreWatch *watch = &core->store->watch;
-  if (watch->is_open || !ws_store_is_loaded(core) || !watch_is_due(core))
+  WsLoadPhase phase = core->store->load.phase;
+  if (watch->is_open || phase < WS_LOAD_CATCHING_UP || !watch_is_due(core))
     return;
   watch->is_open = TRUE;
   watch->opened_ms = core->now_ms;
-  g_autofree char *path
-      = ws_kv_watch_path(WS_KEY_PREFIX, core->replica->revision, WATCH_LONG_POLL_MS);
+  /* A load that is catching up doesn't wait for a further change. */
+  guint long_poll_ms = phase == WS_LOAD_COMPLETE ? WATCH_LONG_POLL_MS : 0;
+  g_autofree char *path = ws_kv_watch_path(WS_KEY_PREFIX, core->replica->revision, long_poll_ms);
   ws_store_get(core, path, WATCH_TIMEOUT_MS, on_events, NULL);
 }
--- a/src/store/ws-store.h
+++ b/src/store/ws-store.h
@@ -69,8 +69,9 @@
 gboolean ws_store_stop(WsCore *core);
 
 /**
- * Whether the replica is loaded. FALSE again from when the store has compacted the watch's revision
- * until the replica is reloaded.
+ * Whether the replica is loaded: it contains all changes up to a revision that no page of the load
+ * exceeds. FALSE again from when the store has compacted the watch's revision until the replica is
+ * reloaded.
  */
 gboolean ws_store_is_loaded(const WsCore *core);
 
--- a/tests/load/load.h
+++ b/tests/load/load.h
@@ -7,6 +7,7 @@
 void test_no_halt_of_job_accepted_during_load(void);
 void test_no_second_attempt_of_job_accepted_during_load(void);
 void test_no_halt_of_job_accepted_during_reload(void);
+void test_not_loaded_before_last_page_revision(void);
 
 /* simulated.c */
 void test_restarts_during_submissions_recover(void);
--- a/tests/load/one-node.c
+++ b/tests/load/one-node.c
@@ -113,3 +113,25 @@
   }
   fixture_free(fixture);
 }
+
+/* Guards against decisions on pages of different revisions: until the watch has reached the
+   revision of the last page, the replica counts as not loaded, and no task is halted. */
+void
+test_not_loaded_before_last_page_revision(void)
+{
+  Fixture *fixture = new_fixture_with_job_accepted_during_reload();
+  fixture->hold_watch = TRUE; /* the next watch; the one that is open gets 410 */
+  fixture_run(fixture, 0.5);
+  g_assert_true(fixture->on_page == NULL);
+  for (guint i = 0; i < 2; i++) {
+    send_heartbeat_with_both_tasks(fixture, 1);
+    g_assert_cmpuint(fixture->status, ==, 503);
+    g_assert_false(fixture_has_command(fixture, "halt"));
+  }
+  fixture_release_watch(fixture);
+  fixture_run(fixture, 0.5);
+  send_heartbeat_with_both_tasks(fixture, 1);
+  g_assert_cmpuint(fixture->status, ==, 200);
+  g_assert_false(fixture_has_command(fixture, "halt"));
+  fixture_free(fixture);
+}
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -10,6 +10,7 @@
   { "/load/no-second-attempt-of-job-accepted-during-load",
     test_no_second_attempt_of_job_accepted_during_load },
   { "/load/no-halt-of-job-accepted-during-reload", test_no_halt_of_job_accepted_during_reload },
+  { "/load/not-loaded-before-last-page-revision", test_not_loaded_before_last_page_revision },
   { "/load/drawn-restarts", test_restarts_during_submissions_recover },
   { "/load/drawn-failovers", test_failovers_during_submissions_recover },
   { "/load/drawn-compactions", test_compactions_during_submissions_recover },
