Authority: no direct launch before the replica has caught up with the epoch

What callers would see: a task that runs on two machines.

Cause: a leader enters the epoch that it wrote when the store confirms it, possibly before the watch has delivered what was written before. Launches in answers to heartbeats, halts, reaps and assignments wait until the replica has caught up; launches by direct command did not. An assignment in a watch response from before the epoch, which was moved elsewhere meanwhile, was launched if the worker had acknowledged the new fencing token.

Change: ws_authority_check_direct_launch() makes the same checks as the launch in an answer to a heartbeat, and calls that function for them.

Test: /evidence/no-direct-launch-before-caught-up-with-epoch, in which the watch's response arrives after the epoch.

--- a/src/membership/ws-authority.c
+++ b/src/membership/ws-authority.c
@@ -331,7 +331,5 @@
 ws_authority_check_direct_launch(const WsCore *core, const WsMachine *machine)
 {
   WsRefusal refusal = ws_authority_check_command(core, machine);
-  if (refusal != WS_REFUSAL_NONE)
-    return refusal;
-  return knows_all_cancellations(core) ? WS_REFUSAL_NONE : WS_REFUSAL_CANCELLATIONS_UNKNOWN;
+  return refusal != WS_REFUSAL_NONE ? refusal : ws_authority_check_launch(core);
 }
--- a/tests/test-evidence.c
+++ b/tests/test-evidence.c
@@ -5,6 +5,7 @@
  * that runs twice (the ran_twice violation): a former owner's release was committed after the
  * machine's next owner had launched the same attempt, so the task was assigned again while it ran.
  */
+#include "context/ws-context.h"
 #include "coordination/ws-epoch.h"
 #include "evidence/evidence.h"
 #include "sim/fixture.h"
@@ -390,6 +391,39 @@
   scenario_end(&scenario);
 }
 
+/* Answers the watch that is held back with an earlier assignment of the task to the machine, as if
+   the answer had been under way since before the epoch. */
+static void
+deliver_assignment_before_epoch(const Scenario *scenario)
+{
+  Fixture *fixture = scenario->fixture;
+  guint64 version = 1 + ws_replica_version(fixture->core->replica, "w/task/req-1/0");
+  g_autoptr(json_t) answer = json_pack(
+      "{s:I, s:[{s:s, s:{s:i, s:[[i, s, i]], s:s}, s:I}]}", "zmena", (json_int_t)version, "log",
+      "set", "w/task/req-1/0", "value", "a", 2, "on", 0, scenario->machine, 2, "d",
+      "00000000000000000000000000000000", "verze", (json_int_t)version);
+  fixture_reply(fixture, fixture->held_watch, 200, answer);
+  fixture_handle_outputs(fixture);
+}
+
+/* Such a leader must not launch them by direct commands either. */
+static void
+test_no_direct_launch_before_caught_up_with_epoch(void)
+{
+  Scenario scenario;
+  scenario_begin(&scenario);
+  fall_behind_own_epoch(&scenario);
+  send_heartbeat(&scenario, 1, json_array());
+  send_heartbeat(&scenario, 2, json_array());
+  guint commands = scenario.fixture->direct_commands;
+  deliver_assignment_before_epoch(&scenario);
+  g_assert_cmpuint(scenario.fixture->direct_commands, ==, commands);
+  fixture_release_watch(scenario.fixture);
+  fixture_run(scenario.fixture, 1.0);
+  g_assert_cmpuint(scenario.fixture->direct_commands, ==, commands);
+  scenario_end(&scenario);
+}
+
 /* Such a leader must not halt or reap tasks that it doesn't know either, since they may have been
    assigned in the meantime. */
 static void
@@ -427,6 +461,8 @@
   { "/evidence/no-launch-while-release-is-pending", test_no_launch_while_release_is_pending },
   { "/evidence/release-holds-for-same-owner", test_release_stays_valid_for_same_owner },
   { "/evidence/no-launch-before-caught-up-with-epoch", test_no_launch_before_caught_up_with_epoch },
+  { "/evidence/no-direct-launch-before-caught-up-with-epoch",
+    test_no_direct_launch_before_caught_up_with_epoch },
   { "/evidence/no-halt-before-caught-up-with-epoch", test_no_halt_before_caught_up_with_epoch },
   { "/evidence/returned-machine-is-released-in-any-epoch",
     test_returned_machine_is_released_in_any_epoch },
