Gossip: an announcement that arrives before its machine's record is kept

What callers would see: a job waits for a machine although one that is up has room, until the machine's images or state change or a new epoch begins.

The record is late when the watch lags behind the gossip, and for seconds while a member reloads its replica after 410. (A first load is followed by a new epoch, in which everything is sent again.)

Change: the machine is added to the replica, as a heartbeat, a chunk or a mark that names it does. It isn't used before it is recorded.

Test: /regressions/machine-announced-before-its-record-is-up. Before: the job has no coordinating node (""); after: "n1".

--- a/src/membership/ws-gossip.c
+++ b/src/membership/ws-gossip.c
@@ -132,12 +132,14 @@
   }
 }
 
-/* Announcements of machines that this node owns are ignored: its own state of them is newer. */
+/* Announcements of machines that this node owns are ignored: its own state of them is newer. An
+   announcement may arrive before the machine's rental batch does, also while the replica is being
+   loaded, and is acknowledged then, so it must be kept. */
 static void
 apply_machine(WsCore *core, const WsGossipMachine *announced)
 {
-  WsMachine *machine = ws_replica_find_machine(core->replica, announced->name);
-  if (machine == NULL || ws_owns_machine(core, machine))
+  WsMachine *machine = ws_replica_ensure_machine(core->replica, announced->name);
+  if (ws_owns_machine(core, machine))
     return;
   machine->worker.is_up_at_owner = announced->is_up;
   if (announced->is_up && machine->worker.up_ms == 0)
--- a/tests/regressions/failure-detection.c
+++ b/tests/regressions/failure-detection.c
@@ -2,6 +2,7 @@
  * Which machines are recorded, declared dead and terminated during partitions, outages and after
  * restarts, and which are not.
  */
+#include "context/ws-context.h"
 #include "regressions/regressions.h"
 
 /* A delayed heartbeat of a returned machine must not record it again as a new machine. */
@@ -233,3 +234,50 @@
   g_assert_cmpuint(sim_store_count_keys(fixture->store, "w/mark/"), ==, 1);
   fixture_free(fixture);
 }
+
+/* Returns the name of a machine that the node owns in the current epoch. The caller frees it. */
+static char *
+find_machine_of_node(const Fixture *fixture, WsNodeIndex node)
+{
+  for (guint i = 0;; i++) {
+    char *name = g_strdup_printf("m-%u", i);
+    if (ws_epoch_owner(&fixture->core->replica->epoch, name, fixture->settings) == node)
+      return name;
+    g_free(name);
+  }
+}
+
+/* Gossip of the node n1, whose announcements have the revisions above @base. */
+static json_t *
+gossip_from_n1(guint base, json_t *machines /* takes ownership */)
+{
+  return json_pack("{s:s, s:i, s:b, s:i, s:b, s:b, s:i, s:i, s:i, s:i, s:b, s:i, s:o}", "node",
+                   "n1", "epoch", 2, "store", 1, "reaches", 7, "wants_epoch", 0, "unheard", 0,
+                   "base", base, "rev", 1, "ack", 0, "incarnation", 1, "loaded", 1, "untold", 0,
+                   "machines", machines);
+}
+
+/* Guards against a machine that counts as down for as long as its owner has nothing new to
+   announce: the announcement was acknowledged, but dropped, since the watch had not delivered the
+   machine's rental batch. Jobs waited although the machine had free capacity. */
+void
+test_machine_announced_before_its_record_is_up(void)
+{
+  Fixture *fixture = fixture_new(TRUE);
+  fixture->peers_unreachable = TRUE; /* only the gossip below */
+  fixture_write_key(fixture, "w/member/n1", json_pack("{s:i}", "incarnation", 1));
+  fixture_run(fixture, 1.5);
+  g_autofree char *name = find_machine_of_node(fixture, 1);
+  fixture_send_peer_message(
+      fixture, "/gossip",
+      gossip_from_n1(0, json_pack("[{s:s, s:b, s:s, s:b, s:[]}]", "name", name, "up", 1, "endpoint",
+                                  "w-1:1", "notice", 0, "images")));
+  fixture_write_key(fixture, "w/lot/l-1",
+                    json_pack("{s:s, s:s, s:b, s:i, s:[s]}", "type", "g4", "zone", "a", "spot", 0,
+                              "at", 1, "names", name));
+  fixture_send_peer_message(fixture, "/gossip", gossip_from_n1(1, json_array()));
+  fixture_send_request(fixture, "POST", "/api/jobs", fixture_submission());
+  const json_t *job = sim_store_get(fixture->store, "w/job/req-1");
+  g_assert_cmpstr(json_string_value(json_object_get(job, "home")), ==, "n1");
+  fixture_free(fixture);
+}
--- a/tests/regressions/regressions.h
+++ b/tests/regressions/regressions.h
@@ -56,6 +56,7 @@
 void test_new_owner_waits_before_termination(void);
 void test_stalled_node_renews_before_it_answers(void);
 void test_no_idle_timeout_during_outage(void);
+void test_machine_announced_before_its_record_is_up(void);
 
 /* cancellation.c */
 void test_peer_cancellation_halts_task(void);
--- a/tests/test-regressions.c
+++ b/tests/test-regressions.c
@@ -44,6 +44,8 @@
   { "/regressions/stalled-node-renews-before-it-answers",
     test_stalled_node_renews_before_it_answers },
   { "/regressions/no-idle-timeout-during-outage", test_no_idle_timeout_during_outage },
+  { "/regressions/machine-announced-before-its-record-is-up",
+    test_machine_announced_before_its_record_is_up },
   { "/regressions/peer-cancellation-halts-task", test_peer_cancellation_halts_task },
   { "/regressions/cancellation-is-redelivered-until-acknowledged",
     test_cancellation_is_redelivered_until_acknowledged },
