Tests: jobs are submitted while the loads run, and a store with a short log

Jobs are now submitted at set times, whatever a fault does to the simulated time meanwhile; the store can keep only its newest changes, so that a node that falls behind reloads its replica.

--- a/tests/load/load.h
+++ b/tests/load/load.h
@@ -13,3 +13,4 @@
 void test_restarts_during_submissions_recover(void);
 void test_failovers_during_submissions_recover(void);
 void test_compactions_during_submissions_recover(void);
+void test_random_faults_during_loads_recover(void);
--- a/tests/load/simulated.c
+++ b/tests/load/simulated.c
@@ -8,12 +8,15 @@
 #include "sim/fault-injection.h"
 
 #define FIRST_SEED 4000
+#define FIRST_FAILOVER_SEED 4048 /* seed 4052 once started a task twice */
 #define SEEDS 12
 /* With the delays of the store a load takes several seconds, as that of a long store does. */
 #define MAX_PAGE_ITEMS 1
 #define STORE_DELAY_MS 300
 #define SUBMISSION_INTERVAL_S 1.0
 #define RESTARTS 4
+#define MAX_LOG_LENGTH 4
+#define FAULTS_DURATION_S 60 /* of sim_inject_random_faults() */
 
 static Sim *
 new_cluster_with_slow_loads(guint32 seed)
@@ -34,17 +37,22 @@
   return sim;
 }
 
-/* Submits jobs of one task, in turn of each team, one after the other. */
+/* Has jobs of one task submitted one after the other, in turn of each team. */
 static void
-submit_jobs(Sim *sim, guint count)
+schedule_jobs(Sim *sim, guint count)
 {
   static const SimJob JOBS[]
       = { { .tasks = 1, .team = "blue", .priority = "standard", .run_s = 6.0 },
           { .tasks = 1, .team = "red", .priority = "standard", .run_s = 5.0 } };
-  for (guint i = 0; i < count; i++) {
-    sim_submit(sim, &JOBS[i % G_N_ELEMENTS(JOBS)]);
-    sim_run(sim, SUBMISSION_INTERVAL_S);
-  }
+  for (guint i = 0; i < count; i++)
+    sim_submit_later(sim, &JOBS[i % G_N_ELEMENTS(JOBS)], i * SUBMISSION_INTERVAL_S);
+}
+
+static void
+submit_jobs(Sim *sim, guint count)
+{
+  schedule_jobs(sim, count);
+  sim_run(sim, count * SUBMISSION_INTERVAL_S);
 }
 
 static void
@@ -99,7 +107,7 @@
 void
 test_failovers_during_submissions_recover(void)
 {
-  sim_play_seeds(FIRST_SEED, SEEDS, run_failovers);
+  sim_play_seeds(FIRST_FAILOVER_SEED, SEEDS, run_failovers);
 }
 
 /* Rejects the node for a while, so that the store has compacted the revision of its watch. */
@@ -129,3 +137,21 @@
 {
   sim_play_seeds(FIRST_SEED, SEEDS, run_compactions);
 }
+
+/* Nodes that fall behind the store's short log reload their replica, whatever else goes wrong. */
+static void
+run_random_faults(guint32 seed)
+{
+  Sim *sim = new_cluster_with_slow_loads(seed);
+  sim_set_max_log_length(sim, MAX_LOG_LENGTH);
+  schedule_jobs(sim, FAULTS_DURATION_S / SUBMISSION_INTERVAL_S);
+  sim_inject_random_faults(sim);
+  expect_recovery(sim);
+}
+
+/* The cluster recovers where random faults coincide with loads and reloads. */
+void
+test_random_faults_during_loads_recover(void)
+{
+  sim_play_seeds(FIRST_SEED, SEEDS, run_random_faults);
+}
--- a/tests/sim/sim-faults.c
+++ b/tests/sim/sim-faults.c
@@ -23,6 +23,12 @@
   sim_store_set_max_page_items(sim->store, max_page_items);
 }
 
+void
+sim_set_max_log_length(Sim *sim, guint max_log_length)
+{
+  sim_store_set_max_log_length(sim->store, max_log_length);
+}
+
 void
 sim_compact_store(Sim *sim)
 {
--- a/tests/sim/sim-users.c
+++ b/tests/sim/sim-users.c
@@ -166,6 +166,12 @@
 
 void
 sim_submit(Sim *sim, const SimJob *spec)
+{
+  sim_submit_later(sim, spec, 0.0);
+}
+
+void
+sim_submit_later(Sim *sim, const SimJob *spec, double seconds)
 {
   Job *job = g_new0(Job, 1);
   job->id = next_job_id(sim);
@@ -184,7 +190,7 @@
       spec->service ? 0.0 : spec->run_s, "zaloha_s", spec->gang ? SIM_CHECKPOINT_INTERVAL_S : 0.0,
       "ulozeni_s", spec->gang ? SIM_SAVE_DURATION_S : 0.0, "termin_s");
   g_assert_nonnull(job->message);
-  job->next_request_ms = sim->now_ms;
+  job->next_request_ms = sim->now_ms + (gint64)(seconds * 1000.0);
   g_ptr_array_add(sim->jobs, job);
 }
 
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -82,6 +82,8 @@
 void sim_scatter_job_ids(Sim *sim);
 /** Sets the most items that a page of the store's keys has; 0: any number. */
 void sim_set_max_page_items(Sim *sim, guint max_page_items);
+/** Sets how many of the newest changes the store keeps for watches; 0: all. */
+void sim_set_max_log_length(Sim *sim, guint max_log_length);
 /** Has the store forget all changes made so far: watches from an earlier revision get 410. */
 void sim_compact_store(Sim *sim);
 /** Advances the simulated time by @seconds and runs the events that are due. */
@@ -94,6 +96,8 @@
 gboolean sim_node_is_up(const Sim *sim, guint node);
 /** Adds a user who submits the job. Jobs are numbered in the order of these calls, from 0. */
 void sim_submit(Sim *sim, const SimJob *job);
+/** Adds a user who submits the job after @seconds. */
+void sim_submit_later(Sim *sim, const SimJob *job, double seconds);
 /** Has the user of a random job cancel it with the next request, if the job is accepted. */
 void sim_cancel_random_job(Sim *sim);
 /** Has the user of the job cancel it at once, if it is accepted. */
--- a/tests/sim/store.c
+++ b/tests/sim/store.c
@@ -33,6 +33,7 @@
   guint64 revision;
   guint64 compacted_revision; /* changes up to it are no longer in the log */
   guint max_page_items;       /* 0: no limit but that of the request */
+  guint max_log_length;       /* 0: no limit */
   guint64 next_lease;
   gint64 ticked_ms;
   guint max_operations;
@@ -87,14 +88,26 @@
   g_free(store);
 }
 
+/* Adds an event to the log, and forgets the oldest ones beyond the limit. */
+static void
+append_to_log(SimStore *store, json_t *event /* takes ownership */)
+{
+  g_ptr_array_add(store->log, event);
+  while (store->max_log_length > 0 && store->log->len > store->max_log_length) {
+    const json_t *oldest = g_ptr_array_index(store->log, 0);
+    store->compacted_revision = (guint64)json_integer_value(json_object_get(oldest, "verze"));
+    g_ptr_array_remove_index(store->log, 0);
+  }
+}
+
 static void
 put_entry(SimStore *store, const char *key, json_t *value, guint64 lease)
 {
   Entry *entry = g_new0(Entry, 1);
   *entry = (Entry){ json_incref(value), store->revision, lease };
   g_tree_replace(store->entries, g_strdup(key), entry);
-  g_ptr_array_add(store->log, json_pack("{s:s, s:O, s:I}", "set", key, "value", value, "verze",
-                                        (json_int_t)store->revision));
+  append_to_log(store, json_pack("{s:s, s:O, s:I}", "set", key, "value", value, "verze",
+                                 (json_int_t)store->revision));
 }
 
 static void
@@ -102,8 +115,8 @@
 {
   if (g_tree_lookup(store->entries, key) == NULL)
     return;
-  g_ptr_array_add(store->log,
-                  json_pack("{s:s, s:I}", "remove", key, "verze", (json_int_t)store->revision));
+  append_to_log(store,
+                json_pack("{s:s, s:I}", "remove", key, "verze", (json_int_t)store->revision));
   g_tree_remove(store->entries, key);
 }
 
@@ -399,6 +412,12 @@
   store->max_page_items = max_page_items;
 }
 
+void
+sim_store_set_max_log_length(SimStore *store, guint max_log_length)
+{
+  store->max_log_length = max_log_length;
+}
+
 void
 sim_store_compact(SimStore *store)
 {
--- a/tests/sim/store.h
+++ b/tests/sim/store.h
@@ -27,6 +27,8 @@
 void sim_store_set_limits(SimStore *store, guint max_operations, gsize max_value_bytes);
 /** Sets the most items that a page of keys has; 0: any number. */
 void sim_store_set_max_page_items(SimStore *store, guint max_page_items);
+/** Sets how many of the newest changes the store keeps for watches; 0: all. */
+void sim_store_set_max_log_length(SimStore *store, guint max_log_length);
 /** Forgets all changes made so far: watches from an earlier revision get 410. */
 void sim_store_compact(SimStore *store);
 /** The number of transactions that were rejected for their size. */
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -14,6 +14,7 @@
   { "/load/drawn-restarts", test_restarts_during_submissions_recover },
   { "/load/drawn-failovers", test_failovers_during_submissions_recover },
   { "/load/drawn-compactions", test_compactions_during_submissions_recover },
+  { "/load/drawn-faults", test_random_faults_during_loads_recover },
 };
 
 int
