Election: the membership lease is renewed while the replica is being loaded

Each epoch interrupts launches and resets what nodes know of each other. (The fault doesn't lose jobs by itself.)

Cause: the lease (4 s) is acquired at the start and wasn't renewed before the member key could be written, which needs the replica. After a load of 3 to 4 s the key is written under a lease that is about to expire; the store then deletes the key with it.

Change: the time of the next renewal is kept apart from that of the next call. Until the replica is loaded the lease is renewed; then the member key is written at once, as before.

Test: /load/drawn-single-restart; a restart takes at most two epochs.

--- a/src/membership/ws-election.c
+++ b/src/membership/ws-election.c
@@ -23,7 +23,8 @@
   guint64 lease;           /* id of the lease; 0: none */
   gboolean has_member_key; /* the member key is written under this lease */
   gboolean lease_call_is_in_flight;
-  gint64 next_lease_call_ms; /* when the next call for the lease or the member key is due */
+  gint64 next_lease_call_ms; /* earliest time of the next call for the lease or the member key */
+  gint64 renewal_due_ms;     /* when the lease is to be renewed */
   gboolean is_campaigning;
   gboolean is_writing_epoch;
   gint64 next_epoch_ms;      /* earliest time of the next epoch */
@@ -89,6 +90,7 @@
   WsElection *election = core->election;
   election->pause_count++;
   election->next_lease_call_ms = now_ms;
+  election->renewal_due_ms = now_ms;
   election->call_predates_pause = election->lease_call_is_in_flight;
   election->lease_is_renewed = FALSE;
 }
@@ -101,8 +103,10 @@
   election->lease_call_is_in_flight = FALSE;
   election->call_predates_pause = FALSE;
   election->next_lease_call_ms = core->now_ms + ACQUIRE_RETRY_MS;
-  if (status == WS_KV_OK && ws_kv_lease_parse(body, &election->lease))
-    election->next_lease_call_ms = core->now_ms;
+  if (status != WS_KV_OK || !ws_kv_lease_parse(body, &election->lease))
+    return;
+  election->next_lease_call_ms = core->now_ms;
+  election->renewal_due_ms = core->now_ms + RENEW_INTERVAL_MS;
 }
 
 static void
@@ -126,8 +130,9 @@
   (void)data;
   WsElection *election = core->election;
   election->lease_call_is_in_flight = FALSE;
-  election->next_lease_call_ms
+  election->renewal_due_ms
       = core->now_ms + (status == WS_KV_OK ? RENEW_INTERVAL_MS : RENEW_RETRY_MS);
+  election->next_lease_call_ms = election->has_member_key ? election->renewal_due_ms : core->now_ms;
   record_lease_renewal(election, status == WS_KV_OK);
   if (status == WS_KV_NOT_FOUND)
     lose_lease(core);
@@ -152,6 +157,7 @@
 static void
 acquire_lease(WsCore *core)
 {
+  core->election->lease_call_is_in_flight = TRUE;
   ws_store_post(core, WS_REQUEST_LEASE, WS_KV_LEASES_PATH,
                 ws_kv_lease_request_encode(LEASE_DURATION_MS), 0, ACQUIRE_TIMEOUT_MS,
                 on_lease_acquired, NULL);
@@ -161,6 +167,7 @@
 write_member_key(WsCore *core)
 {
   WsTxn *txn = ws_txn_new();
+  core->election->lease_call_is_in_flight = TRUE;
   g_autofree char *key = ws_key(WS_KEY_PREFIX_MEMBER, own_name(core));
   ws_txn_compare(txn, core->replica, key);
   ws_txn_put_leased(txn, key, ws_member_encode(core->incarnation), core->election->lease);
@@ -170,12 +177,13 @@
 static void
 renew_lease(WsCore *core)
 {
+  core->election->lease_call_is_in_flight = TRUE;
   g_autofree char *path = ws_kv_lease_renewal_path(core->election->lease);
   ws_store_post(core, WS_REQUEST_LEASE, path, NULL, 0, RENEW_TIMEOUT_MS, on_lease_renewed, NULL);
 }
 
 /* Sends the next call for the lease, one at a time: acquires the lease, writes the member key under
-   it, then renews it. */
+   it once the replica is loaded, and renews it, also while the replica is being loaded. */
 static void
 maintain_lease(WsCore *core)
 {
@@ -183,14 +191,11 @@
   if (election->lease_call_is_in_flight || core->now_ms < election->next_lease_call_ms)
     return;
   check_member_key(core);
-  if (election->lease != 0 && !election->has_member_key && !ws_store_is_loaded(core))
-    return;
-  election->lease_call_is_in_flight = TRUE;
   if (election->lease == 0)
     acquire_lease(core);
-  else if (!election->has_member_key)
+  else if (!election->has_member_key && ws_store_is_loaded(core))
     write_member_key(core);
-  else
+  else if (core->now_ms >= election->renewal_due_ms)
     renew_lease(core);
 }
 
@@ -201,6 +206,14 @@
          && core->replica->leader_incarnation == core->incarnation;
 }
 
+/* Finds out soon whether the lease still exists. */
+static void
+renew_lease_at_once(WsCore *core)
+{
+  core->election->next_lease_call_ms = core->now_ms;
+  core->election->renewal_due_ms = core->now_ms;
+}
+
 static void
 on_leader_key_written(WsCore *core, WsTxnResult result, gpointer data)
 {
@@ -209,7 +222,7 @@
   if (result == WS_TXN_COMMITTED)
     g_info("elected leader");
   else if (result == WS_TXN_UNAVAILABLE)
-    core->election->next_lease_call_ms = core->now_ms;
+    renew_lease_at_once(core);
 }
 
 /* Writes the leader key if it is free or belongs to an earlier incarnation of this node, whose
--- a/tests/load/load.h
+++ b/tests/load/load.h
@@ -14,3 +14,4 @@
 void test_failovers_during_submissions_recover(void);
 void test_compactions_during_submissions_recover(void);
 void test_random_faults_during_loads_recover(void);
+void test_restarted_node_joins_once(void);
--- a/tests/load/simulated.c
+++ b/tests/load/simulated.c
@@ -15,6 +15,7 @@
 #define STORE_DELAY_MS 300
 #define SUBMISSION_INTERVAL_S 1.0
 #define RESTARTS 4
+#define MAX_JOBS_BEFORE_RESTART 20
 #define MAX_LOG_LENGTH 4
 #define FAULTS_DURATION_S 60 /* of sim_inject_random_faults() */
 
@@ -155,3 +156,27 @@
 {
   sim_play_seeds(FIRST_SEED, SEEDS, run_random_faults);
 }
+
+/* A follower is restarted with a store of another length for each seed. Its load takes from one to
+   several seconds, its membership lease lasts four. */
+static void
+run_single_restart(guint32 seed)
+{
+  Sim *sim = new_cluster_with_slow_loads(seed);
+  submit_jobs(sim, 1 + seed % MAX_JOBS_BEFORE_RESTART);
+  guint64 epoch = sim_epoch(sim);
+  restart_node(sim, sim_next_node(sim_leader_or_first(sim)));
+  sim_run(sim, 40.0);
+  /* One epoch without the node, unless it is back before its old lease expires, and one with it. */
+  g_assert_cmpuint(sim_epoch(sim), <=, epoch + 2);
+  g_assert_cmpuint(sim_epoch(sim), >, epoch);
+  expect_recovery(sim);
+}
+
+/* Guards against a node that joins the epoch after its load and drops out at once, since its lease
+   was not renewed while it loaded: each such epoch interrupts all launches. */
+void
+test_restarted_node_joins_once(void)
+{
+  sim_play_seeds(FIRST_SEED, SEEDS, run_single_restart);
+}
--- a/tests/sim/sim.c
+++ b/tests/sim/sim.c
@@ -13,6 +13,13 @@
   return name != NULL ? (guint)(name[1] - '0') : G_MAXUINT;
 }
 
+guint64
+sim_epoch(const Sim *sim)
+{
+  const json_t *epoch = sim_store_get(sim->store, "w/epoch");
+  return (guint64)json_integer_value(json_object_get(epoch, "number"));
+}
+
 static void
 start_node(Sim *sim, guint node)
 {
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -138,6 +138,8 @@
 guint sim_count_rejected_for_size(const Sim *sim);
 /** The leader according to its record in the store; G_MAXUINT if there is none. */
 guint sim_leader(const Sim *sim);
+/** The number of the current epoch in the store; 0 if there is none. */
+guint64 sim_epoch(const Sim *sim);
 /** Whether the job's user got the answer that it is cancelled. */
 gboolean sim_is_reported_cancelled(const Sim *sim, guint job);
 /** The number of the job's tasks that are running on machines that are up. */
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -15,6 +15,7 @@
   { "/load/drawn-failovers", test_failovers_during_submissions_recover },
   { "/load/drawn-compactions", test_compactions_during_submissions_recover },
   { "/load/drawn-faults", test_random_faults_during_loads_recover },
+  { "/load/drawn-single-restart", test_restarted_node_joins_once },
 };
 
 int
