Replica: a write that is confirmed late doesn't restore a removed key

What callers would see: a controller whose replica has a record that the store has removed, for example its own leader record.

Cause: the version of a removed key is dropped once the watch has passed the removal. A node applies its own write when the store confirms it; if the confirmation is slower than the watch that delivers the write and its removal, the key counts as new and its old value is applied.

Change: a version that isn't above the replica's revision, of a key without a recorded version, is refused, except while pages are being read.

Test: /storage/late-confirmation. Before: the old mark is applied; after: refused.

--- a/src/storage/ws-replica-apply.c
+++ b/src/storage/ws-replica-apply.c
@@ -69,11 +69,21 @@
          && !ws_replica_has_job_of_chunk(replica, key + strlen(WS_KEY_PREFIX_CHUNK));
 }
 
+/* Whether the replica has this version of the key or a newer one. Without a recorded version, the
+   key was removed at a revision that the replica has reached, except while pages are being read:
+   such a version is an own write that the store confirms late. */
+static gboolean
+is_outdated(const WsReplica *replica, const WsKeyVersion *newest, guint64 version)
+{
+  return newest != NULL ? newest->version >= version
+                        : !replica->is_loading && version <= replica->revision;
+}
+
 gboolean
 ws_replica_apply(WsReplica *replica, const char *key, const json_t *value, guint64 version)
 {
   WsKeyVersion *newest = g_hash_table_lookup(replica->versions, key);
-  if (newest != NULL && newest->version >= version)
+  if (is_outdated(replica, newest, version))
     return FALSE;
   if (lacks_referenced_record(replica, key, value)) {
     g_info("record %s, version %" G_GUINT64_FORMAT
@@ -116,7 +126,7 @@
 }
 
 /* Also drops the versions of removed keys. The version of a removed key is kept until the watch has
-   passed its removal; after that, no older value of the key can arrive. */
+   passed its removal; after that, is_outdated() refuses older values of the key. */
 void
 ws_replica_advance(WsReplica *replica, guint64 revision)
 {
--- a/tests/test-storage.c
+++ b/tests/test-storage.c
@@ -193,6 +193,24 @@
   ws_replica_free(replica);
 }
 
+/* Guards against a removed record that comes back: a node's own write, whose confirmation arrives
+   after the watch has delivered the write and a later removal. */
+static void
+test_late_confirmation_does_not_restore_removed_key(void)
+{
+  g_autoptr(WsSettings) settings = ws_test_settings(0);
+  g_autoptr(json_t) mark = ws_mark_encode("idle", FALSE);
+  WsReplica *replica = ws_replica_new(settings);
+  ws_replica_apply(replica, "w/mark/m-1", mark, 4);
+  ws_replica_apply(replica, "w/mark/m-1", NULL, 5);
+  ws_replica_advance(replica, 5);
+  g_assert_false(ws_replica_apply(replica, "w/mark/m-1", mark, 4));
+  g_assert_false(ws_replica_find_machine(replica, "m-1")->is_marked);
+  g_assert_cmpuint(ws_replica_version(replica, "w/mark/m-1"), ==, 0);
+  g_assert_true(ws_replica_apply(replica, "w/mark/m-1", mark, 6));
+  ws_replica_free(replica);
+}
+
 static void
 add_teams(WsSettings *settings, guint count)
 {
@@ -242,6 +260,7 @@
   { "/storage/forget", test_full_read_removes_missing_older_keys },
   { "/storage/damaged", test_damaged_chunk_is_logged_and_ignored },
   { "/storage/chunk-before-job", test_chunk_read_before_its_job_is_applied_later },
+  { "/storage/late-confirmation", test_late_confirmation_does_not_restore_removed_key },
   { "/storage/team-use", test_team_use_is_read_as_written },
 };
 
