Log: direct calls, reaps and conclusions from absence, with the tokens they rest on

The records of the incident show a copy of an answered launch that was carried out again; the controllers' own output couldn't have shown it. No line named a direct call, its token or its answer, and a reap was written at debug only, without its reason. Who leads under which epoch and when the replica was read are logged already.

No decision changes.

--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -204,6 +204,7 @@
   ws_cloud_list_reconcile_tick(core);
   ws_garbage_tick(core);
   log_write_stats(core);
+  ws_workers_log_command_stats(core);
 }
 
 void
--- a/src/protocol/ws-heartbeat.c
+++ b/src/protocol/ws-heartbeat.c
@@ -224,6 +224,16 @@
   return command;
 }
 
+char *
+ws_command_describe(const json_t *command)
+{
+  guint64 attempt = 0;
+  (void)ws_json_uint64(command, WS_FIELD_ATTEMPT, &attempt);
+  return g_strdup_printf("%s %s@%" G_GUINT64_FORMAT,
+                         json_string_value(json_object_get(command, WS_FIELD_OPERATION)),
+                         json_string_value(json_object_get(command, WS_FIELD_TASK)), attempt);
+}
+
 json_t *
 ws_heartbeat_response_encode(guint64 fencing_token, json_t *commands)
 {
--- a/src/protocol/ws-heartbeat.h
+++ b/src/protocol/ws-heartbeat.h
@@ -96,6 +96,9 @@
 /** Encodes a command. @grace_s: grace period in seconds, used by WS_OP_HALT only */
 json_t *ws_command_encode(WsOp op, const char *job, guint task, guint64 attempt, double grace_s);
 
+/** Describes an encoded command for the log, as "launch req-1/0@2". The caller frees it. */
+char *ws_command_describe(const json_t *command);
+
 /** Encodes the response to a heartbeat. Takes ownership of @commands. */
 json_t *ws_heartbeat_response_encode(guint64 fencing_token, json_t *commands);
 
--- a/src/workers/ws-reconciliation.c
+++ b/src/workers/ws-reconciliation.c
@@ -72,6 +72,22 @@
          ws_replica_version(replica, chunk_key));
 }
 
+/* Logs why the worker may drop its record of the exited task. */
+static void
+log_reap(const Reconciliation *run, const WsTaskStatus *task)
+{
+  const WsReplica *replica = run->core->replica;
+  g_autofree char *chunk_key = ws_key_chunk(task->job, task->task / WS_CHUNK_TASKS);
+  g_info("reaping task %s/%u on machine %s: attempt %" G_GUINT64_FORMAT
+         " is not assigned to it at revision %" G_GUINT64_FORMAT
+         " (chunk record version %" G_GUINT64_FORMAT "); heartbeat %" G_GUINT64_FORMAT
+         " has fencing token %" G_GUINT64_FORMAT ", the answer %" G_GUINT64_FORMAT,
+         task->job, task->task, run->machine->name, task->attempt, replica->revision,
+         ws_replica_version(replica, chunk_key), run->heartbeat->sequence,
+         run->heartbeat->fencing_token, replica->epoch.number);
+  ws_command_stats_add(run->core, WS_COMMAND_REAP);
+}
+
 /* Halts a task that the records don't assign to this machine, or reaps it if it has exited. */
 static void
 handle_unassigned_task(Reconciliation *run, const WsTaskStatus *task)
@@ -82,6 +98,7 @@
     log_unassigned_task(run, task);
     add_command(run, WS_OP_HALT, task->job, task->task, task->attempt, 0.0);
   } else if (is_conclusive(run)) {
+    log_reap(run, task);
     add_command(run, WS_OP_REAP, task->job, task->task, task->attempt, 0.0);
   }
 }
@@ -119,6 +136,20 @@
          || ws_releases_is_pending(run->core, job, assignment);
 }
 
+/* Logs why a task that the worker doesn't report is released. */
+static void
+log_absence(const Reconciliation *run, const WsJob *job, const WsAssignment *assignment)
+{
+  if (ws_releases_is_pending(run->core, job, assignment))
+    return;
+  g_info("task %s/%u is not on machine %s and won't be launched: attempt %" G_GUINT64_FORMAT
+         "; heartbeat %" G_GUINT64_FORMAT " of incarnation %" G_GUINT64_FORMAT
+         " has fencing token %" G_GUINT64_FORMAT ", epoch %" G_GUINT64_FORMAT,
+         job->id, assignment->task, run->machine->name, assignment->attempt,
+         run->heartbeat->sequence, run->heartbeat->incarnation, run->heartbeat->fencing_token,
+         run->core->replica->epoch.number);
+}
+
 /* Launches an assigned task that is missing from the heartbeat. If it must not be launched any
    more, releases it instead, as soon as the heartbeat proves that the task is gone. The launch is
    repeated with each heartbeat until the task is reported. A task isn't launched while this node
@@ -127,8 +158,10 @@
 handle_absent_task(Reconciliation *run, WsJob *job, WsAssignment *assignment)
 {
   if (must_not_launch(run, job, assignment)) {
-    if (is_conclusive(run))
+    if (is_conclusive(run)) {
+      log_absence(run, job, assignment);
       ws_releases_add_reported(run->core, job, assignment, WS_EVIDENCE_ABSENT, FALSE);
+    }
     return;
   }
   if (ws_authority_check_launch(run->core) != WS_REFUSAL_NONE)
--- a/src/workers/ws-worker-rpc.c
+++ b/src/workers/ws-worker-rpc.c
@@ -24,6 +24,7 @@
   guint64 fencing_token;
   guint64 incarnation;
   gboolean has_launches;
+  gint64 sent_ms;
 } CommandCall;
 
 /* Whether the call's launches are still indeterminate: since the call was sent, the worker has
@@ -36,6 +37,50 @@
          && machine->worker.indeterminate_incarnation == call->incarnation;
 }
 
+/* Lists the commands as "launch req-1/0@2": operation, task and attempt. The caller frees it. */
+static char *
+describe_commands(const json_t *commands)
+{
+  GString *text = g_string_new(NULL);
+  for (size_t i = 0; i < json_array_size(commands); i++) {
+    g_autofree char *command = ws_command_describe(json_array_get(commands, i));
+    g_string_append_printf(text, "%s%s", i > 0 ? ", " : "", command);
+  }
+  return g_string_free(text, FALSE);
+}
+
+static void
+log_call(const WsMachine *machine, const CommandCall *call, const json_t *commands)
+{
+  g_autofree char *text = describe_commands(commands);
+  g_info("direct call to machine %s with fencing token %" G_GUINT64_FORMAT
+         ", incarnation %" G_GUINT64_FORMAT ": %s",
+         machine->name, call->fencing_token, call->incarnation, text);
+}
+
+/* @heartbeat: the worker's status in the reply, or NULL */
+static void
+log_reply(const WsCore *core, const WsMachine *machine, const CommandCall *call, guint status,
+          const WsHeartbeat *heartbeat)
+{
+  g_info("direct call to machine %s with fencing token %" G_GUINT64_FORMAT
+         ": status %u after %" G_GINT64_FORMAT " ms, worker has fencing token %" G_GUINT64_FORMAT
+         ", incarnation %" G_GUINT64_FORMAT ", message %" G_GUINT64_FORMAT,
+         machine->name, call->fencing_token, status, core->now_ms - call->sent_ms,
+         heartbeat != NULL ? heartbeat->fencing_token : 0,
+         heartbeat != NULL ? heartbeat->incarnation : 0,
+         heartbeat != NULL ? heartbeat->sequence : 0);
+}
+
+static void
+count_reply(const WsCore *core, guint status)
+{
+  if (status == WS_HTTP_NO_RESPONSE)
+    ws_command_stats_add(core, WS_COMMAND_UNANSWERED);
+  else if (status == WS_HTTP_CONFLICT)
+    ws_command_stats_add(core, WS_COMMAND_REJECTED);
+}
+
 static void
 on_command_reply(WsCore *core, guint status, const json_t *body, gpointer data)
 {
@@ -46,6 +91,9 @@
     machine->worker.indeterminate_launches--;
   g_autoptr(WsHeartbeat) heartbeat
       = ws_heartbeat_parse_command_response(status, body, machine->name);
+  count_reply(core, status);
+  if (call->has_launches)
+    log_reply(core, machine, call, status, heartbeat);
   if (heartbeat != NULL && ws_owns_machine(core, machine))
     ws_workers_apply_status(core, machine, heartbeat);
 }
@@ -66,10 +114,12 @@
 {
   CommandCall *call = g_new0(CommandCall, 1);
   *call = (CommandCall){ machine->index, core->replica->epoch.number, machine->worker.incarnation,
-                         has_launches };
+                         has_launches, core->now_ms };
   core->workers->rpcs_in_flight++;
-  if (has_launches)
+  if (has_launches) {
+    log_call(machine, call, commands);
     record_indeterminate_launch(core, machine, call);
+  }
   ws_call(core, "POST", machine->worker.endpoint, "/commands",
           ws_command_request_encode(call->fencing_token, call->incarnation, commands),
           COMMAND_TIMEOUT_MS, on_command_reply, call);
@@ -115,6 +165,7 @@
       continue;
     json_array_append_new(commands, ws_command_encode(WS_OP_LAUNCH, job->id, assignment->task,
                                                       assignment->attempt, 0.0));
+    ws_command_stats_add(core, WS_COMMAND_DIRECT_LAUNCH);
   }
   if (json_array_size(commands) > 0)
     send_commands(core, machine, g_steal_pointer(&commands), TRUE);
--- a/src/workers/ws-workers-private.h
+++ b/src/workers/ws-workers-private.h
@@ -6,6 +6,18 @@
 
 #include "workers/ws-workers.h"
 
+/** Counts of commands since they were last logged. */
+typedef struct _WsCommandStats WsCommandStats;
+
+/** What is counted. */
+typedef enum {
+  WS_COMMAND_DIRECT_LAUNCH, /**< a launch in a direct call */
+  WS_COMMAND_REJECTED,      /**< a direct call answered with 409 */
+  WS_COMMAND_UNANSWERED,    /**< a direct call without an answer */
+  WS_COMMAND_REAP,
+  WS_COMMAND_EVENT_COUNT
+} WsCommandEvent;
+
 /** Halt calls in flight for cancelled tasks, and the retry time of each machine. */
 typedef struct _WsCancelledTasks WsCancelledTasks;
 
@@ -13,8 +25,18 @@
 struct _WsWorkers {
   guint rpcs_in_flight; /**< calls sent by ws-worker-rpc.c */
   WsCancelledTasks *cancelled_tasks;
+  WsCommandStats *command_stats;
 };
 
+/** Creates counts of zero. The caller frees them. */
+WsCommandStats *ws_command_stats_new(void);
+
+/** Frees the counts. @stats: not NULL */
+void ws_command_stats_free(WsCommandStats *stats);
+
+/** Counts one event. */
+void ws_command_stats_add(const WsCore *core, WsCommandEvent event);
+
 /** Creates the state of halts, with no call in flight. The caller frees it. */
 WsCancelledTasks *ws_cancelled_tasks_new(void);
 
--- a/src/workers/ws-workers.c
+++ b/src/workers/ws-workers.c
@@ -25,6 +25,7 @@
 {
   WsWorkers *workers = g_new0(WsWorkers, 1);
   workers->cancelled_tasks = ws_cancelled_tasks_new();
+  workers->command_stats = ws_command_stats_new();
   return workers;
 }
 
@@ -32,6 +33,7 @@
 ws_workers_free(WsWorkers *workers)
 {
   ws_cancelled_tasks_free(workers->cancelled_tasks);
+  ws_command_stats_free(workers->command_stats);
   g_free(workers);
 }
 
--- a/src/workers/ws-workers.h
+++ b/src/workers/ws-workers.h
@@ -42,6 +42,9 @@
 /** Handles a heartbeat that another node relays, see ws-relay-message.h. */
 void ws_relay_handle_request(WsCore *core, const json_t *message, gpointer request);
 
+/** Logs the counts of commands to workers, if the last time was long enough ago. */
+void ws_workers_log_command_stats(WsCore *core);
+
 /**
  * Halts the remaining tasks of cancelled jobs. Requests the return of machines that don't confirm
  * the halt in time.
