Tests: calls that were carried out and answered arrive again (red)

The simulated world knew repeated reports, and repeated calls only within 3 s of a lossy network. Now a share of the calls to workers, to the store and to the cloud that were carried out arrive once more, 1 s to 40 s later; a share of the tasks that start end with an error; and a machine keeps the images that it has fetched, as the protocol says, so that a copy starts its task at once.

/late-copies/drawn plays short tasks that fail, end and are cancelled, under one epoch. It fails for the cause of the incident: a copy of an answered launch starts an attempt that the worker has reaped.

--- /dev/null
+++ b/tests/late-copies/simulated.c
@@ -0,0 +1,73 @@
+/**
+ * Three controllers with their users, workers and network, in which calls that were carried out and
+ * answered arrive again. The simulation's checker fails on a task that starts twice, on a team that
+ * exceeds its quota and on a cancelled task that runs.
+ */
+#include "late-copies/late-copies.h"
+
+#include "sim/fault-injection.h"
+
+#define FIRST_SEED 6000
+#define SEEDS 12
+#define COPIES 0.9
+#define FAILURES 0.5
+#define ROUNDS 25
+#define ROUND_S 2.0
+
+/* Short jobs of both teams, whose tasks may run on any machine. */
+static void
+submit_short_jobs(Sim *sim)
+{
+  GRand *rand = sim_rand(sim);
+  for (guint i = 0; i < 2; i++) {
+    SimJob job = { .tasks = (guint)g_rand_int_range(rand, 2, 7),
+                   .team = i == 0 ? "red" : "blue",
+                   .priority = "standard",
+                   .run_s = g_rand_double_range(rand, 2.0, 12.0) };
+    sim_submit(sim, &job);
+  }
+}
+
+/* Copies arrive while tasks end, fail, are cancelled and are assigned again, under one epoch. */
+static Sim *
+new_cluster_with_copies(guint32 seed)
+{
+  Sim *sim = sim_new(seed);
+  sim_properties(sim)->idle_timeout_s = 600.0;
+  sim_scatter_job_ids(sim);
+  sim_run(sim, 3.0);
+  submit_short_jobs(sim);
+  sim_run(sim, 15.0);
+  sim_faults(sim)->repeated_calls = COPIES;
+  sim_faults(sim)->failing_tasks = FAILURES;
+  return sim;
+}
+
+static void
+expect_recovery(Sim *sim)
+{
+  sim_properties(sim)->idle_timeout_s = 5.0;
+  sim_expect_recovery(sim);
+  sim_free(sim);
+}
+
+static void
+run_failures_and_cancellations(guint32 seed)
+{
+  Sim *sim = new_cluster_with_copies(seed);
+  for (guint i = 0; i < ROUNDS; i++) {
+    submit_short_jobs(sim);
+    if (g_rand_int_range(sim_rand(sim), 0, 3) == 0)
+      sim_cancel_random_job(sim);
+    sim_run(sim, ROUND_S);
+  }
+  expect_recovery(sim);
+}
+
+/* Guards against a copy of an answered launch that starts a task again after the worker has reaped
+   it: the task runs elsewhere meanwhile, its team is at its quota, or its job is cancelled. */
+void
+test_failed_and_cancelled_tasks_survive_late_copies(void)
+{
+  sim_play_seeds(FIRST_SEED, SEEDS, run_failures_and_cancellations);
+}
--- a/tests/sim/sim-checker.c
+++ b/tests/sim/sim-checker.c
@@ -79,6 +79,9 @@
             task->task);
 }
 
+/* The longest time that a task runs before it fails. */
+#define MAX_FAILURE_DELAY_MS 1500
+
 void
 sim_step_task(Sim *sim, Machine *machine, SimTask *task)
 {
@@ -87,6 +90,7 @@
   if (sim->now_ms < task->next_step_ms || !sim_describe_task(sim, task->job, task->task, &run_s))
     return;
   if (strcmp(task->state, "fetching") == 0) {
+    sim_worker_add_image(machine->worker, task->job);
     gboolean is_gang = sim_find_job(sim, task->job)->spec.gang;
     if (is_gang)
       sim_check_one_attempt(sim, task);
@@ -97,7 +101,14 @@
     }
     sim_find_job(sim, task->job)->has_started = TRUE;
     task->state = "running";
+    task->fails = sim_draw_chance(sim, sim->faults.failing_tasks);
     task->next_step_ms = run_s < 0.0 ? G_MAXINT64 : sim->now_ms + (gint64)(run_s * 1000.0);
+    if (task->fails)
+      task->next_step_ms = sim->now_ms + g_rand_int_range(sim->rand, 100, MAX_FAILURE_DELAY_MS);
+    machine->next_heartbeat_ms = MIN(machine->next_heartbeat_ms, sim->now_ms + 500);
+  } else if (strcmp(task->state, "running") == 0 && task->fails) {
+    task->state = "exited";
+    task->why = "error";
     machine->next_heartbeat_ms = MIN(machine->next_heartbeat_ms, sim->now_ms + 500);
   } else if (strcmp(task->state, "running") == 0 && !sim_find_job(sim, task->job)->spec.gang) {
     task->state = "exited";
--- a/tests/sim/sim-faults.c
+++ b/tests/sim/sim-faults.c
@@ -163,6 +163,16 @@
   machine->next_heartbeat_ms = sim->now_ms + 300;
 }
 
+void
+sim_reset_random_machine(Sim *sim)
+{
+  Machine *machine = draw_running_machine(sim);
+  if (machine == NULL)
+    return;
+  sim_worker_begin_anew(machine->worker, sim->now_ms);
+  machine->next_heartbeat_ms = sim->now_ms + 300;
+}
+
 void
 sim_end_faults(Sim *sim)
 {
--- a/tests/sim/sim-network.c
+++ b/tests/sim/sim-network.c
@@ -4,6 +4,7 @@
 #include "sim/sim-private.h"
 #include "sim/trace.h"
 
+#include <math.h>
 #include <string.h>
 
 double
@@ -57,6 +58,7 @@
 }
 
 static void handle_worker_reply(Sim *sim, Call *call);
+static void route_copy(Sim *sim, gpointer data);
 
 static gboolean
 is_from_node(const Call *call)
@@ -153,6 +155,36 @@
   sim_deliver_outputs(sim, node);
 }
 
+/* The copy of a call arrives 1 s to 40 s after the call, when nobody waits for its answer. */
+#define MIN_COPY_DELAY_MS 1000.0
+#define MAX_COPY_DELAY_FACTOR 40.0
+
+/* Each factor of the delay is as likely as another, so that most copies are a few seconds late. */
+static gint64
+draw_copy_delay_ms(Sim *sim)
+{
+  return (gint64)(MIN_COPY_DELAY_MS * pow(MAX_COPY_DELAY_FACTOR, g_rand_double(sim->rand)));
+}
+
+/* Has a copy of a call from a node, which was carried out, arrive again. */
+static void
+schedule_copy(Sim *sim, Call *call)
+{
+  if (call->has_copy || !is_from_node(call) || !sim_draw_chance(sim, sim->faults.repeated_calls))
+    return;
+  call->has_copy = TRUE;
+  call->refs++;
+  sim_schedule(sim, draw_copy_delay_ms(sim), route_copy, call);
+}
+
+/* Has a copy of a call that changes something arrive again. */
+static void
+schedule_copy_of_post(Sim *sim, Call *call)
+{
+  if (strcmp(call->method, "POST") == 0)
+    schedule_copy(sim, call);
+}
+
 static void
 deliver_to_worker(Sim *sim, Call *call, Machine *machine)
 {
@@ -163,6 +195,8 @@
   }
   guint status = sim_worker_handle_commands(machine->worker, sim->now_ms, call->body, &report,
                                             sim_describe_task, sim);
+  if (status == 200)
+    schedule_copy(sim, call);
   sim_reply_to_call(call, status, report);
 }
 
@@ -292,6 +326,14 @@
                       ignore_store_reply, call);
 }
 
+static void
+carry_out_in_store(Sim *sim, Call *call)
+{
+  schedule_copy_of_post(sim, call);
+  sim_store_request(sim->store, sim->now_ms, call->method, call->path, call->body,
+                    handle_store_reply, call);
+}
+
 static void
 deliver_to_store(Sim *sim, Call *call)
 {
@@ -303,8 +345,18 @@
            && sim_draw_chance(sim, sim->faults.delayed_transactions))
     sim_schedule(sim, g_rand_int_range(sim->rand, 2000, 12000), apply_delayed_transaction, call);
   else
-    sim_store_request(sim->store, sim->now_ms, call->method, call->path, call->body,
-                      handle_store_reply, call);
+    carry_out_in_store(sim, call);
+}
+
+/* Delivers the copy of a call that has its answer. */
+static void
+route_copy(Sim *sim, gpointer data)
+{
+  Call *call = data;
+  if (strcmp(call->address, "state:1") == 0)
+    apply_delayed_transaction(sim, call);
+  else
+    route_call(sim, call);
 }
 
 static void
@@ -314,6 +366,7 @@
   if (strcmp(call->address, "state:1") == 0) {
     deliver_to_store(sim, call);
   } else if (strcmp(call->address, "cloud:1") == 0) {
+    schedule_copy_of_post(sim, call);
     sim_send_to_cloud(sim, call);
   } else if (g_str_has_prefix(call->address, "w-")) {
     route_to_machine(sim, call);
--- a/tests/sim/sim-private.h
+++ b/tests/sim/sim-private.h
@@ -120,6 +120,7 @@
 typedef struct {
   Sim *sim;
   guint refs;
+  gboolean has_copy;    /* a copy of it arrives, or has arrived, once more */
   gboolean is_finished; /* the caller has got an answer or timed out */
   /* the caller: a run of a node's controller, a machine, or a user */
   guint node;
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -45,7 +45,11 @@
   guint isolated_nodes;  /* bit mask of the nodes that reach neither the store nor other nodes */
   /* probability that a copy of a heartbeat arrives up to four leases later */
   double duplicated_heartbeats;
-  guint max_machines; /* that the cloud rents out in total, returned ones excluded; 0: no limit */
+  /* probability that a call to a worker, the store or the cloud that was carried out and answered
+   * arrives there again, 1 s to 40 s later */
+  double repeated_calls;
+  double failing_tasks; /* probability that a task that starts ends with an error */
+  guint max_machines;   /* that the cloud rents out in total, returned ones excluded; 0: no limit */
   gboolean cloud_unavailable; /* the cloud answers every request with 503 */
   gboolean cloud_is_full;     /* the cloud answers rental requests with 503 */
 } SimFaults;
@@ -154,6 +158,11 @@
 void sim_interrupt_machine(Sim *sim, guint machine, double seconds);
 /** Does the same as sim_block_outbound() to a random machine that is up. */
 void sim_block_outbound_of_random_machine(Sim *sim, double seconds);
+/**
+ * Restarts a random machine that is up, which forgets its incarnation, its messages and its fencing
+ * token too, and reports anew after 0.3 s.
+ */
+void sim_reset_random_machine(Sim *sim);
 /** Restarts a random machine that is up: it drops its tasks and reports anew after 0.3 s. */
 void sim_restart_random_machine(Sim *sim);
 /**
--- a/tests/sim/worker.c
+++ b/tests/sim/worker.c
@@ -8,6 +8,8 @@
 #include <string.h>
 
 #define IMAGE_FETCH_MS 2000
+/* Time until a task starts whose image the machine has already. */
+#define CACHED_IMAGE_MS 20
 
 static void
 task_clear(gpointer data)
@@ -27,6 +29,7 @@
   worker->renewed_ms = now_ms;
   worker->tasks = g_array_new(FALSE, TRUE, sizeof(SimTask));
   g_array_set_clear_func(worker->tasks, task_clear);
+  worker->images = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   return worker;
 }
 
@@ -35,9 +38,26 @@
 {
   g_free(worker->name);
   g_array_unref(worker->tasks);
+  g_hash_table_unref(worker->images);
   g_free(worker);
 }
 
+void
+sim_worker_add_image(SimWorker *worker, const char *job)
+{
+  g_hash_table_add(worker->images, g_strdup(job));
+}
+
+void
+sim_worker_begin_anew(SimWorker *worker, gint64 now_ms)
+{
+  g_array_set_size(worker->tasks, 0);
+  worker->incarnation = 1;
+  worker->sequence = 0;
+  worker->fencing_token = 0;
+  worker->renewed_ms = now_ms;
+}
+
 SimTask *
 sim_worker_find(SimWorker *worker, const char *job, guint task)
 {
@@ -91,6 +111,13 @@
   return count;
 }
 
+/* Each job has an image of its own. A machine that has fetched it keeps it. */
+static gint64
+fetch_time_ms(const SimWorker *worker, const char *job)
+{
+  return g_hash_table_contains(worker->images, job) ? CACHED_IMAGE_MS : IMAGE_FETCH_MS;
+}
+
 static void
 launch_task(SimWorker *worker, gint64 now_ms, const char *job, guint number, guint64 attempt,
             SimDescribeTask describe, gpointer user_data)
@@ -101,7 +128,7 @@
                    .task = number,
                    .attempt = attempt,
                    .state = "fetching",
-                   .next_step_ms = now_ms + IMAGE_FETCH_MS };
+                   .next_step_ms = now_ms + fetch_time_ms(worker, job) };
   if (existing != NULL && existing->attempt == attempt) {
     g_free(task.job);
     return;
--- a/tests/sim/worker.h
+++ b/tests/sim/worker.h
@@ -19,6 +19,7 @@
   gint64 next_step_ms; /* when its image is fetched, its run is over, or its progress is saved */
   gint64 save_ms;      /* of a running task of a gang: time to save when it is stopped; else 0 */
   gint64 gathered_ms;  /* of a task of a gang: since when it waits for the others */
+  gboolean fails;      /* its run ends with an error */
   gboolean saved;      /* it has exited with its progress saved */
 } SimTask;
 
@@ -37,6 +38,7 @@
   gint64 renewed_ms;      /* when the last acknowledged heartbeat was sent */
   gint64 interruption_ms; /* when the cloud reclaims the machine; 0: no notice */
   GArray *tasks;          /* of SimTask */
+  GHashTable *images;     /* set of the ids of the jobs whose images it has */
 } SimWorker;
 
 /**
@@ -60,5 +62,9 @@
                                  json_t **report, SimDescribeTask describe, gpointer user_data);
 /** Drops all tasks and begins a new incarnation if the lease has expired. */
 void sim_worker_check_lease(SimWorker *worker, gint64 now_ms, gint64 lease_ms);
+/** Records that the worker has the image of the job. */
+void sim_worker_add_image(SimWorker *worker, const char *job);
+/** Has the worker forget everything but its images, and count its messages and tokens from 0. */
+void sim_worker_begin_anew(SimWorker *worker, gint64 now_ms);
 /** Returns the task on the worker, or NULL. */
 SimTask *sim_worker_find(SimWorker *worker, const char *job, guint task);
