Workers: a restarted worker's token is raised whatever its sequence

It was answered with a token above all direct launches only if its heartbeat was older than the last one. If its first heartbeats were lost and a later one has a higher sequence than the last one known, it got the token that the launches carried, and a copy of one could start an attempt whose exit it had held.

Now a heartbeat with a lower token than the worker has shown is answered with one above the launches, in each case.

--- a/src/workers/ws-reconciliation.c
+++ b/src/workers/ws-reconciliation.c
@@ -301,11 +301,11 @@
   update_fence_wait(run);
 }
 
-/* Handles a heartbeat that isn't newer than the last one. If it has a lower fencing token, it is a
-   delayed copy, or comes from a worker that was restarted and knows no token. Such a worker would
-   carry out any copy of a direct launch, so the answer raises its token above theirs. */
+/* A heartbeat with a lower fencing token than the worker has shown is a delayed copy, or comes from
+   a worker that was restarted and knows no token. Such a worker holds no exited attempt any more
+   and would carry out any copy of a direct launch, so the answer raises its token above theirs. */
 static void
-handle_outdated_heartbeat(const Reconciliation *run)
+fence_restarted_worker(const Reconciliation *run)
 {
   if (run->heartbeat->fencing_token < run->machine->worker.fencing_token)
     (void)fence_by_answer(run);
@@ -325,12 +325,11 @@
                          .has_current_token = ws_epoch_has_token(epoch, heartbeat->fencing_token),
                          .replica_is_behind = !ws_has_caught_up_with_epoch(core) };
   gboolean was_usable = ws_machine_is_up(core, machine) && machine->worker.interruption_ms == 0;
+  fence_restarted_worker(&run);
   if (ws_worker_status_apply_header(core, machine, heartbeat)) {
     reconcile(&run);
     core->replan_is_needed
         = core->replan_is_needed || !was_usable || machine->worker.interruption_ms > 0;
-  } else {
-    handle_outdated_heartbeat(&run);
   }
   machine->worker.issued_token = ws_fencing_token(core->replica, machine);
   return ws_heartbeat_response_encode(machine->worker.issued_token, run.commands);
--- a/tests/late-copies/one-node.c
+++ b/tests/late-copies/one-node.c
@@ -101,6 +101,16 @@
   fixture_free(fixture);
 }
 
+/* The same if the heartbeat is newer, since earlier ones of the restarted worker were lost. */
+void
+test_restarted_worker_with_newer_heartbeat_gets_higher_token(void)
+{
+  Fixture *fixture = fixture_new_with_job(TRUE);
+  fixture_send_heartbeat(fixture, 0, json_array());
+  g_assert_cmpuint(fixture_answered_token(fixture), ==, 2);
+  fixture_free(fixture);
+}
+
 /* Another node's answer in place of the machine's owner has the worker's own token: a lower one
    would be dropped by the worker, a higher one would have it refuse the owner's commands. */
 void
--- a/tests/test-late-copies.c
+++ b/tests/test-late-copies.c
@@ -16,6 +16,8 @@
     test_launch_reaps_held_exit_under_higher_token },
   { "/late-copies/rejected-launch-is-sent-again", test_rejected_launch_is_sent_again },
   { "/late-copies/restarted-worker-gets-higher-token", test_restarted_worker_gets_higher_token },
+  { "/late-copies/restarted-worker-with-newer-heartbeat-gets-higher-token",
+    test_restarted_worker_with_newer_heartbeat_gets_higher_token },
   { "/late-copies/answer-without-owner-keeps-token", test_answer_without_owner_keeps_token },
   { "/late-copies/single-token-reaps-in-next-epoch", test_single_token_reaps_in_next_epoch },
   { "/late-copies/single-token-bumps-epoch-for-many-exits",
