Workers: a worker that never shows a raised token is outbound unreachable

Since the owner raises a machine's token instead of asking for an epoch, a release that waits for the higher token would wait for ever if the worker's answers are lost while its heartbeats arrive: they keep a token of the epoch, and nothing else counted them as unacknowledged. Before, the new epoch's token was missing from them.

Now a heartbeat with a lower token than was sent to the worker counts as unacknowledged.

Run: /late-copies/worker-without-raised-token-is-terminated failed before (no mark), passes now; test-core, -evidence, -gangs, -regressions, -size, -upgrade and -late-copies pass.

--- a/src/workers/ws-reconciliation.c
+++ b/src/workers/ws-reconciliation.c
@@ -22,6 +22,7 @@
   gboolean replica_is_behind; /* the replica hasn't caught up with the epoch */
   gboolean has_halts;
   gboolean has_repeated_launch; /* a task launched earlier is missing from the heartbeat */
+  gboolean lacks_issued_token;  /* the heartbeat has a lower token than was sent to the worker */
   gboolean waits_for_fence; /* a release or launch waits for a token that the epoch doesn't have */
 } Reconciliation;
 
@@ -249,14 +250,14 @@
 
 /* Records since when the heartbeats don't reflect the commands that were sent. If a machine is
    outbound unreachable (its heartbeats arrive, but answers and commands don't reach it), its
-   heartbeats lack the current fencing token or launched tasks, or still show halted tasks. */
+   heartbeats lack the fencing token that was sent or launched tasks, or still show halted tasks. */
 static void
 update_unacknowledged(const Reconciliation *run)
 {
   WsMachine *machine = run->machine;
   machine->worker.consecutive_halts = run->has_halts ? machine->worker.consecutive_halts + 1 : 0;
-  gboolean is_unacknowledged = run->has_repeated_launch || !run->has_current_token
-                               || machine->worker.consecutive_halts > 1;
+  gboolean is_unacknowledged = run->lacks_issued_token || run->has_repeated_launch
+                               || !run->has_current_token || machine->worker.consecutive_halts > 1;
   if (!is_unacknowledged)
     machine->worker.unacknowledged_since_ms = 0;
   else if (machine->worker.unacknowledged_since_ms == 0)
@@ -318,12 +319,14 @@
   WsMachine *machine = ws_replica_ensure_machine(core->replica, heartbeat->machine);
   ws_replica_set_machine_attributes(core->replica, machine, heartbeat->type, heartbeat->zone,
                                     heartbeat->is_spot);
-  Reconciliation run = { .core = core,
-                         .machine = machine,
-                         .heartbeat = heartbeat,
-                         .commands = json_array(),
-                         .has_current_token = ws_epoch_has_token(epoch, heartbeat->fencing_token),
-                         .replica_is_behind = !ws_has_caught_up_with_epoch(core) };
+  Reconciliation run
+      = { .core = core,
+          .machine = machine,
+          .heartbeat = heartbeat,
+          .commands = json_array(),
+          .has_current_token = ws_epoch_has_token(epoch, heartbeat->fencing_token),
+          .lacks_issued_token = heartbeat->fencing_token < machine->worker.issued_token,
+          .replica_is_behind = !ws_has_caught_up_with_epoch(core) };
   gboolean was_usable = ws_machine_is_up(core, machine) && machine->worker.interruption_ms == 0;
   fence_restarted_worker(&run);
   if (ws_worker_status_apply_header(core, machine, heartbeat)) {
--- a/tests/late-copies/late-copies.h
+++ b/tests/late-copies/late-copies.h
@@ -22,5 +22,6 @@
 void test_restarted_worker_gets_higher_token(void);
 void test_restarted_worker_with_newer_heartbeat_gets_higher_token(void);
 void test_answer_without_owner_keeps_token(void);
+void test_worker_without_raised_token_is_terminated(void);
 void test_single_token_reaps_in_next_epoch(void);
 void test_single_token_bumps_epoch_for_many_exits(void);
--- a/tests/late-copies/one-node.c
+++ b/tests/late-copies/one-node.c
@@ -8,6 +8,7 @@
 #include "storage/ws-cluster-records.h"
 
 #define COMMIT_WAIT_S 1.0
+#define OUTBOUND_MARGIN_S 4.0
 #define PEER_TIMEOUT_S 8.0 /* n0 has entered the epoch with n1, and no longer reaches it */
 #define HELD_EXITS_BEFORE_BUMP 101
 
@@ -217,3 +218,20 @@
   g_assert_cmpuint(epoch_number(fixture), ==, number + 1);
   fixture_free(fixture);
 }
+
+/* A worker that never shows the raised token doesn't get its answers: what waits for the token must
+   not wait for ever, so the machine is outbound unreachable and is terminated. */
+void
+test_worker_without_raised_token_is_terminated(void)
+{
+  Fixture *fixture = fixture_new_with_job(TRUE);
+  fixture->properties->idle_timeout_s = 600.0;
+  guint heartbeats = (guint)((fixture->settings->lease_s + OUTBOUND_MARGIN_S) / COMMIT_WAIT_S);
+  for (guint i = 0; i < heartbeats; i++) {
+    fixture_send_heartbeat(fixture, 1, exited_attempt(1));
+    fixture_run(fixture, COMMIT_WAIT_S);
+  }
+  const json_t *mark = sim_store_get(fixture->store, "w/mark/m-1");
+  g_assert_cmpstr(json_string_value(json_object_get(mark, "why")), ==, "deaf");
+  fixture_free(fixture);
+}
--- a/tests/test-late-copies.c
+++ b/tests/test-late-copies.c
@@ -19,6 +19,8 @@
   { "/late-copies/restarted-worker-with-newer-heartbeat-gets-higher-token",
     test_restarted_worker_with_newer_heartbeat_gets_higher_token },
   { "/late-copies/answer-without-owner-keeps-token", test_answer_without_owner_keeps_token },
+  { "/late-copies/worker-without-raised-token-is-terminated",
+    test_worker_without_raised_token_is_terminated },
   { "/late-copies/single-token-reaps-in-next-epoch", test_single_token_reaps_in_next_epoch },
   { "/late-copies/single-token-bumps-epoch-for-many-exits",
     test_single_token_bumps_epoch_for_many_exits },
