--- a/src/workers/ws-reconciliation.c
+++ b/src/workers/ws-reconciliation.c
@@ -68,39 +68,6 @@
   return ws_termination_may_stop_task(core, machine, job, assignment);
 }
 
-/* Logs what this node knows of a task that it halts: a task that another record assigns is expected
-   here, while one of an unknown job or without any assignment may mean that the replica lacks a
-   record. */
-static void
-log_unassigned_task(const Reconciliation *run, const WsTaskStatus *task)
-{
-  const WsReplica *replica = run->core->replica;
-  g_autofree char *job_key = ws_key_job(task->job);
-  g_autofree char *chunk_key = ws_key_chunk(task->job, task->task / WS_CHUNK_TASKS);
-  g_info("halting task %s/%u on machine %s: attempt %" G_GUINT64_FORMAT
-         " is not assigned to it at revision %" G_GUINT64_FORMAT ", epoch %" G_GUINT64_FORMAT
-         " (job record version %" G_GUINT64_FORMAT ", chunk record version %" G_GUINT64_FORMAT ")",
-         task->job, task->task, run->machine->name, task->attempt, replica->revision,
-         replica->epoch.number, ws_replica_version(replica, job_key),
-         ws_replica_version(replica, chunk_key));
-}
-
-/* Logs why the worker may drop its record of the exited task. */
-static void
-log_reap(const Reconciliation *run, const WsTaskStatus *task)
-{
-  const WsReplica *replica = run->core->replica;
-  g_autofree char *chunk_key = ws_key_chunk(task->job, task->task / WS_CHUNK_TASKS);
-  g_info("reaping task %s/%u on machine %s: attempt %" G_GUINT64_FORMAT
-         " is not assigned to it at revision %" G_GUINT64_FORMAT
-         " (chunk record version %" G_GUINT64_FORMAT "); heartbeat %" G_GUINT64_FORMAT
-         " has fencing token %" G_GUINT64_FORMAT ", the answer %" G_GUINT64_FORMAT,
-         task->job, task->task, run->machine->name, task->attempt, replica->revision,
-         ws_replica_version(replica, chunk_key), run->heartbeat->sequence,
-         run->heartbeat->fencing_token, ws_fencing_token(replica, run->machine));
-  ws_command_stats_add(run->core, WS_COMMAND_REAP);
-}
-
 /* Reaps an exited task whose end is recorded. The answer also raises the worker's fencing token, so
    that no copy of a direct launch starts the task again. */
 static void
@@ -110,7 +77,8 @@
     run->machine->worker.unreapable_exits++;
     return;
   }
-  log_reap(run, task);
+  ws_command_log_reap(run->core, run->machine, run->heartbeat, task);
+  ws_command_stats_add(run->core, WS_COMMAND_REAP);
   add_command(run, WS_OP_REAP, task->job, task->task, task->attempt, 0.0);
 }
 
@@ -121,7 +89,7 @@
   if (run->replica_is_behind)
     return;
   if (task->state != WS_TASK_EXITED) {
-    log_unassigned_task(run, task);
+    ws_command_log_halt(run->core, run->machine, task);
     add_command(run, WS_OP_HALT, task->job, task->task, task->attempt, 0.0);
   } else if (run->has_current_token) {
     reap_task(run, task);
@@ -161,20 +129,6 @@
          || ws_releases_is_pending(run->core, job, assignment);
 }
 
-/* Logs why a task that the worker doesn't report is released. */
-static void
-log_absence(const Reconciliation *run, const WsJob *job, const WsAssignment *assignment)
-{
-  if (ws_releases_is_pending(run->core, job, assignment))
-    return;
-  g_info("task %s/%u is not on machine %s and won't be launched: attempt %" G_GUINT64_FORMAT
-         "; heartbeat %" G_GUINT64_FORMAT " of incarnation %" G_GUINT64_FORMAT
-         " has fencing token %" G_GUINT64_FORMAT ", epoch %" G_GUINT64_FORMAT,
-         job->id, assignment->task, run->machine->name, assignment->attempt,
-         run->heartbeat->sequence, run->heartbeat->incarnation, run->heartbeat->fencing_token,
-         run->core->replica->epoch.number);
-}
-
 /* Releases a task that is missing from the heartbeat and must not be launched any more. While a
    copy of a direct launch could start it, raises the worker's fencing token first; the next
    heartbeat then shows whether it has started. */
@@ -182,7 +136,7 @@
 release_absent_task(Reconciliation *run, const WsJob *job, const WsAssignment *assignment)
 {
   if (absence_is_final(run)) {
-    log_absence(run, job, assignment);
+    ws_command_log_absence(run->core, run->machine, run->heartbeat, job, assignment);
     ws_releases_add_reported(run->core, job, assignment, WS_EVIDENCE_ABSENT, FALSE);
   } else if (run->has_current_token && !fence_by_answer(run)) {
     run->waits_for_fence = TRUE;
--- a/src/workers/ws-workers-private.h
+++ b/src/workers/ws-workers-private.h
@@ -37,6 +37,22 @@
 /** Counts one event. */
 void ws_command_stats_add(const WsCore *core, WsCommandEvent event);
 
+/**
+ * Logs what this node knows of a task that it halts since the records don't assign it: a task that
+ * another record assigns is expected here, while one of an unknown job or without any assignment
+ * may mean that the replica lacks a record.
+ */
+void ws_command_log_halt(const WsCore *core, const WsMachine *machine, const WsTaskStatus *task);
+
+/** Logs why the worker may drop its record of the exited task. */
+void ws_command_log_reap(const WsCore *core, const WsMachine *machine, const WsHeartbeat *heartbeat,
+                         const WsTaskStatus *task);
+
+/** Logs why a task that the worker doesn't report is released, unless its release is pending. */
+void ws_command_log_absence(const WsCore *core, const WsMachine *machine,
+                            const WsHeartbeat *heartbeat, const WsJob *job,
+                            const WsAssignment *assignment);
+
 /** Creates the state of halts, with no call in flight. The caller frees it. */
 WsCancelledTasks *ws_cancelled_tasks_new(void);
 
--- a/tests/late-copies/drawn.c
+++ b/tests/late-copies/drawn.c
@@ -46,14 +46,6 @@
   return sim;
 }
 
-static void
-expect_recovery(Sim *sim)
-{
-  sim_properties(sim)->idle_timeout_s = 5.0;
-  sim_expect_recovery(sim);
-  sim_free(sim);
-}
-
 static void
 play_failures_and_cancellations(Sim *sim)
 {
@@ -63,7 +55,7 @@
       sim_cancel_random_job(sim);
     sim_run(sim, ROUND_S);
   }
-  expect_recovery(sim);
+  sim_expect_recovery_and_free(sim);
 }
 
 static void
@@ -129,7 +121,7 @@
       RESTARTS[g_rand_int_range(sim_rand(sim), 0, G_N_ELEMENTS(RESTARTS))](sim);
     sim_run(sim, ROUND_S);
   }
-  expect_recovery(sim);
+  sim_expect_recovery_and_free(sim);
 }
 
 /* Copies of calls by controllers that have ended since, to machines that hung, began anew, have
--- a/tests/load/simulated.c
+++ b/tests/load/simulated.c
@@ -56,14 +56,6 @@
   sim_run(sim, count * SUBMISSION_INTERVAL_S);
 }
 
-static void
-expect_recovery(Sim *sim)
-{
-  sim_properties(sim)->idle_timeout_s = 5.0;
-  sim_expect_recovery(sim);
-  sim_free(sim);
-}
-
 static void
 restart_node(Sim *sim, guint node)
 {
@@ -79,7 +71,7 @@
     restart_node(sim, i % 2 == 0 ? sim_next_node(leader) : leader);
     submit_jobs(sim, 20);
   }
-  expect_recovery(sim);
+  sim_expect_recovery_and_free(sim);
 }
 
 /* Guards against jobs that are accepted while a restarted controller reads the store, lose their
@@ -100,7 +92,7 @@
     sim_crash_node(sim, sim_leader_or_first(sim), 6.0);
     submit_jobs(sim, 8);
   }
-  expect_recovery(sim);
+  sim_expect_recovery_and_free(sim);
 }
 
 /* Guards against tasks that a restarted controller, which lost their assignment in its replica,
@@ -129,7 +121,7 @@
     compact_behind_node(sim, (sim_leader_or_first(sim) + i) % SIM_NODES);
     submit_jobs(sim, 17);
   }
-  expect_recovery(sim);
+  sim_expect_recovery_and_free(sim);
 }
 
 /* Guards against the same in a controller that reloads its replica after a compaction. */
@@ -147,7 +139,7 @@
   sim_set_max_log_length(sim, MAX_LOG_LENGTH);
   schedule_jobs(sim, FAULTS_DURATION_S / SUBMISSION_INTERVAL_S);
   sim_inject_random_faults(sim);
-  expect_recovery(sim);
+  sim_expect_recovery_and_free(sim);
 }
 
 /* The cluster recovers where random faults coincide with loads and reloads. */
@@ -170,7 +162,7 @@
   /* One epoch without the node, unless it is back before its old lease expires, and one with it. */
   g_assert_cmpuint(sim_count_epochs(sim), <=, epoch + 2);
   g_assert_cmpuint(sim_count_epochs(sim), >, epoch);
-  expect_recovery(sim);
+  sim_expect_recovery_and_free(sim);
 }
 
 /* Guards against a node that joins the epoch after its load and drops out at once, since its lease
--- a/tests/sim/fault-injection.c
+++ b/tests/sim/fault-injection.c
@@ -3,6 +3,9 @@
  */
 #include "sim/fault-injection.h"
 
+/* As in sim_new(). */
+#define IDLE_TIMEOUT_S 5.0
+
 void
 sim_add_load(Sim *sim, guint rounds)
 {
@@ -80,6 +83,14 @@
             sim_count_termination_marks(sim));
 }
 
+void
+sim_expect_recovery_and_free(Sim *sim)
+{
+  sim_properties(sim)->idle_timeout_s = IDLE_TIMEOUT_S;
+  sim_expect_recovery(sim);
+  sim_free(sim);
+}
+
 Sim *
 sim_new_with_load(guint32 seed)
 {
--- a/tests/sim/fault-injection.h
+++ b/tests/sim/fault-injection.h
@@ -42,6 +42,9 @@
  */
 void sim_expect_recovery(Sim *sim);
 
+/** Does the same with the usual idle timeout of machines, and frees the cluster. */
+void sim_expect_recovery_and_free(Sim *sim);
+
 /** Sends malformed requests five times within 3.5 s. */
 void sim_send_malformed_requests_repeatedly(Sim *sim);
 
