Tests: where an epoch has one token, none is started for an unreachable machine

/regressions/no-epoch-for-unreachable-machine can't fail any more while epochs have ranges of tokens, since none is started to raise one. The test of absence under the launch's token is named for what it guards against now.

--- a/tests/late-copies/one-node.c
+++ b/tests/late-copies/one-node.c
@@ -9,6 +9,7 @@
 
 #define COMMIT_WAIT_S 1.0
 #define OUTBOUND_MARGIN_S 4.0
+#define FENCE_WAIT_S 12
 #define PEER_TIMEOUT_S 8.0 /* n0 has entered the epoch with n1, and no longer reaches it */
 #define HELD_EXITS_BEFORE_BUMP 101
 
@@ -235,3 +236,25 @@
   g_assert_cmpstr(json_string_value(json_object_get(mark, "why")), ==, "deaf");
   fixture_free(fixture);
 }
+
+/* A cancelled task is absent and its release waits for the next epoch, but the machine sends no
+   more heartbeats: a higher token wouldn't reach it. While it does, an epoch is started. */
+void
+test_single_token_starts_no_epoch_for_unreachable_machine(void)
+{
+  static const guint HEARTBEATS[] = { 1, FENCE_WAIT_S }; /* in FENCE_WAIT_S seconds */
+  for (guint i = 0; i < G_N_ELEMENTS(HEARTBEATS); i++) {
+    Fixture *fixture = fixture_new(FALSE);
+    fixture->settings->cancel_s = 600.0; /* the machine isn't returned for the cancelled task */
+    g_autofree char *name = begin_single_token(fixture);
+    guint64 number = epoch_number(fixture);
+    fixture_send_request(fixture, "POST", "/api/jobs/req-1/withdraw", NULL);
+    for (guint k = 0; k < HEARTBEATS[i]; k++) {
+      fixture_post_heartbeat(fixture, name, number, 3 + k, json_array());
+      fixture_run(fixture, COMMIT_WAIT_S);
+    }
+    fixture_run(fixture, (FENCE_WAIT_S - HEARTBEATS[i]) * COMMIT_WAIT_S);
+    g_assert_cmpuint(epoch_number(fixture), ==, i == 0 ? number : number + 1);
+    fixture_free(fixture);
+  }
+}
--- a/tests/regressions/regressions.h
+++ b/tests/regressions/regressions.h
@@ -33,7 +33,7 @@
 void test_end_is_stored_before_reap(void);
 void test_no_release_without_current_fencing_token(void);
 void test_stale_sequence_changes_nothing(void);
-void test_no_release_while_launch_is_indeterminate(void);
+void test_no_release_while_copy_may_start(void);
 void test_no_epoch_for_unreachable_machine(void);
 void test_no_reap_without_higher_fencing_token(void);
 void test_absence_releases_under_higher_fencing_token(void);
--- a/tests/regressions/writes.c
+++ b/tests/regressions/writes.c
@@ -64,7 +64,7 @@
    Absence of the cancelled task from heartbeats doesn't release it until the worker has shown a
    higher fencing token, since the worker rejects the copy from then on. */
 void
-test_no_release_while_launch_is_indeterminate(void)
+test_no_release_while_copy_may_start(void)
 {
   Fixture *fixture = fixture_new_with_job(FALSE);
   fixture_send_request(fixture, "POST", "/api/jobs/req-1/withdraw", NULL);
@@ -84,9 +84,10 @@
   fixture_free(fixture);
 }
 
-/* No epoch is started to settle the indeterminate launch of an unreachable machine, since its
-   worker can't receive the higher fencing token. Otherwise a new epoch started every 10 s during a
-   partition. */
+/* No epoch is started for the unanswered launch of an unreachable machine, since its worker can't
+   receive a higher fencing token. Otherwise a new epoch started every 10 s during a partition.
+   Where the epoch has one token: /late-copies/single-token-starts-no-epoch-for-unreachable-machine.
+ */
 void
 test_no_epoch_for_unreachable_machine(void)
 {
--- a/tests/test-late-copies.c
+++ b/tests/test-late-copies.c
@@ -24,6 +24,8 @@
   { "/late-copies/single-token-reaps-in-next-epoch", test_single_token_reaps_in_next_epoch },
   { "/late-copies/single-token-bumps-epoch-for-many-exits",
     test_single_token_bumps_epoch_for_many_exits },
+  { "/late-copies/single-token-starts-no-epoch-for-unreachable-machine",
+    test_single_token_starts_no_epoch_for_unreachable_machine },
   { "/late-copies/drawn", test_failed_and_cancelled_tasks_survive_late_copies },
   { "/late-copies/drawn-restarts", test_restarts_survive_late_copies },
   { "/late-copies/drawn-single-tokens", test_single_tokens_survive_late_copies },
