--- a/tests/late-copies/late-copies.h
+++ b/tests/late-copies/late-copies.h
@@ -25,4 +25,5 @@
 void test_worker_without_raised_token_is_terminated(void);
 void test_single_token_reaps_in_next_epoch(void);
 void test_single_token_bumps_epoch_for_many_exits(void);
+void test_single_token_avoids_machine_with_held_exit(void);
 void test_single_token_starts_no_epoch_for_unreachable_machine(void);
--- a/tests/late-copies/one-node.c
+++ b/tests/late-copies/one-node.c
@@ -139,6 +139,19 @@
   fixture_free(fixture);
 }
 
+/* The first machine of n0's other than @except, which may be NULL. The caller frees the name. */
+static char *
+find_machine_of_n0(const Fixture *fixture, const char *except)
+{
+  for (guint i = 0;; i++) {
+    char *name = g_strdup_printf("m-%u", i);
+    if (ws_epoch_owner(&fixture->core->replica->epoch, name, fixture->settings) == 0
+        && g_strcmp0(name, except) != 0)
+      return name;
+    g_free(name);
+  }
+}
+
 /* A cluster with a member that doesn't know ranges of tokens. Returns a machine of n0's that has
    had a direct launch; the caller frees the name. */
 static char *
@@ -147,12 +160,7 @@
   fixture_write_key(fixture, "w/member/n1", json_pack("{s:i}", "incarnation", 1));
   fixture_run(fixture, 1.5);
   g_assert_cmpuint(epoch_number(fixture), ==, EPOCH_NUMBER(1) + 1);
-  guint i = 0;
-  char *name = g_strdup("m-0");
-  while (ws_epoch_owner(&fixture->core->replica->epoch, name, fixture->settings) != 0) {
-    g_free(name);
-    name = g_strdup_printf("m-%u", ++i);
-  }
+  char *name = find_machine_of_n0(fixture, NULL);
   fixture_post_heartbeat(fixture, name, 0, 1, json_array());
   fixture_run(fixture, 0.3);
   fixture_post_heartbeat(fixture, name, epoch_number(fixture), 2, json_array());
@@ -258,3 +266,27 @@
     fixture_free(fixture);
   }
 }
+
+/* The stopped task's next attempt goes to another machine, although the image is on the one that
+   holds the exit, which would reject it. */
+void
+test_single_token_avoids_machine_with_held_exit(void)
+{
+  Fixture *fixture = fixture_new(FALSE);
+  g_autofree char *name = begin_single_token(fixture);
+  guint64 number = epoch_number(fixture);
+  json_t *running = json_pack("[{s:s, s:i, s:s}]", "kus", "req-1/0", "pokus", 1, "stav", "running");
+  fixture_post_heartbeat(fixture, name, number, 3, running);
+  g_autofree char *other = find_machine_of_n0(fixture, name);
+  fixture_post_heartbeat(fixture, other, 0, 1, json_array());
+  fixture_run(fixture, 0.3);
+  fixture_post_heartbeat(fixture, other, number, 2, json_array());
+  fixture_run(fixture, 0.3);
+  json_t *stopped = json_pack("[{s:s, s:i, s:s, s:s}]", "kus", "req-1/0", "pokus", 1, "stav",
+                              "exited", "duvod", "stopped");
+  fixture_post_heartbeat(fixture, name, number, 4, stopped);
+  fixture_run(fixture, COMMIT_WAIT_S);
+  const json_t *assignment = json_array_get(fixture_assignments(fixture, "req-1"), 0);
+  g_assert_cmpstr(json_string_value(json_array_get(assignment, 1)), ==, other);
+  fixture_free(fixture);
+}
--- a/tests/test-late-copies.c
+++ b/tests/test-late-copies.c
@@ -26,6 +26,8 @@
     test_single_token_bumps_epoch_for_many_exits },
   { "/late-copies/single-token-starts-no-epoch-for-unreachable-machine",
     test_single_token_starts_no_epoch_for_unreachable_machine },
+  { "/late-copies/single-token-avoids-machine-with-held-exit",
+    test_single_token_avoids_machine_with_held_exit },
   { "/late-copies/drawn", test_failed_and_cancelled_tasks_survive_late_copies },
   { "/late-copies/drawn-restarts", test_restarts_survive_late_copies },
   { "/late-copies/drawn-single-tokens", test_single_tokens_survive_late_copies },
