--- a/tests/late-copies/drawn.c
+++ b/tests/late-copies/drawn.c
@@ -64,8 +64,7 @@
   play_failures_and_cancellations(new_cluster_with_copies(seed, FALSE));
 }
 
-/* Guards against a copy of an answered launch that starts a task again after the worker has reaped
-   it: the task runs elsewhere meanwhile, its team is at its quota, or its job is cancelled. */
+/* Copies of answered launches must not start attempts that were reaped. */
 void
 test_failed_and_cancelled_tasks_survive_late_copies(void)
 {
@@ -78,7 +77,7 @@
   play_failures_and_cancellations(new_cluster_with_copies(seed, TRUE));
 }
 
-/* The same where a member of an earlier version keeps the epochs at one token each. */
+/* The same while a member of an earlier version keeps each epoch at one token. */
 void
 test_single_tokens_survive_late_copies(void)
 {
@@ -124,8 +123,7 @@
   sim_expect_recovery_and_free(sim);
 }
 
-/* Copies of calls by controllers that have ended since, to machines that hung, began anew, have
-   another owner or a task of a gang. */
+/* The caller has ended, or the machine hung, began anew or has another owner. */
 void
 test_restarts_survive_late_copies(void)
 {
--- a/tests/late-copies/one-node.c
+++ b/tests/late-copies/one-node.c
@@ -43,8 +43,7 @@
       json_object_get(sim_store_get(fixture->store, "w/epoch"), "number"));
 }
 
-/* The halts of the owner carry a token above that of the launch, so that a copy of the launch can't
-   start the cancelled task after the worker's reply. */
+/* The worker's reply to the halts must mean that no copy can start the cancelled task. */
 void
 test_owner_halts_under_higher_token(void)
 {
@@ -56,8 +55,7 @@
   fixture_free(fixture);
 }
 
-/* The failed task is assigned to the same machine again, which still holds the first attempt: the
-   call that launches the second one reaps the first under a higher token. */
+/* The new attempt would come back as busy while the worker holds the first one. */
 void
 test_launch_reaps_held_exit_under_higher_token(void)
 {
@@ -75,8 +73,7 @@
   fixture_free(fixture);
 }
 
-/* A launch that was rejected, since the worker's token was raised while the call was on its way, is
-   sent again with the worker's token, once. */
+/* The token was raised while the call was on its way; it is sent again once. */
 void
 test_rejected_launch_is_sent_again(void)
 {
@@ -90,8 +87,7 @@
   fixture_free(fixture);
 }
 
-/* A worker that was restarted has no token, and would carry out any copy: it is answered with a
-   token above that of the direct launch, although its heartbeat is older than the last one. */
+/* It would carry out any copy; its heartbeat is older than the last one. */
 void
 test_restarted_worker_gets_higher_token(void)
 {
@@ -103,7 +99,7 @@
   fixture_free(fixture);
 }
 
-/* The same if the heartbeat is newer, since earlier ones of the restarted worker were lost. */
+/* Earlier heartbeats of the restarted worker were lost. */
 void
 test_restarted_worker_with_newer_heartbeat_gets_higher_token(void)
 {
@@ -113,8 +109,7 @@
   fixture_free(fixture);
 }
 
-/* Another node's answer in place of the machine's owner has the worker's own token: a lower one
-   would be dropped by the worker, a higher one would have it refuse the owner's commands. */
+/* The worker drops a lower token, and refuses its owner's commands after a higher one. */
 void
 test_answer_without_owner_keeps_token(void)
 {
@@ -174,8 +169,7 @@
   return name;
 }
 
-/* With one token in the epoch, an attempt that was launched by a direct call is reaped under the
-   next epoch only. */
+/* No token of this epoch refuses the copies of the launch. */
 void
 test_single_token_reaps_in_next_epoch(void)
 {
@@ -209,7 +203,7 @@
   return tasks;
 }
 
-/* One held exit isn't worth an epoch; many are, before they fill the machine's heartbeats. */
+/* One held exit isn't worth an epoch; many are, before they fill the heartbeats. */
 void
 test_single_token_bumps_epoch_for_many_exits(void)
 {
@@ -228,8 +222,7 @@
   fixture_free(fixture);
 }
 
-/* A worker that never shows the raised token doesn't get its answers: what waits for the token must
-   not wait for ever, so the machine is outbound unreachable and is terminated. */
+/* What waits for the token must not wait for ever. */
 void
 test_worker_without_raised_token_is_terminated(void)
 {
@@ -245,8 +238,7 @@
   fixture_free(fixture);
 }
 
-/* A cancelled task is absent and its release waits for the next epoch, but the machine sends no
-   more heartbeats: a higher token wouldn't reach it. While it does, an epoch is started. */
+/* The token of a new epoch wouldn't reach it; while its heartbeats arrive, one is started. */
 void
 test_single_token_starts_no_epoch_for_unreachable_machine(void)
 {
@@ -267,8 +259,7 @@
   }
 }
 
-/* The stopped task's next attempt goes to another machine, although the image is on the one that
-   holds the exit, which would reject it. */
+/* It has the image, but would reject the next attempt. */
 void
 test_single_token_avoids_machine_with_held_exit(void)
 {
