Log: refused messages, with their sender and the place in the text

A sound submission was answered 400, and the controller's own output couldn't have shown why: a refused submission left no line, a refused heartbeat named neither its sender nor its size, and a reply or a peer's request that couldn't be read left nothing.

Now one warning for each refused submission, heartbeat, request of a peer and reply names the reader, the sender's address, the size and the field or the place in the text, never the text itself; one line in 10 s for each sender, at most 256 senders. Every 30 s the counts by reader and reason are logged. The server passes the client's address on. No decision changes.

--- a/src/api/ws-job-api.c
+++ b/src/api/ws-job-api.c
@@ -259,17 +259,24 @@
     process_after_read(core, user_request);
 }
 
-static void
-handle_submission(WsCore *core, const char *body, gsize length, gpointer request)
+static WsJobSpec *
+parse_submission(const char *body, gsize length, GError **error)
 {
   if (length > MAX_BODY_BYTES) {
-    ws_answer_error(core, request, WS_HTTP_BAD_REQUEST, "longer than 64 KiB");
-    return;
+    g_set_error_literal(error, WS_ERROR, WS_ERROR_TOO_LARGE, "longer than 64 KiB");
+    return NULL;
   }
-  g_autoptr(json_t) message = ws_json_parse(body, length);
+  g_autoptr(json_t) message = ws_json_parse_with_error(body, length, error);
+  return message != NULL ? ws_job_spec_parse(message, error) : NULL;
+}
+
+static void
+handle_submission(WsCore *core, const char *body, gsize length, gpointer request)
+{
   g_autoptr(GError) error = NULL;
-  WsJobSpec *spec = ws_job_spec_parse(message, &error);
+  WsJobSpec *spec = parse_submission(body, length, &error);
   if (spec == NULL) {
+    ws_refusals_record(core, WS_READER_SUBMISSION, core->sender, length, error);
     ws_answer_error(core, request, WS_HTTP_BAD_REQUEST, error->message);
     return;
   }
--- a/src/context/ws-context.c
+++ b/src/context/ws-context.c
@@ -1,18 +1,31 @@
 /* Outstanding calls to other processes, and the queue of outputs (calls and answers). */
 #include "context/ws-context.h"
+
+#include "protocol/ws-error.h"
 #include "protocol/ws-status-codes.h"
 
 /* A call without a reply so far. */
 typedef struct {
-  guint64 id; /* its key in the table of calls */
+  guint64 id;    /* its key in the table of calls */
+  char *address; /* of the process that was called */
   WsReplyFunc reply;
   gpointer data;
 } PendingCall;
 
+static void
+pending_call_free(PendingCall *call)
+{
+  g_free(call->address);
+  g_free(call);
+}
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC(PendingCall, pending_call_free)
+
 void
 ws_context_init_calls(WsCore *core)
 {
-  core->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+  core->calls
+      = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, (GDestroyNotify)pending_call_free);
 }
 
 void
@@ -30,20 +43,48 @@
   g_autoptr(GList) calls = g_hash_table_get_values(core->calls);
   g_hash_table_steal_all(core->calls);
   for (GList *item = calls; item != NULL; item = item->next) {
-    g_autofree PendingCall *call = item->data;
+    g_autoptr(PendingCall) call = item->data;
     call->reply(core, WS_HTTP_NO_RESPONSE, NULL, call->data);
   }
   return calls != NULL;
 }
 
+/* Returns which reader a reply from the address belongs to. */
+static WsReader
+reader_of_reply(const WsSettings *settings, const char *address)
+{
+  if (g_strcmp0(address, settings->kv_addr) == 0)
+    return WS_READER_STORE_REPLY;
+  if (g_strcmp0(address, settings->cloud_addr) == 0)
+    return WS_READER_CLOUD_REPLY;
+  for (WsNodeIndex n = 0; n < settings->nodes->len; n++)
+    if (g_strcmp0(address, ws_settings_node(settings, n)->endpoint) == 0)
+      return WS_READER_PEER_REPLY;
+  return WS_READER_WORKER_REPLY;
+}
+
+/* Returns NULL if the reply has no body, or if the body isn't JSON, which is recorded. */
+static json_t *
+parse_reply(WsCore *core, const PendingCall *call, guint status, const char *body, gsize length)
+{
+  if (status == WS_HTTP_NO_RESPONSE || length == 0)
+    return NULL;
+  g_autoptr(GError) error = NULL;
+  json_t *message = ws_json_parse_with_error(body, length, &error);
+  if (message == NULL)
+    ws_refusals_record(core, reader_of_reply(core->settings, call->address), call->address, length,
+                       error);
+  return message;
+}
+
 gboolean
 ws_context_handle_reply(WsCore *core, guint64 id, guint status, const char *body, gsize length)
 {
   gpointer value;
   if (!g_hash_table_steal_extended(core->calls, &id, NULL, &value))
     return FALSE;
-  g_autofree PendingCall *call = value;
-  g_autoptr(json_t) message = status != WS_HTTP_NO_RESPONSE ? ws_json_parse(body, length) : NULL;
+  g_autoptr(PendingCall) call = value;
+  g_autoptr(json_t) message = parse_reply(core, call, status, body, length);
   call->reply(core, status, message, call->data);
   return TRUE;
 }
@@ -61,7 +102,7 @@
         guint timeout_ms, WsReplyFunc reply, gpointer data)
 {
   PendingCall *call = g_new0(PendingCall, 1);
-  *call = (PendingCall){ ++core->last_call_id, reply, data };
+  *call = (PendingCall){ ++core->last_call_id, g_strdup(address), reply, data };
   g_hash_table_insert(core->calls, &call->id, call);
   WsOutput *output = g_new0(WsOutput, 1);
   output->call = call->id;
--- a/src/context/ws-context.h
+++ b/src/context/ws-context.h
@@ -11,6 +11,7 @@
 #include "storage/ws-records.h"
 #include "storage/ws-replica.h"
 #include "context/ws-output.h"
+#include "context/ws-refusals.h"
 #include "protocol/ws-properties.h"
 #include "storage/ws-evidence.h"
 #include "transport/ws-token-bucket.h"
@@ -108,8 +109,9 @@
   guint64 incarnation; /**< identifies this run of the node; differs between any two runs */
 
   /* The current input. */
-  gint64 now_ms;  /**< its time on the core's monotonic clock */
-  gint64 wall_ms; /**< its time on the wall clock */
+  gint64 now_ms;      /**< its time on the core's monotonic clock */
+  gint64 wall_ms;     /**< its time on the wall clock */
+  const char *sender; /**< the address of the current request's sender; NULL: no request */
 
   /* Outputs and calls; ws-context.c. */
   GQueue outputs;       /**< of WsOutput: not popped yet */
@@ -117,6 +119,7 @@
   guint64 last_call_id; /**< the id of the most recent call */
 
   WsReplica *replica;
+  WsRefusals *refusals; /**< messages that this node couldn't read */
 
   /* The state of each package, opaque to the other packages. */
   WsStore *store;
--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -62,6 +62,7 @@
   core->workers = ws_workers_new();
   core->reservations = ws_reservations_new();
   core->write_stats = ws_write_stats_new();
+  core->refusals = ws_refusals_new();
   core->legacy_releases = ws_legacy_releases_new();
   core->releases = ws_releases_new();
   core->estimator = ws_estimator_new();
@@ -98,6 +99,7 @@
   ws_workers_free(core->workers);
   ws_reservations_free(core->reservations);
   ws_write_stats_free(core->write_stats);
+  ws_refusals_free(core->refusals);
   ws_legacy_releases_free(core->legacy_releases);
   ws_releases_free(core->releases);
   ws_estimator_free(core->estimator);
@@ -211,6 +213,7 @@
 ws_core_tick(WsCore *core, gint64 now_ms, gint64 wall_ms)
 {
   set_clocks(core, now_ms, wall_ms);
+  ws_refusals_log_counts(core);
   ws_store_tick(core, ws_is_leader(core));
   ws_election_tick(core);
   ws_gossip_tick(core);
@@ -252,14 +255,16 @@
 
 void
 ws_core_handle_request(WsCore *core, gint64 now_ms, gint64 wall_ms, WsListener listener,
-                       const char *method, const char *path, const char *body, gsize length,
-                       gpointer request)
+                       const char *sender, const char *method, const char *path, const char *body,
+                       gsize length, gpointer request)
 {
   set_clocks(core, now_ms, wall_ms);
+  core->sender = sender;
   if (listener == WS_LISTENER_API)
     handle_api_request(core, method, path, body, length, request);
   else
     ws_peers_handle_request(core, path, body, length, request);
+  core->sender = NULL;
   run_packages(core);
 }
 
--- a/src/core/ws-core.h
+++ b/src/core/ws-core.h
@@ -49,12 +49,13 @@
  * Handles a request. The answer is an output that refers to @request. It is queued by this call or
  * by a later input.
  *
+ * @sender: the address of the sender, for the log; not kept; NULL: unknown
  * @body: the body as received, @length bytes; not kept
  * @request: an opaque handle of the caller; must remain valid until the answer is popped
  */
 void ws_core_handle_request(WsCore *core, gint64 now_ms, gint64 wall_ms, WsListener listener,
-                            const char *method, const char *path, const char *body, gsize length,
-                            gpointer request);
+                            const char *sender, const char *method, const char *path,
+                            const char *body, gsize length, gpointer request);
 
 /**
  * Handles the response to a call that an output requested. Responses to unknown calls are ignored.
--- a/src/membership/ws-gossip.c
+++ b/src/membership/ws-gossip.c
@@ -296,7 +296,10 @@
 ws_peers_handle_request(WsCore *core, const char *path, const char *body, gsize length,
                         gpointer request)
 {
-  g_autoptr(json_t) message = ws_json_parse(body, length);
+  g_autoptr(GError) error = NULL;
+  g_autoptr(json_t) message = ws_json_parse_with_error(body, length, &error);
+  if (message == NULL)
+    ws_refusals_record(core, WS_READER_PEER_REQUEST, core->sender, length, error);
   if (strcmp(path, WIRE_PATH_GOSSIP) == 0) {
     answer_gossip(core, message, request);
   } else if (strcmp(path, WIRE_PATH_CANCELLATIONS) == 0) {
--- a/src/protocol/ws-error.h
+++ b/src/protocol/ws-error.h
@@ -14,6 +14,7 @@
 /** Error codes of the domain WS_ERROR. */
 typedef enum {
   WS_ERROR_MALFORMED,        /**< the input is not a JSON object, or not a properties file */
+  WS_ERROR_TOO_LARGE,        /**< the input is longer than the protocol allows */
   WS_ERROR_INVALID_FIELD,    /**< a field of a message is missing or invalid */
   WS_ERROR_INVALID_SETTING,  /**< a setting is missing or invalid */
   WS_ERROR_INVALID_PROPERTY, /**< a property is unknown or invalid */
--- a/src/protocol/ws-heartbeat.c
+++ b/src/protocol/ws-heartbeat.c
@@ -158,6 +158,13 @@
   return g_steal_pointer(&heartbeat);
 }
 
+WsHeartbeat *
+ws_heartbeat_parse_text(const char *text, gsize length, GError **error)
+{
+  g_autoptr(json_t) message = ws_json_parse_with_error(text, length, error);
+  return message != NULL ? ws_heartbeat_parse(message, error) : NULL;
+}
+
 static WsHeartbeat *
 parse_status_from_machine(const json_t *body, const char *machine)
 {
--- a/src/protocol/ws-heartbeat.h
+++ b/src/protocol/ws-heartbeat.h
@@ -57,6 +57,9 @@
 /** Parses a heartbeat, which the caller frees. Returns NULL and sets @error if it is invalid. */
 WsHeartbeat *ws_heartbeat_parse(const json_t *message, GError **error);
 
+/** Does the same with the text of a message: @length bytes, not kept. */
+WsHeartbeat *ws_heartbeat_parse_text(const char *text, gsize length, GError **error);
+
 /** Frees the heartbeat and its task statuses; NULL is allowed. */
 void ws_heartbeat_free(WsHeartbeat *heartbeat);
 
--- a/src/protocol/ws-json.c
+++ b/src/protocol/ws-json.c
@@ -1,13 +1,30 @@
 /* Typed, checked access to JSON values. */
 #include "protocol/ws-json.h"
 
+#include "protocol/ws-error.h"
+
 /* Significant digits of an encoded real number. */
 #define REAL_PRECISION_DIGITS 12
 
 json_t *
 ws_json_parse(const char *body, gsize length)
 {
-  return body == NULL ? NULL : json_loadb(body, length, JSON_REJECT_DUPLICATES, NULL);
+  return ws_json_parse_with_error(body, length, NULL);
+}
+
+json_t *
+ws_json_parse_with_error(const char *body, gsize length, GError **error)
+{
+  json_error_t place;
+  if (body == NULL) {
+    ws_error_set_not_object(error);
+    return NULL;
+  }
+  json_t *value = json_loadb(body, length, JSON_REJECT_DUPLICATES, &place);
+  if (value == NULL)
+    g_set_error(error, WS_ERROR, WS_ERROR_MALFORMED, "not JSON: line %d, byte %d: code %d",
+                place.line, place.position, json_error_code(&place));
+  return value;
 }
 
 char *
--- a/src/protocol/ws-json.h
+++ b/src/protocol/ws-json.h
@@ -17,6 +17,12 @@
  */
 json_t *ws_json_parse(const char *body, gsize length);
 
+/**
+ * Does the same as ws_json_parse(). If the text is not valid, sets @error, which may be NULL, to
+ * WS_ERROR_MALFORMED with the reason and the place in the text.
+ */
+json_t *ws_json_parse_with_error(const char *body, gsize length, GError **error);
+
 /** Serializes the value into a compact text, which the caller frees. Returns NULL for NULL. */
 char *ws_json_serialize(const json_t *value);
 
--- a/src/runtime/ws-runtime.c
+++ b/src/runtime/ws-runtime.c
@@ -77,8 +77,8 @@
 static void
 handle_request(WsRuntime *runtime, WsListener listener, WsHttpRequest *request)
 {
-  ws_core_handle_request(runtime->core, now_ms(), wall_ms(), listener, request->method,
-                         request->path, request->body, request->length, request);
+  ws_core_handle_request(runtime->core, now_ms(), wall_ms(), listener, request->sender,
+                         request->method, request->path, request->body, request->length, request);
   send_outputs(runtime);
 }
 
--- a/src/transport/ws-http-server.c
+++ b/src/transport/ws-http-server.c
@@ -4,6 +4,7 @@
    of workers connected, that alone exceeded the CPU budget (docs/results.md). */
 #include "transport/ws-http-server.h"
 
+#include <arpa/inet.h>
 #include <errno.h>
 #include <gio/gio.h>
 #include <glib-unix.h>
@@ -33,6 +34,21 @@
   gboolean is_in_handler;
 } Request;
 
+/* Returns the client's IP address, which the caller frees. */
+static char *
+client_address(struct MHD_Connection *connection)
+{
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+  char address[INET6_ADDRSTRLEN] = "";
+  const struct sockaddr *native = info != NULL ? info->client_addr : NULL;
+  if (native != NULL && native->sa_family == AF_INET)
+    inet_ntop(AF_INET, &((const struct sockaddr_in *)native)->sin_addr, address, sizeof address);
+  else if (native != NULL && native->sa_family == AF_INET6)
+    inet_ntop(AF_INET6, &((const struct sockaddr_in6 *)native)->sin6_addr, address, sizeof address);
+  return g_strdup(address);
+}
+
 static Request *
 request_new(WsHttpServer *server, struct MHD_Connection *connection, const char *method,
             const char *path)
@@ -43,6 +59,7 @@
   request->body_bytes = g_byte_array_new();
   request->base.method = g_strdup(method);
   request->base.path = g_strdup(path);
+  request->base.sender = client_address(connection);
   return request;
 }
 
@@ -54,6 +71,7 @@
   g_byte_array_unref(request->body_bytes);
   g_free((char *)request->base.method);
   g_free((char *)request->base.path);
+  g_free((char *)request->base.sender);
   g_free(request);
 }
 
--- a/src/transport/ws-http-server.h
+++ b/src/transport/ws-http-server.h
@@ -13,6 +13,7 @@
 
 /** A request, owned by the server. Its fields are valid until ws_http_request_respond(). */
 struct _WsHttpRequest {
+  const char *sender; /**< the IP address of the client */
   const char *method;
   const char *path;
   const char *body; /**< not NUL-terminated; NULL: no body */
--- a/src/workers/ws-relay.c
+++ b/src/workers/ws-relay.c
@@ -56,8 +56,7 @@
 static WsHeartbeat *
 parse_heartbeat(const char *encoded)
 {
-  g_autoptr(json_t) message = ws_json_parse(encoded, strlen(encoded));
-  return ws_heartbeat_parse(message, NULL);
+  return ws_heartbeat_parse_text(encoded, strlen(encoded), NULL);
 }
 
 /* Returns the fencing token of an answer without the owner: the worker's own, so that it neither
@@ -155,15 +154,16 @@
 static void
 answer_relayed_heartbeat(WsCore *core, const char *encoded, gpointer request)
 {
-  g_autoptr(json_t) message = ws_json_parse(encoded, strlen(encoded));
   g_autoptr(GError) error = NULL;
-  g_autoptr(WsHeartbeat) heartbeat = ws_heartbeat_parse(message, &error);
-  if (heartbeat == NULL)
+  g_autoptr(WsHeartbeat) heartbeat = ws_heartbeat_parse_text(encoded, strlen(encoded), &error);
+  if (heartbeat == NULL) {
+    ws_refusals_record(core, WS_READER_HEARTBEAT, core->sender, strlen(encoded), error);
     ws_answer_error(core, request, WS_HTTP_BAD_REQUEST, error->message);
-  else if (ws_authority_check_lease_renewal(core, heartbeat->fencing_token) != WS_REFUSAL_NONE)
+  } else if (ws_authority_check_lease_renewal(core, heartbeat->fencing_token) != WS_REFUSAL_NONE) {
     ws_answer_retry_later(core, request, HEARTBEAT_RETRY_AFTER_S);
-  else
+  } else {
     ws_answer(core, request, WS_HTTP_OK, ws_workers_answer_heartbeat(core, heartbeat), 0);
+  }
 }
 
 void
--- a/src/workers/ws-workers.c
+++ b/src/workers/ws-workers.c
@@ -140,11 +140,10 @@
 void
 ws_workers_handle_heartbeat(WsCore *core, const char *body, gsize length, gpointer request)
 {
-  g_autoptr(json_t) message = ws_json_parse(body, length);
   g_autoptr(GError) error = NULL;
-  g_autoptr(WsHeartbeat) heartbeat = ws_heartbeat_parse(message, &error);
+  g_autoptr(WsHeartbeat) heartbeat = ws_heartbeat_parse_text(body, length, &error);
   if (heartbeat == NULL) {
-    g_warning("malformed heartbeat rejected with 400: %s", error->message);
+    ws_refusals_record(core, WS_READER_HEARTBEAT, core->sender, length, error);
     ws_answer_error(core, request, WS_HTTP_BAD_REQUEST, error->message);
     return;
   }
--- a/tests/sim/fixture.c
+++ b/tests/sim/fixture.c
@@ -193,15 +193,23 @@
   }
 }
 
+void
+fixture_request_text(Fixture *fixture, WsListener listener, const char *sender, const char *method,
+                     const char *path, const char *text, gsize length)
+{
+  ws_core_handle_request(fixture->core, fixture->now_ms, fixture->now_ms, listener, sender, method,
+                         path, text, length, fixture);
+  fixture_handle_outputs(fixture);
+}
+
 void
 fixture_request(Fixture *fixture, WsListener listener, const char *method, const char *path,
                 json_t *body)
 {
   g_autofree char *text = ws_json_serialize(body);
-  ws_core_handle_request(fixture->core, fixture->now_ms, fixture->now_ms, listener, method, path,
-                         text, text != NULL ? strlen(text) : 0, fixture);
+  fixture_request_text(fixture, listener, "test", method, path, text,
+                       text != NULL ? strlen(text) : 0);
   json_decref(body);
-  fixture_handle_outputs(fixture);
 }
 
 void
--- a/tests/sim/fixture.h
+++ b/tests/sim/fixture.h
@@ -82,6 +82,9 @@
 /** Sends the controller a request, without advancing the time. */
 void fixture_request(Fixture *fixture, WsListener listener, const char *method, const char *path,
                      json_t *body /* takes ownership; may be NULL */);
+/** Sends the controller a request whose body is the given text, without advancing the time. */
+void fixture_request_text(Fixture *fixture, WsListener listener, const char *sender,
+                          const char *method, const char *path, const char *text, gsize length);
 /** Removes the quotas of the teams from the settings. */
 void fixture_remove_quotas(Fixture *fixture);
 /** Sends a POST to the API listener, without advancing the time. */
--- a/tests/sim/sim-network.c
+++ b/tests/sim/sim-network.c
@@ -152,7 +152,8 @@
     return;
   }
   ws_core_handle_request(sim->nodes[node].core, sim->now_ms, sim_wall_clock_ms(sim), listener,
-                         call->method, call->path, text, text != NULL ? strlen(text) : 0, call);
+                         "sim", call->method, call->path, text, text != NULL ? strlen(text) : 0,
+                         call);
   sim_deliver_outputs(sim, node);
 }
 
