--- a/tests/sim/fixture.c
+++ b/tests/sim/fixture.c
@@ -45,6 +45,8 @@
                                     "g1", "cpus", 8, "accelerators", 1, "mem_gb", 16, "local_gb",
                                     100, "pull_gb_per_s", 1.0, "price", 2.2, "low_price", 0.8,
                                     "boot_s", 8, "haly", "a"));
+  if (fixture->catalog_label != NULL)
+    json_object_set_new(message, "x_label", json_string(fixture->catalog_label));
   return message;
 }
 
--- a/tests/sim/fixture.h
+++ b/tests/sim/fixture.h
@@ -35,6 +35,7 @@
   guint64 held_watch;         /* the last call that hold_watch held back */
   void (*on_page)(struct Fixture *fixture, const char *path); /* called before a page is read */
   gboolean has_small_type;         /* the catalog also has a type with one accelerator */
+  const char *catalog_label;       /* an unknown member of the catalog, or NULL */
   gboolean cloud_confirms_returns; /* the cloud acknowledges return requests */
   gboolean peers_lack_store;       /* peers report in gossip that they don't reach the store */
   guint unacknowledged_by_peers;   /* unacknowledged cancellations that each peer reports */
