Protocol: JSON texts are read by what RFC 8259 allows

Seen by callers: a sound submission with the unknown field "n": was answered 400. Cause: jansson gives up on the whole text for values that it can't hold (integers from 2^63, reals beyond double, U+0000 and unpaired surrogates in strings, names that occur twice, more than 2,048 levels), also in fields that nobody uses, so the reach of a library decided what is sound. The same door serves workers (a refused heartbeat costs the lease), store, cloud, peers, settings and records.

Integers from 0 to 2^64 - 1 are kept exactly.

--- a/src/context/ws-context.c
+++ b/src/context/ws-context.c
@@ -93,7 +93,7 @@
 ws_output_free(WsOutput *output)
 {
   g_free(output->url);
-  free(output->body); /* allocated by jansson */
+  g_free(output->body);
   g_free(output);
 }
 
--- a/src/main.c
+++ b/src/main.c
@@ -1,5 +1,6 @@
 /* wrenshore: a cluster scheduler that terminates idle rented machines. This file parses the command
    line, reads the settings and the properties, and writes the log. */
+#include "protocol/ws-json.h"
 #include "runtime/ws-runtime.h"
 
 #include <stdio.h>
@@ -61,17 +62,12 @@
   g_autofree char *text = NULL;
   g_autoptr(GError) error = NULL;
   gsize length;
-  json_error_t parse_error;
   if (!g_file_get_contents(path, &text, &length, &error)) {
     fprintf(stderr, "wrenshore: %s\n", error->message);
     return NULL;
   }
-  g_autoptr(json_t) message = json_loadb(text, length, JSON_REJECT_DUPLICATES, &parse_error);
-  if (message == NULL) {
-    fprintf(stderr, "wrenshore: %s: line %d: %s\n", path, parse_error.line, parse_error.text);
-    return NULL;
-  }
-  WsSettings *settings = ws_settings_parse(message, &error);
+  g_autoptr(json_t) message = ws_json_parse_with_error(text, length, &error);
+  WsSettings *settings = message != NULL ? ws_settings_parse(message, &error) : NULL;
   if (settings == NULL)
     fprintf(stderr, "wrenshore: %s: %s\n", path, error->message);
   return settings;
--- a/src/protocol/ws-json.c
+++ b/src/protocol/ws-json.c
@@ -1,40 +1,6 @@
 /* Typed, checked access to JSON values. */
 #include "protocol/ws-json.h"
 
-#include "protocol/ws-error.h"
-
-/* Significant digits of an encoded real number. */
-#define REAL_PRECISION_DIGITS 12
-
-json_t *
-ws_json_parse(const char *body, gsize length)
-{
-  return ws_json_parse_with_error(body, length, NULL);
-}
-
-json_t *
-ws_json_parse_with_error(const char *body, gsize length, GError **error)
-{
-  json_error_t place;
-  if (body == NULL) {
-    ws_error_set_not_object(error);
-    return NULL;
-  }
-  json_t *value = json_loadb(body, length, JSON_REJECT_DUPLICATES, &place);
-  if (value == NULL)
-    g_set_error(error, WS_ERROR, WS_ERROR_MALFORMED, "not JSON: line %d, byte %d: code %d",
-                place.line, place.position, json_error_code(&place));
-  return value;
-}
-
-char *
-ws_json_serialize(const json_t *value)
-{
-  return value == NULL
-             ? NULL
-             : json_dumps(value, JSON_COMPACT | JSON_REAL_PRECISION(REAL_PRECISION_DIGITS));
-}
-
 gboolean
 ws_json_string(const json_t *object, const char *name, const char **value)
 {
@@ -49,19 +15,43 @@
 ws_json_number(const json_t *object, const char *name, double *value)
 {
   const json_t *member = json_object_get(object, name);
-  if (!json_is_number(member))
+  if (json_is_integer(member))
+    *value = (double)(guint64)json_integer_value(member);
+  else if (json_is_real(member))
+    *value = json_real_value(member);
+  else
     return FALSE;
-  *value = json_number_value(member);
+  return TRUE;
+}
+
+static gboolean
+uint64_value(const json_t *value, guint64 *integer)
+{
+  if (!json_is_integer(value))
+    return FALSE;
+  *integer = (guint64)json_integer_value(value);
   return TRUE;
 }
 
 gboolean
 ws_json_uint64(const json_t *object, const char *name, guint64 *value)
 {
-  const json_t *member = json_object_get(object, name);
-  if (!json_is_integer(member) || json_integer_value(member) < 0)
+  return uint64_value(json_object_get(object, name), value);
+}
+
+gboolean
+ws_json_uint64_at(const json_t *array, size_t index, guint64 *value)
+{
+  return uint64_value(json_array_get(array, index), value);
+}
+
+gboolean
+ws_json_string_at(const json_t *array, size_t index, const char **value)
+{
+  const json_t *item = json_array_get(array, index);
+  if (!json_is_string(item))
     return FALSE;
-  *value = (guint64)json_integer_value(member);
+  *value = json_string_value(item);
   return TRUE;
 }
 
@@ -88,6 +78,12 @@
   return ws_json_is_absent(object, name) || ws_json_string(object, name, value);
 }
 
+gboolean
+ws_json_bool_or_null(const json_t *object, const char *name, gboolean *value)
+{
+  return ws_json_is_absent(object, name) || ws_json_bool(object, name, value);
+}
+
 gboolean
 ws_json_number_or_null(const json_t *object, const char *name, double *value)
 {
