--- a/src/api/ws-job-api.c
+++ b/src/api/ws-job-api.c
@@ -276,7 +276,7 @@
   g_autoptr(GError) error = NULL;
   WsJobSpec *spec = parse_submission(body, length, &error);
   if (spec == NULL) {
-    ws_refusals_record(core, WS_READER_SUBMISSION, core->sender, length, error);
+    ws_refusals_record(core, WS_READER_SUBMISSION, error);
     ws_answer_error(core, request, WS_HTTP_BAD_REQUEST, error->message);
     return;
   }
--- a/src/context/ws-context.c
+++ b/src/context/ws-context.c
@@ -72,8 +72,7 @@
   g_autoptr(GError) error = NULL;
   json_t *message = ws_json_parse_with_error(body, length, &error);
   if (message == NULL)
-    ws_refusals_record(core, reader_of_reply(core->settings, call->address), call->address, length,
-                       error);
+    ws_refusals_record(core, reader_of_reply(core->settings, call->address), error);
   return message;
 }
 
@@ -84,8 +83,11 @@
   if (!g_hash_table_steal_extended(core->calls, &id, NULL, &value))
     return FALSE;
   g_autoptr(PendingCall) call = value;
+  core->sender = call->address;
+  core->message_bytes = length;
   g_autoptr(json_t) message = parse_reply(core, call, status, body, length);
   call->reply(core, status, message, call->data);
+  core->sender = NULL;
   return TRUE;
 }
 
--- a/src/context/ws-context.h
+++ b/src/context/ws-context.h
@@ -109,9 +109,10 @@
   guint64 incarnation; /**< identifies this run of the node; differs between any two runs */
 
   /* The current input. */
-  gint64 now_ms;      /**< its time on the core's monotonic clock */
-  gint64 wall_ms;     /**< its time on the wall clock */
-  const char *sender; /**< the address of the current request's sender; NULL: no request */
+  gint64 now_ms;       /**< its time on the core's monotonic clock */
+  gint64 wall_ms;      /**< its time on the wall clock */
+  const char *sender;  /**< the address of the process that sent it; NULL: a tick, or unknown */
+  gsize message_bytes; /**< the size of its body */
 
   /* Outputs and calls; ws-context.c. */
   GQueue outputs;       /**< of WsOutput: not popped yet */
--- a/src/context/ws-refusals.c
+++ b/src/context/ws-refusals.c
@@ -93,12 +93,11 @@
 }
 
 void
-ws_refusals_record(WsCore *core, WsReader reader, const char *sender, gsize length,
-                   const GError *error)
+ws_refusals_record(WsCore *core, WsReader reader, const GError *error)
 {
-  const char *name = sender != NULL ? sender : "an unknown sender";
+  const char *sender = core->sender != NULL ? core->sender : "an unknown sender";
   core->refusals->counts[reader][reason_of(error)]++;
-  SenderLog *log = ensure_sender(core, name);
+  SenderLog *log = ensure_sender(core, sender);
   if (log == NULL)
     return;
   if (core->now_ms - log->logged_ms < SENDER_LOG_INTERVAL_MS) {
@@ -106,10 +105,18 @@
     return;
   }
   g_warning("message refused (%s) from %s, %" G_GSIZE_FORMAT " bytes: %s; %u more not logged",
-            READER_NAMES[reader], name, length, error->message, log->omitted_lines);
+            READER_NAMES[reader], sender, core->message_bytes, error->message, log->omitted_lines);
   *log = (SenderLog){ .logged_ms = core->now_ms };
 }
 
+void
+ws_refusals_record_field(WsCore *core, WsReader reader, const char *name)
+{
+  g_autoptr(GError) error = NULL;
+  ws_error_set_invalid(&error, WS_ERROR_INVALID_FIELD, name);
+  ws_refusals_record(core, reader, error);
+}
+
 static char *
 format_counts(const WsRefusals *refusals)
 {
--- a/src/context/ws-refusals.h
+++ b/src/context/ws-refusals.h
@@ -36,14 +36,14 @@
 void ws_refusals_free(WsRefusals *refusals);
 
 /**
- * Counts a message that was refused, and logs it unless its sender was logged recently.
+ * Counts the current message as refused, and logs it unless its sender was logged recently.
  *
- * @sender: the address of the sender, copied; NULL: unknown
- * @length: the size of the message in bytes
  * @error: why it was refused, of the domain WS_ERROR
  */
-void ws_refusals_record(WsCore *core, WsReader reader, const char *sender, gsize length,
-                        const GError *error);
+void ws_refusals_record(WsCore *core, WsReader reader, const GError *error);
+
+/** Does the same for a message with a missing or invalid field. @name: the field's name */
+void ws_refusals_record_field(WsCore *core, WsReader reader, const char *name);
 
 /** Logs the counts of refused messages if an interval has passed, and resets them. */
 void ws_refusals_log_counts(WsCore *core);
--- a/src/core/ws-core.c
+++ b/src/core/ws-core.c
@@ -233,37 +233,37 @@
 }
 
 static void
-handle_heartbeat(WsCore *core, const char *method, const char *body, gsize length, gpointer request)
+handle_heartbeat(WsCore *core, const WsIncomingRequest *request)
 {
-  if (strcmp(method, "POST") != 0)
-    ws_answer_error(core, request, WS_HTTP_METHOD_NOT_ALLOWED, "only POST here");
+  if (strcmp(request->method, "POST") != 0)
+    ws_answer_error(core, request->handle, WS_HTTP_METHOD_NOT_ALLOWED, "only POST here");
   else
-    ws_workers_handle_heartbeat(core, body, length, request);
+    ws_workers_handle_heartbeat(core, request->body, request->length, request->handle);
 }
 
 static void
-handle_api_request(WsCore *core, const char *method, const char *path, const char *body,
-                   gsize length, gpointer request)
+handle_api_request(WsCore *core, const WsIncomingRequest *request)
 {
-  if (strcmp(path, PATH_READY) == 0)
-    answer_readiness(core, method, request);
-  else if (strcmp(path, PATH_HEARTBEAT) == 0)
-    handle_heartbeat(core, method, body, length, request);
+  if (strcmp(request->path, PATH_READY) == 0)
+    answer_readiness(core, request->method, request->handle);
+  else if (strcmp(request->path, PATH_HEARTBEAT) == 0)
+    handle_heartbeat(core, request);
   else
-    ws_job_api_handle_request(core, method, path, body, length, request);
+    ws_job_api_handle_request(core, request->method, request->path, request->body, request->length,
+                              request->handle);
 }
 
 void
-ws_core_handle_request(WsCore *core, gint64 now_ms, gint64 wall_ms, WsListener listener,
-                       const char *sender, const char *method, const char *path, const char *body,
-                       gsize length, gpointer request)
+ws_core_handle_request(WsCore *core, gint64 now_ms, gint64 wall_ms,
+                       const WsIncomingRequest *request)
 {
   set_clocks(core, now_ms, wall_ms);
-  core->sender = sender;
-  if (listener == WS_LISTENER_API)
-    handle_api_request(core, method, path, body, length, request);
+  core->sender = request->sender;
+  core->message_bytes = request->length;
+  if (request->listener == WS_LISTENER_API)
+    handle_api_request(core, request);
   else
-    ws_peers_handle_request(core, path, body, length, request);
+    ws_peers_handle_request(core, request->path, request->body, request->length, request->handle);
   core->sender = NULL;
   run_packages(core);
 }
--- a/src/core/ws-core.h
+++ b/src/core/ws-core.h
@@ -45,17 +45,23 @@
  */
 void ws_core_tick(WsCore *core, gint64 now_ms, gint64 wall_ms);
 
+/** A request as received. The strings and the body are borrowed and not kept. */
+typedef struct {
+  WsListener listener;
+  const char *sender; /**< the sender's address, for the log; NULL: unknown */
+  const char *method;
+  const char *path;
+  const char *body; /**< not NUL-terminated; NULL: no body */
+  gsize length;     /**< of the body, in bytes */
+  gpointer handle;  /**< an opaque handle of the caller; valid until the answer is popped */
+} WsIncomingRequest;
+
 /**
- * Handles a request. The answer is an output that refers to @request. It is queued by this call or
- * by a later input.
- *
- * @sender: the address of the sender, for the log; not kept; NULL: unknown
- * @body: the body as received, @length bytes; not kept
- * @request: an opaque handle of the caller; must remain valid until the answer is popped
+ * Handles a request. The answer is an output that refers to the request's handle. It is queued by
+ * this call or by a later input.
  */
-void ws_core_handle_request(WsCore *core, gint64 now_ms, gint64 wall_ms, WsListener listener,
-                            const char *sender, const char *method, const char *path,
-                            const char *body, gsize length, gpointer request);
+void ws_core_handle_request(WsCore *core, gint64 now_ms, gint64 wall_ms,
+                            const WsIncomingRequest *request);
 
 /**
  * Handles the response to a call that an output requested. Responses to unknown calls are ignored.
--- a/src/fleet/ws-fleet.c
+++ b/src/fleet/ws-fleet.c
@@ -75,12 +75,14 @@
   fleet->catalog_in_flight = FALSE;
   fleet->next_catalog_ms = core->now_ms + (catalog != NULL ? CATALOG_REFRESH_MS : CATALOG_RETRY_MS);
   if (catalog == NULL) {
+    if (status == WS_HTTP_OK)
+      ws_refusals_record_field(core, WS_READER_CLOUD_REPLY, "a type of the catalog");
     g_info("no valid catalog from the cloud (status %u), retrying", status);
     return;
   }
   WsTxn *txn = ws_txn_new();
   ws_txn_compare(txn, core->replica, WS_KEY_EPOCH);
-  ws_txn_put(txn, WS_KEY_CATALOG, json_incref((json_t *)body));
+  ws_txn_put(txn, WS_KEY_CATALOG, ws_catalog_encode(catalog));
   ws_txn_commit(core, txn, WS_REQUEST_SCHEDULING, on_catalog_stored, NULL);
 }
 
--- a/src/membership/ws-cancellation-message.c
+++ b/src/membership/ws-cancellation-message.c
@@ -36,12 +36,11 @@
 static gboolean
 parse_notice(const json_t *item, WsCancellationNotice *notice)
 {
-  const json_t *job = json_array_get(item, ITEM_JOB);
-  const json_t *age_ms = json_array_get(item, ITEM_AGE_MS);
-  if (!json_is_string(job) || !json_is_integer(age_ms) || json_integer_value(age_ms) < 0)
+  guint64 age_ms;
+  if (!ws_json_string_at(item, ITEM_JOB, &notice->job)
+      || !ws_json_uint64_at(item, ITEM_AGE_MS, &age_ms) || age_ms > G_MAXINT64)
     return FALSE;
-  notice->job = json_string_value(job);
-  notice->age_ms = json_integer_value(age_ms);
+  notice->age_ms = (gint64)age_ms;
   return TRUE;
 }
 
--- a/src/membership/ws-failure-detector.c
+++ b/src/membership/ws-failure-detector.c
@@ -4,6 +4,7 @@
  */
 #include "membership/ws-failure-detection.h"
 
+#include "protocol/ws-status-codes.h"
 #include "storage/ws-mark-reasons.h"
 
 #define PROBE_INTERVAL_MS 600
@@ -62,6 +63,8 @@
   g_autoptr(WsHeartbeat) heartbeat
       = ws_heartbeat_parse_status_response(status, body, machine->name);
   core->failure_detector->probes_in_flight--;
+  if (heartbeat == NULL && body != NULL && status == WS_HTTP_OK)
+    ws_refusals_record_field(core, WS_READER_WORKER_REPLY, "the worker's status");
   /* An outdated status, as from a worker that was restarted, counts as a failed probe. */
   if (heartbeat == NULL || !ws_owns_machine(core, machine)
       || !core->handlers->apply_worker_status(core, machine, heartbeat)) {
--- a/src/membership/ws-gossip-message.c
+++ b/src/membership/ws-gossip-message.c
@@ -115,10 +115,13 @@
 {
   if (!parse_header(body, message))
     return FALSE;
-  message->has_revisions
-      = ws_json_uint64(body, WIRE_BASE_REVISION, &message->base_revision)
-        && ws_json_uint64(body, WIRE_REVISION, &message->revision)
-        && ws_json_uint64(body, WIRE_ACKNOWLEDGED_REVISION, &message->acknowledged_revision);
+  if (!ws_json_uint64_or_null(body, WIRE_BASE_REVISION, &message->base_revision)
+      || !ws_json_uint64_or_null(body, WIRE_REVISION, &message->revision)
+      || !ws_json_uint64_or_null(body, WIRE_ACKNOWLEDGED_REVISION, &message->acknowledged_revision))
+    return FALSE;
+  message->has_revisions = !ws_json_is_absent(body, WIRE_BASE_REVISION)
+                           && !ws_json_is_absent(body, WIRE_REVISION)
+                           && !ws_json_is_absent(body, WIRE_ACKNOWLEDGED_REVISION);
   if (!message->has_revisions)
     return TRUE;
   size_t i;
--- a/src/membership/ws-gossip.c
+++ b/src/membership/ws-gossip.c
@@ -228,8 +228,10 @@
 {
   g_auto(WsGossipMessage) message;
   ws_gossip_message_init(&message);
-  if (!ws_gossip_message_parse(body, &message))
+  if (!ws_gossip_message_parse(body, &message)) {
+    ws_refusals_record_field(core, WS_READER_PEER_REQUEST, "a field of the gossip");
     return;
+  }
   WsNodeIndex node = ws_settings_find_node(core->settings, message.node);
   if (node == WS_NO_NODE || node == core->settings->self)
     return;
@@ -285,6 +287,7 @@
 {
   WsNodeIndex node = ws_settings_find_node(core->settings, ws_gossip_message_sender(body));
   if (node == WS_NO_NODE || node == core->settings->self) {
+    ws_refusals_record_field(core, WS_READER_PEER_REQUEST, WIRE_NODE);
     ws_answer_error(core, request, WS_HTTP_BAD_REQUEST, "node is missing or unknown");
     return;
   }
@@ -299,7 +302,7 @@
   g_autoptr(GError) error = NULL;
   g_autoptr(json_t) message = ws_json_parse_with_error(body, length, &error);
   if (message == NULL)
-    ws_refusals_record(core, WS_READER_PEER_REQUEST, core->sender, length, error);
+    ws_refusals_record(core, WS_READER_PEER_REQUEST, error);
   if (strcmp(path, WIRE_PATH_GOSSIP) == 0) {
     answer_gossip(core, message, request);
   } else if (strcmp(path, WIRE_PATH_CANCELLATIONS) == 0) {
--- a/src/membership/ws-peer-request-message.c
+++ b/src/membership/ws-peer-request-message.c
@@ -124,49 +124,73 @@
 
 /* Parsing. */
 
-static char *
-parse_string(const json_t *item, size_t position)
+static gboolean
+parse_string(const json_t *item, size_t position, char **value)
 {
-  return g_strdup(json_string_value(json_array_get(item, position)));
+  const char *text;
+  if (!ws_json_string_at(item, position, &text))
+    return FALSE;
+  *value = g_strdup(text);
+  return TRUE;
 }
 
-static gint64
-parse_integer(const json_t *item, size_t position)
+/* Parses the number of a task, or a number of tasks. */
+static gboolean
+parse_task_number(const json_t *item, gint64 *value)
 {
-  return json_integer_value(json_array_get(item, position));
+  guint64 number;
+  if (!ws_json_uint64_at(item, ITEM_TASK, &number) || number > WS_MAX_TASKS)
+    return FALSE;
+  *value = (gint64)number;
+  return TRUE;
 }
 
-static void
+static gboolean
+parse_flag(const json_t *item, size_t position, gboolean *value)
+{
+  const json_t *flag = json_array_get(item, position);
+  *value = json_is_true(flag);
+  return json_is_boolean(flag);
+}
+
+static gboolean
+parse_mark(const json_t *item, WsPeerRequest *request)
+{
+  return parse_string(item, MARK_MACHINE, &request->machine)
+         && parse_string(item, MARK_REASON, &request->reason)
+         && parse_flag(item, MARK_IS_IMMEDIATE, &request->is_immediate);
+}
+
+static gboolean
 parse_release(const WsReplica *replica, const json_t *item, WsPeerRequest *request)
 {
   request->release.attempt = request->attempt;
-  request->release.is_completed = json_is_true(json_array_get(item, ITEM_IS_COMPLETED));
   request->has_evidence = ws_evidence_parse(replica, item, &request->release.evidence);
+  return parse_flag(item, ITEM_IS_COMPLETED, &request->release.is_completed);
 }
 
+/* Parses a request that refers to a job. */
+static gboolean
+parse_job_request(const WsReplica *replica, const json_t *item, WsPeerRequest *request)
+{
+  gint64 *number = request->kind == WS_PEER_REQUEST_RESERVATION ? &request->tasks : &request->task;
+  if (!parse_string(item, ITEM_JOB, &request->job) || !parse_task_number(item, number))
+    return FALSE;
+  if (request->kind != WS_PEER_REQUEST_STOP && request->kind != WS_PEER_REQUEST_RELEASE)
+    return parse_string(item, ITEM_MACHINE, &request->machine);
+  return ws_json_uint64_at(item, ITEM_ATTEMPT, &request->attempt)
+         && (request->kind != WS_PEER_REQUEST_RELEASE || parse_release(replica, item, request));
+}
+
+/* Returns NULL if the request is malformed. */
 static WsPeerRequest *
 parse_request(const WsReplica *replica, WsPeerRequestKind kind, const json_t *item)
 {
-  WsPeerRequest *request = g_new0(WsPeerRequest, 1);
+  g_autoptr(WsPeerRequest) request = g_new0(WsPeerRequest, 1);
   request->kind = kind;
-  if (kind == WS_PEER_REQUEST_MARK) {
-    request->machine = parse_string(item, MARK_MACHINE);
-    request->reason = parse_string(item, MARK_REASON);
-    request->is_immediate = json_is_true(json_array_get(item, MARK_IS_IMMEDIATE));
-    return request;
-  }
-  request->job = parse_string(item, ITEM_JOB);
-  if (kind == WS_PEER_REQUEST_RESERVATION)
-    request->tasks = parse_integer(item, ITEM_TASK);
-  else
-    request->task = parse_integer(item, ITEM_TASK);
-  if (kind == WS_PEER_REQUEST_STOP || kind == WS_PEER_REQUEST_RELEASE)
-    request->attempt = (guint64)parse_integer(item, ITEM_ATTEMPT);
-  else
-    request->machine = parse_string(item, ITEM_MACHINE);
-  if (kind == WS_PEER_REQUEST_RELEASE)
-    parse_release(replica, item, request);
-  return request;
+  gboolean is_valid = kind == WS_PEER_REQUEST_MARK ? parse_mark(item, request)
+                                                   : parse_job_request(replica, item, request);
+  return is_valid ? g_steal_pointer(&request) : NULL;
 }
 
 WsPeerRequestBatch *
@@ -182,7 +206,9 @@
     const json_t *item;
     json_array_foreach(json_object_get(body, LIST_NAMES[k]), i, item)
     {
-      append_request(batch, parse_request(replica, (WsPeerRequestKind)k, item));
+      WsPeerRequest *request = parse_request(replica, (WsPeerRequestKind)k, item);
+      if (request != NULL)
+        append_request(batch, request);
     }
   }
   return batch;
--- a/src/protocol/ws-cloud.c
+++ b/src/protocol/ws-cloud.c
@@ -33,32 +33,9 @@
   g_free(listed);
 }
 
-typedef gboolean (*ParseItemFunc)(const json_t *item, gpointer parsed);
-
-/* Parses each item of a JSON array into a new structure of item_size bytes. Returns NULL if the
-   value is not an array or if an item is invalid. */
-static GPtrArray *
-parse_list(const json_t *list, gsize item_size, GDestroyNotify free_item, ParseItemFunc parse_item)
-{
-  if (!json_is_array(list))
-    return NULL;
-  g_autoptr(GPtrArray) parsed = g_ptr_array_new_with_free_func(free_item);
-  size_t i;
-  const json_t *item;
-  json_array_foreach(list, i, item)
-  {
-    gpointer entry = g_malloc0(item_size);
-    g_ptr_array_add(parsed, entry);
-    if (!parse_item(item, entry))
-      return NULL;
-  }
-  return g_steal_pointer(&parsed);
-}
-
 static gboolean
-parse_type(const json_t *item, gpointer parsed)
+parse_type(const json_t *item, WsType *type)
 {
-  WsType *type = parsed;
   const char *name;
   if (!ws_json_string(item, WS_FIELD_TYPE_NAME, &name)
       || !ws_amount_parse_capacity(item, WS_FIELD_CPUS, &type->capacity.cpus)
@@ -75,17 +52,56 @@
   return TRUE;
 }
 
+/* A catalog without one of its types would say that jobs for this type can never run, so it is
+   valid only as a whole. */
 GPtrArray *
 ws_catalog_parse(const json_t *message)
 {
-  return parse_list(json_object_get(message, WS_FIELD_MACHINE_TYPES), sizeof(WsType), type_free,
-                    parse_type);
+  const json_t *list = json_object_get(message, WS_FIELD_MACHINE_TYPES);
+  if (!json_is_array(list))
+    return NULL;
+  g_autoptr(GPtrArray) types = g_ptr_array_new_with_free_func(type_free);
+  size_t i;
+  const json_t *item;
+  json_array_foreach(list, i, item)
+  {
+    WsType *type = g_new0(WsType, 1);
+    g_ptr_array_add(types, type);
+    if (!parse_type(item, type))
+      return NULL;
+  }
+  return g_steal_pointer(&types);
+}
+
+static json_t *
+encode_type(const WsType *type)
+{
+  json_t *zones = json_array();
+  for (char **zone = type->zones; *zone != NULL; zone++)
+    json_array_append_new(zones, json_string(*zone));
+  return json_pack("{s:s, s:o, s:o, s:o, s:f, s:f, s:f, s:f, s:f, s:o}",               //
+                   WS_FIELD_TYPE_NAME, type->name,                                     //
+                   WS_FIELD_CPUS, ws_amount_encode(type->capacity.cpus),               //
+                   WS_FIELD_GPUS, ws_amount_encode(type->capacity.gpus),               //
+                   WS_FIELD_MEMORY_GB, ws_amount_encode(type->capacity.memory),        //
+                   WS_FIELD_CACHE_GB, type->cache_gb,                                  //
+                   WS_FIELD_FETCH_GB_PER_S, type->fetch_gb_per_s,                      //
+                   WS_FIELD_PRICE, type->price, WS_FIELD_SPOT_PRICE, type->spot_price, //
+                   WS_FIELD_BOOT_S, type->boot_s, WS_FIELD_ZONES, zones);
+}
+
+json_t *
+ws_catalog_encode(const GPtrArray *types)
+{
+  json_t *list = json_array();
+  for (guint i = 0; i < types->len; i++)
+    json_array_append_new(list, encode_type(g_ptr_array_index(types, i)));
+  return json_pack("{s:o}", WS_FIELD_MACHINE_TYPES, list);
 }
 
 static gboolean
-parse_listed_machine(const json_t *item, gpointer parsed)
+parse_listed_machine(const json_t *item, WsListedMachine *listed)
 {
-  WsListedMachine *listed = parsed;
   const char *id, *endpoint = NULL, *type, *zone, *state;
   if (!ws_json_string(item, WS_FIELD_ID, &id)
       || !ws_json_string_or_null(item, WS_FIELD_ENDPOINT, &endpoint)
@@ -103,13 +119,34 @@
   return TRUE;
 }
 
+/* Malformed entries are left out, since nothing is concluded from a machine's absence from the
+   list. Returns NULL if there are only malformed ones. */
+static GPtrArray *
+parse_listed_machines(const json_t *list)
+{
+  g_autoptr(GPtrArray) machines = g_ptr_array_new_with_free_func(listed_machine_free);
+  size_t i;
+  const json_t *item;
+  json_array_foreach(list, i, item)
+  {
+    WsListedMachine *listed = g_new0(WsListedMachine, 1);
+    if (parse_listed_machine(item, listed))
+      g_ptr_array_add(machines, listed);
+    else
+      listed_machine_free(listed);
+  }
+  if (machines->len == 0 && json_array_size(list) > 0)
+    return NULL;
+  return g_steal_pointer(&machines);
+}
+
 GPtrArray *
 ws_machine_list_parse(const json_t *message, gboolean *has_more)
 {
   const json_t *list = json_object_get(message, WS_FIELD_MACHINES);
   if (!json_is_array(list) || !ws_json_bool(message, WS_FIELD_HAS_MORE, has_more))
     return NULL;
-  return parse_list(list, sizeof(WsListedMachine), listed_machine_free, parse_listed_machine);
+  return parse_listed_machines(list);
 }
 
 GPtrArray *
--- a/src/protocol/ws-cloud.h
+++ b/src/protocol/ws-cloud.h
@@ -36,6 +36,9 @@
 /** Parses the catalog into an array of WsType, in catalog order. */
 GPtrArray *ws_catalog_parse(const json_t *message);
 
+/** Encodes an array of WsType as a catalog, without members that this program doesn't use. */
+json_t *ws_catalog_encode(const GPtrArray *types);
+
 /**
  * Parses one page of the machine list into an array of WsListedMachine.
  *
--- a/src/protocol/ws-heartbeat.c
+++ b/src/protocol/ws-heartbeat.c
@@ -66,20 +66,28 @@
   return WS_EXIT_ERROR;
 }
 
-static gboolean
+/* Returns the name of the first missing or invalid field, or NULL if all are valid. The functions
+   below do the same. */
+static const char *
 parse_task_status(const json_t *item, WsTaskStatus *task)
 {
   const char *name, *state, *reason = NULL;
+  if (!json_is_object(item))
+    return WS_FIELD_TASKS;
+  if (!ws_json_uint64(item, WS_FIELD_ATTEMPT, &task->attempt))
+    return WS_FIELD_ATTEMPT;
+  if (!ws_json_string(item, WS_FIELD_STATE, &state) || !parse_task_state(state, &task->state))
+    return WS_FIELD_STATE;
+  if (!ws_json_string_or_null(item, WS_FIELD_EXIT_REASON, &reason))
+    return WS_FIELD_EXIT_REASON;
+  if (!ws_json_bool_or_null(item, WS_FIELD_IS_SAVED, &task->is_saved))
+    return WS_FIELD_IS_SAVED;
   if (!ws_json_string(item, WS_FIELD_TASK, &name)
-      || !ws_json_uint64(item, WS_FIELD_ATTEMPT, &task->attempt)
-      || !ws_json_string(item, WS_FIELD_STATE, &state)
-      || !ws_json_string_or_null(item, WS_FIELD_EXIT_REASON, &reason)
-      || !parse_task_state(state, &task->state) || !parse_task_name(name, &task->job, &task->task))
-    return FALSE;
+      || !parse_task_name(name, &task->job, &task->task))
+    return WS_FIELD_TASK;
   if (task->state == WS_TASK_EXITED)
     task->exit_reason = parse_exit_reason(reason);
-  task->is_saved = json_is_true(json_object_get(item, WS_FIELD_IS_SAVED));
-  return TRUE;
+  return NULL;
 }
 
 static void
@@ -88,8 +96,6 @@
   g_free(((WsTaskStatus *)data)->job);
 }
 
-/* Returns the name of the first missing or invalid field, or NULL if all are valid.
-   parse_fields() does the same. */
 static const char *
 parse_task_statuses(const json_t *message, WsHeartbeat *heartbeat)
 {
@@ -101,8 +107,9 @@
   json_array_foreach(list, i, item)
   {
     WsTaskStatus task = { 0 };
-    if (!parse_task_status(item, &task))
-      return WS_FIELD_TASKS;
+    const char *invalid = parse_task_status(item, &task);
+    if (invalid != NULL)
+      return invalid;
     g_array_append_val(heartbeat->tasks, task);
   }
   return NULL;
@@ -248,6 +255,16 @@
                    WS_FIELD_COMMANDS, commands);
 }
 
+json_t *
+ws_heartbeat_response_copy(const json_t *response)
+{
+  guint64 fencing_token;
+  json_t *commands = json_object_get(response, WS_FIELD_COMMANDS);
+  if (!ws_json_uint64(response, WS_FIELD_FENCING_TOKEN, &fencing_token) || !json_is_array(commands))
+    return NULL;
+  return ws_heartbeat_response_encode(fencing_token, json_copy(commands));
+}
+
 json_t *
 ws_heartbeat_response_commands(const json_t *response)
 {
--- a/src/protocol/ws-heartbeat.h
+++ b/src/protocol/ws-heartbeat.h
@@ -105,6 +105,12 @@
 /** Encodes the response to a heartbeat. Takes ownership of @commands. */
 json_t *ws_heartbeat_response_encode(guint64 fencing_token, json_t *commands);
 
+/**
+ * Copies a heartbeat response, so that commands can be added. The caller owns the copy. Returns
+ * NULL if the response is malformed.
+ */
+json_t *ws_heartbeat_response_copy(const json_t *response);
+
 /** Returns the commands in a heartbeat response, borrowed from it, or NULL if it has none. */
 json_t *ws_heartbeat_response_commands(const json_t *response);
 
--- a/src/protocol/ws-job-spec.c
+++ b/src/protocol/ws-job-spec.c
@@ -92,8 +92,8 @@
 parse_deadline(const json_t *message, double *value)
 {
   *value = NO_DEADLINE_S;
-  return ws_json_number_or_null(message, WS_FIELD_DEADLINE_S, value) && *value <= MAX_SECONDS_OR_GB
-         && (*value >= 0.0 || *value == NO_DEADLINE_S);
+  return ws_json_is_absent(message, WS_FIELD_DEADLINE_S)
+         || parse_non_negative(message, WS_FIELD_DEADLINE_S, value);
 }
 
 static gboolean
--- a/src/protocol/ws-json.c
+++ b/src/protocol/ws-json.c
@@ -78,6 +78,12 @@
   return ws_json_is_absent(object, name) || ws_json_string(object, name, value);
 }
 
+gboolean
+ws_json_uint64_or_null(const json_t *object, const char *name, guint64 *value)
+{
+  return ws_json_is_absent(object, name) || ws_json_uint64(object, name, value);
+}
+
 gboolean
 ws_json_bool_or_null(const json_t *object, const char *name, gboolean *value)
 {
--- a/src/protocol/ws-json.h
+++ b/src/protocol/ws-json.h
@@ -61,6 +61,9 @@
 /** Reads a string member. Returns TRUE and leaves @value unchanged if it is missing or null. */
 gboolean ws_json_string_or_null(const json_t *object, const char *name, const char **value);
 
+/** Reads an integer member. Returns TRUE and leaves @value unchanged if it is missing or null. */
+gboolean ws_json_uint64_or_null(const json_t *object, const char *name, guint64 *value);
+
 /** Reads a boolean member. Returns TRUE and leaves @value unchanged if it is missing or null. */
 gboolean ws_json_bool_or_null(const json_t *object, const char *name, gboolean *value);
 
--- a/src/protocol/ws-kv.c
+++ b/src/protocol/ws-kv.c
@@ -61,39 +61,58 @@
   g_free(page);
 }
 
-WsKvPage *
-ws_kv_page_parse(const json_t *message)
+static gboolean
+parse_page_item(const json_t *entry, WsKvItem *item)
 {
-  guint64 revision;
-  gboolean has_more;
-  const json_t *items = json_object_get(message, KV_FIELD_PAGE_ITEMS);
-  if (!ws_kv_revision_parse(message, &revision)
-      || !ws_json_bool(message, KV_FIELD_HAS_MORE_PAGES, &has_more) || !json_is_array(items))
-    return NULL;
-  WsKvPage *page = page_new(revision);
-  page->is_last = !has_more || json_array_size(items) == 0;
-  size_t i;
-  const json_t *entry;
-  json_array_foreach(items, i, entry)
-  {
-    WsKvItem item = { .value = json_object_get(entry, KV_FIELD_VALUE) };
-    if (ws_json_string(entry, KV_FIELD_ITEM_KEY, &item.key)
-        && ws_json_uint64(entry, WS_FIELD_VERSION, &item.version))
-      g_array_append_val(page->items, item);
-  }
-  return page;
+  item->value = json_object_get(entry, KV_FIELD_VALUE);
+  return item->value != NULL && ws_json_string(entry, KV_FIELD_ITEM_KEY, &item->key)
+         && ws_json_uint64(entry, WS_FIELD_VERSION, &item->version);
 }
 
+/* An event that neither puts nor deletes a key has no key. */
 static gboolean
-watch_event_parse(const json_t *event, WsKvItem *item)
+parse_watch_event(const json_t *event, WsKvItem *item)
 {
   if (!ws_json_uint64(event, WS_FIELD_VERSION, &item->version))
     return FALSE;
-  if (ws_json_string(event, KV_FIELD_PUT_KEY, &item->key))
+  if (json_object_get(event, KV_FIELD_PUT_KEY) != NULL) {
     item->value = json_object_get(event, KV_FIELD_VALUE);
-  else
-    (void)ws_json_string(event, KV_FIELD_DELETE_KEY, &item->key);
-  return TRUE;
+    return item->value != NULL && ws_json_string(event, KV_FIELD_PUT_KEY, &item->key);
+  }
+  return json_object_get(event, KV_FIELD_DELETE_KEY) == NULL
+         || ws_json_string(event, KV_FIELD_DELETE_KEY, &item->key);
+}
+
+/* Parses the list into the items of the page. Returns FALSE if the list or one of its entries is
+   malformed: an entry that is left out would say that its key is absent or unchanged. */
+static gboolean
+parse_items(const json_t *list, gboolean (*parse)(const json_t *, WsKvItem *), WsKvPage *page)
+{
+  size_t i;
+  const json_t *entry;
+  json_array_foreach(list, i, entry)
+  {
+    WsKvItem item = { 0 };
+    if (!parse(entry, &item))
+      return FALSE;
+    g_array_append_val(page->items, item);
+  }
+  return json_is_array(list);
+}
+
+WsKvPage *
+ws_kv_page_parse(const json_t *message)
+{
+  guint64 revision;
+  gboolean has_more;
+  if (!ws_kv_revision_parse(message, &revision)
+      || !ws_json_bool(message, KV_FIELD_HAS_MORE_PAGES, &has_more))
+    return NULL;
+  g_autoptr(WsKvPage) page = page_new(revision);
+  if (!parse_items(json_object_get(message, KV_FIELD_PAGE_ITEMS), parse_page_item, page))
+    return NULL;
+  page->is_last = !has_more || page->items->len == 0;
+  return g_steal_pointer(&page);
 }
 
 WsKvPage *
@@ -102,16 +121,10 @@
   guint64 revision;
   if (!ws_kv_revision_parse(message, &revision))
     return NULL;
-  WsKvPage *page = page_new(revision);
-  size_t i;
-  const json_t *event;
-  json_array_foreach(json_object_get(message, KV_FIELD_WATCH_EVENTS), i, event)
-  {
-    WsKvItem item = { 0 };
-    if (watch_event_parse(event, &item))
-      g_array_append_val(page->items, item);
-  }
-  return page;
+  g_autoptr(WsKvPage) page = page_new(revision);
+  if (!parse_items(json_object_get(message, KV_FIELD_WATCH_EVENTS), parse_watch_event, page))
+    return NULL;
+  return g_steal_pointer(&page);
 }
 
 json_t *
--- a/src/protocol/ws-kv.h
+++ b/src/protocol/ws-kv.h
@@ -35,7 +35,7 @@
 /** One page of a range read, or the events of one watch response. */
 typedef struct {
   guint64 revision; /**< the store's revision at the time of the response */
-  GArray *items;    /**< array of WsKvItem; malformed items are skipped */
+  GArray *items;    /**< array of WsKvItem */
   gboolean is_last; /**< no further page follows */
 } WsKvPage;
 
--- a/src/runtime/ws-runtime.c
+++ b/src/runtime/ws-runtime.c
@@ -77,8 +77,16 @@
 static void
 handle_request(WsRuntime *runtime, WsListener listener, WsHttpRequest *request)
 {
-  ws_core_handle_request(runtime->core, now_ms(), wall_ms(), listener, request->sender,
-                         request->method, request->path, request->body, request->length, request);
+  WsIncomingRequest incoming = {
+    .listener = listener,
+    .sender = request->sender,
+    .method = request->method,
+    .path = request->path,
+    .body = request->body,
+    .length = request->length,
+    .handle = request,
+  };
+  ws_core_handle_request(runtime->core, now_ms(), wall_ms(), &incoming);
   send_outputs(runtime);
 }
 
--- a/src/storage/ws-chunk-record.c
+++ b/src/storage/ws-chunk-record.c
@@ -128,14 +128,19 @@
 static gboolean
 parse_assignment(WsReplica *replica, const json_t *item, WsAssignment *assignment)
 {
-  const char *machine = json_string_value(json_array_get(item, ITEM_MACHINE));
-  if (machine == NULL)
+  const char *machine;
+  guint64 task, attempt, assigned_ms = 0;
+  if (!ws_json_uint64_at(item, ITEM_TASK, &task) || task >= WS_MAX_TASKS
+      || !ws_json_string_at(item, ITEM_MACHINE, &machine)
+      || !ws_json_uint64_at(item, ITEM_ATTEMPT, &attempt)
+      || (json_array_size(item) > ITEM_ASSIGNED_MS
+          && !ws_json_uint64_at(item, ITEM_ASSIGNED_MS, &assigned_ms)))
     return FALSE;
   *assignment = (WsAssignment){
-    .task = (guint)json_integer_value(json_array_get(item, ITEM_TASK)),
+    .task = (guint)task,
     .machine = ws_replica_ensure_machine(replica, machine)->index,
-    .attempt = (guint64)json_integer_value(json_array_get(item, ITEM_ATTEMPT)),
-    .assigned_ms = json_integer_value(json_array_get(item, ITEM_ASSIGNED_MS)),
+    .attempt = attempt,
+    .assigned_ms = (gint64)assigned_ms,
   };
   return TRUE;
 }
--- a/src/storage/ws-cluster-records.c
+++ b/src/storage/ws-cluster-records.c
@@ -17,8 +17,8 @@
 ws_member_parse(const json_t *value, WsMember *member)
 {
   member->supports_token_ranges = FALSE;
-  (void)ws_json_bool(value, FIELD_TOKEN_RANGES, &member->supports_token_ranges);
-  return ws_json_uint64(value, FIELD_INCARNATION, &member->incarnation);
+  return ws_json_bool_or_null(value, FIELD_TOKEN_RANGES, &member->supports_token_ranges)
+         && ws_json_uint64(value, FIELD_INCARNATION, &member->incarnation);
 }
 
 json_t *
--- a/src/storage/ws-evidence.c
+++ b/src/storage/ws-evidence.c
@@ -79,15 +79,16 @@
 gboolean
 ws_evidence_parse(const WsReplica *replica, const json_t *item, WsEvidence *evidence)
 {
-  const char *name = json_string_value(json_array_get(item, ITEM_MACHINE));
-  const json_t *epoch = json_array_get(item, ITEM_EPOCH);
-  const WsMachine *machine = name != NULL ? ws_replica_find_machine(replica, name) : NULL;
+  const char *name, *kind;
   *evidence = (WsEvidence){ 0 };
-  if (machine == NULL || !json_is_integer(epoch) || json_integer_value(epoch) < 0
-      || !parse_kind(json_string_value(json_array_get(item, ITEM_KIND)), &evidence->kind))
+  if (!ws_json_string_at(item, ITEM_MACHINE, &name) || !ws_json_string_at(item, ITEM_KIND, &kind)
+      || !parse_kind(kind, &evidence->kind)
+      || !ws_json_uint64_at(item, ITEM_EPOCH, &evidence->epoch)
+      || !ws_json_uint64_at(item, ITEM_INCARNATION, &evidence->incarnation))
+    return FALSE;
+  const WsMachine *machine = ws_replica_find_machine(replica, name);
+  if (machine == NULL)
     return FALSE;
   evidence->machine = machine->index;
-  evidence->epoch = (guint64)json_integer_value(epoch);
-  evidence->incarnation = (guint64)json_integer_value(json_array_get(item, ITEM_INCARNATION));
   return TRUE;
 }
--- a/src/storage/ws-job-record.c
+++ b/src/storage/ws-job-record.c
@@ -52,12 +52,14 @@
   if (!parse_state(value, &record->state))
     return FALSE;
   record->spec = json_object_get(value, FIELD_SPEC);
-  record->has_task_count = ws_json_uint64(value, FIELD_TASKS, &tasks);
+  if (!ws_json_uint64_or_null(value, FIELD_TASKS, &tasks)
+      || !ws_json_uint64_or_null(value, FIELD_ACCEPTED, &accepted_ms)
+      || !ws_json_uint64_or_null(value, FIELD_CANCELLED, &cancelled_ms)
+      || !ws_json_string_or_null(value, FIELD_COORDINATOR, &record->coordinator))
+    return FALSE;
+  record->has_task_count = !ws_json_is_absent(value, FIELD_TASKS);
   record->tasks = (guint)tasks;
-  (void)ws_json_uint64(value, FIELD_ACCEPTED, &accepted_ms);
   record->accepted_ms = (gint64)accepted_ms;
-  (void)ws_json_uint64(value, FIELD_CANCELLED, &cancelled_ms);
   record->cancelled_ms = (gint64)cancelled_ms;
-  (void)ws_json_string(value, FIELD_COORDINATOR, &record->coordinator);
   return TRUE;
 }
--- a/src/storage/ws-team-use.c
+++ b/src/storage/ws-team-use.c
@@ -64,9 +64,14 @@
   if (team == WS_NO_TEAM || !json_is_object(amount)
       || (!is_from_own_group && replica->team_is_recorded[team]))
     return;
+  guint64 cpus, gpus;
+  if (!ws_json_uint64(amount, FIELD_CPUS, &cpus) || !ws_json_uint64(amount, FIELD_GPUS, &gpus)) {
+    g_warning("record of the use of team %u is damaged", team);
+    return;
+  }
   replica->team_is_recorded[team] = is_from_own_group;
-  replica->team_use[team].cpus = json_integer_value(json_object_get(amount, FIELD_CPUS));
-  replica->team_use[team].gpus = json_integer_value(json_object_get(amount, FIELD_GPUS));
+  replica->team_use[team].cpus = (gint64)cpus;
+  replica->team_use[team].gpus = (gint64)gpus;
 }
 
 void
--- a/src/workers/ws-cancelled-tasks.c
+++ b/src/workers/ws-cancelled-tasks.c
@@ -124,6 +124,8 @@
     schedule_halt(core, machine, UNREACHABLE_HALT_RETRY_MS);
   g_autoptr(WsHeartbeat) heartbeat
       = ws_heartbeat_parse_command_response(status, body, machine->name);
+  if (heartbeat == NULL && body != NULL && status == WS_HTTP_OK)
+    ws_refusals_record_field(core, WS_READER_WORKER_REPLY, "the worker's status");
   if (heartbeat == NULL)
     return;
   confirm_halted(core, machine, heartbeat);
--- a/src/workers/ws-relay.c
+++ b/src/workers/ws-relay.c
@@ -90,8 +90,12 @@
 static void
 forward_owner_answer(WsCore *core, const Relay *relay, const json_t *body)
 {
-  json_t *answer = json_deep_copy(body);
+  json_t *answer = ws_heartbeat_response_copy(body);
   g_autoptr(WsHeartbeat) heartbeat = parse_heartbeat(relay->heartbeat);
+  if (answer == NULL) {
+    answer_without_owner(core, relay->heartbeat, relay->request);
+    return;
+  }
   if (heartbeat != NULL)
     ws_cancelled_tasks_add_halts(core, heartbeat, ws_heartbeat_response_commands(answer));
   ws_answer(core, relay->request, WS_HTTP_OK, answer, 0);
@@ -157,7 +161,7 @@
   g_autoptr(GError) error = NULL;
   g_autoptr(WsHeartbeat) heartbeat = ws_heartbeat_parse_text(encoded, strlen(encoded), &error);
   if (heartbeat == NULL) {
-    ws_refusals_record(core, WS_READER_HEARTBEAT, core->sender, strlen(encoded), error);
+    ws_refusals_record(core, WS_READER_HEARTBEAT, error);
     ws_answer_error(core, request, WS_HTTP_BAD_REQUEST, error->message);
   } else if (ws_authority_check_lease_renewal(core, heartbeat->fencing_token) != WS_REFUSAL_NONE) {
     ws_answer_retry_later(core, request, HEARTBEAT_RETRY_AFTER_S);
@@ -171,6 +175,7 @@
 {
   WsRelayMessage relayed;
   if (!ws_relay_message_parse(message, &relayed)) {
+    ws_refusals_record_field(core, WS_READER_PEER_REQUEST, "relayed heartbeat");
     ws_answer_error(core, request, WS_HTTP_BAD_REQUEST, "malformed");
     return;
   }
--- a/src/workers/ws-worker-rpc.c
+++ b/src/workers/ws-worker-rpc.c
@@ -92,6 +92,8 @@
   core->workers->rpcs_in_flight--;
   g_autoptr(WsHeartbeat) heartbeat
       = ws_heartbeat_parse_command_response(status, body, machine->name);
+  if (heartbeat == NULL && body != NULL && status == WS_HTTP_OK)
+    ws_refusals_record_field(core, WS_READER_WORKER_REPLY, "the worker's status");
   count_reply(core, status);
   if (call->launches != NULL)
     log_reply(core, machine, call, status, heartbeat);
--- a/src/workers/ws-workers.c
+++ b/src/workers/ws-workers.c
@@ -143,7 +143,7 @@
   g_autoptr(GError) error = NULL;
   g_autoptr(WsHeartbeat) heartbeat = ws_heartbeat_parse_text(body, length, &error);
   if (heartbeat == NULL) {
-    ws_refusals_record(core, WS_READER_HEARTBEAT, core->sender, length, error);
+    ws_refusals_record(core, WS_READER_HEARTBEAT, error);
     ws_answer_error(core, request, WS_HTTP_BAD_REQUEST, error->message);
     return;
   }
--- a/tests/input/fields.c
+++ b/tests/input/fields.c
@@ -338,20 +338,12 @@
 void
 test_damaged_entry_costs_only_that_entry(void)
 {
-  static const char CATALOG[]
-      = "{\"typy\":[{\"sku\":\"g4\",\"cpus\":1e400},7,{\"sku\":\"g8\",\"cpus\":96,"
-        "\"accelerators\":8,\"mem_gb\":768,\"local_gb\":200,\"pull_gb_per_s\":1.0,\"price\":12.0,"
-        "\"low_price\":4.5,\"boot_s\":45,\"haly\":[\"a\"]}]}";
   static const char MACHINES[]
       = "{\"stroje\":[{\"id\":1e400},{\"id\":\"m-2\",\"endpoint\":\"w:2\",\"typ\":\"g8\","
         "\"hala\":\"a\",\"vypujcky\":true,\"stav\":\"running\",\"age_s\":61.5}],\"more\":false}";
   static const char REQUESTS[]
       = "{\"epoch\":7,\"stops\":[[\"req-1\",1e400,2],[\"req-2\",0],[7,0,1],[\"req-3\",1,2]],"
         "\"marks\":[[\"m-1\",1e400,false],[\"m-2\",\"idle\",false]]}";
-  g_autoptr(json_t) catalog = ws_json_parse(CATALOG, strlen(CATALOG));
-  g_autoptr(GPtrArray) types = ws_catalog_parse(catalog);
-  g_assert_nonnull(types);
-  g_assert_cmpuint(types->len, ==, 1);
   g_autoptr(json_t) list = ws_json_parse(MACHINES, strlen(MACHINES));
   gboolean has_more;
   g_autoptr(GPtrArray) machines = ws_machine_list_parse(list, &has_more);
@@ -368,13 +360,26 @@
   ws_replica_free(replica);
 }
 
+/* Without one of its types, the catalog would say that some jobs can never run. */
+void
+test_damaged_catalog_is_refused_whole(void)
+{
+  static const char CATALOG[]
+      = "{\"typy\":[{\"sku\":\"g4\",\"cpus\":1e400},{\"sku\":\"g8\",\"cpus\":96,"
+        "\"accelerators\":8,\"mem_gb\":768,\"local_gb\":200,\"pull_gb_per_s\":1.0,\"price\":12.0,"
+        "\"low_price\":4.5,\"boot_s\":45,\"haly\":[\"a\"]}]}";
+  g_autoptr(json_t) catalog = ws_json_parse(CATALOG, strlen(CATALOG));
+  g_assert_nonnull(catalog);
+  g_assert_null(ws_catalog_parse(catalog));
+}
+
 /* Without one of its assignments, a record would say that a task is nowhere. */
 void
 test_damaged_record_is_refused_whole(void)
 {
   static const char *const ASSIGNMENTS[]
       = { "[1e400,\"m-1\",2]", "[\"0\",\"m-1\",2]",     "[0,\"m-1\"]",    "[0,\"m-1\",1e400]",
-          "[0,7,2]",           "[0,\"m-1\",2,\"now\"]", "[-1,\"m-1\",2]", "[128,\"m-1\",2]" };
+          "[0,7,2]",           "[0,\"m-1\",2,\"now\"]", "[-1,\"m-1\",2]", "[100000,\"m-1\",2]" };
   g_autoptr(WsSettings) settings = ws_test_settings(0);
   WsReplica *replica = ws_replica_new(settings);
   g_autofree char *none_completed = g_strnfill(WS_CHUNK_TASKS / 4, '0');
--- a/tests/input/input.h
+++ b/tests/input/input.h
@@ -50,6 +50,7 @@
 void test_setting_of_wrong_kind_is_named(void);
 void test_damaged_store_reply_is_refused_whole(void);
 void test_damaged_entry_costs_only_that_entry(void);
+void test_damaged_catalog_is_refused_whole(void);
 void test_damaged_record_is_refused_whole(void);
 
 void test_incident_submission_is_accepted(void);
--- a/tests/input/texts.c
+++ b/tests/input/texts.c
@@ -13,9 +13,9 @@
 #define MAX_RANDOM_MEMBERS 5
 #define MAX_RANDOM_DIGITS 40
 
-#define INCIDENT_VALUE                                                                             \
-  "{\"größe\":\"日本語 ✓\",\"n\":18446744073709551615,\"m\":-7,\"f\":1.25,\"none\":null,"   \
-  "\"l\":[[],{},true],\"deep\":[[[[[]]]]]}"
+static const char INCIDENT_VALUE[]
+    = "{\"größe\":\"日本語 ✓\",\"n\":18446744073709551615,\"m\":-7,\"f\":1.25,\"none\":null,"
+      "\"l\":[[],{},true],\"deep\":[[[[[]]]]]}";
 
 /* Values of unknown members: each is valid JSON (RFC 8259). */
 static const char *const SOUND_VALUES[] = {
--- a/tests/sim/fixture.c
+++ b/tests/sim/fixture.c
@@ -199,8 +199,8 @@
 fixture_request_text(Fixture *fixture, WsListener listener, const char *sender, const char *method,
                      const char *path, const char *text, gsize length)
 {
-  ws_core_handle_request(fixture->core, fixture->now_ms, fixture->now_ms, listener, sender, method,
-                         path, text, length, fixture);
+  WsIncomingRequest request = { listener, sender, method, path, text, length, fixture };
+  ws_core_handle_request(fixture->core, fixture->now_ms, fixture->now_ms, &request);
   fixture_handle_outputs(fixture);
 }
 
--- a/tests/sim/sim-network.c
+++ b/tests/sim/sim-network.c
@@ -151,9 +151,14 @@
     sim_call_unref(call);
     return;
   }
-  ws_core_handle_request(sim->nodes[node].core, sim->now_ms, sim_wall_clock_ms(sim), listener,
-                         "sim", call->method, call->path, text, text != NULL ? strlen(text) : 0,
-                         call);
+  WsIncomingRequest request = { .listener = listener,
+                                .sender = "sim",
+                                .method = call->method,
+                                .path = call->path,
+                                .body = text,
+                                .length = text != NULL ? strlen(text) : 0,
+                                .handle = call };
+  ws_core_handle_request(sim->nodes[node].core, sim->now_ms, sim_wall_clock_ms(sim), &request);
   sim_deliver_outputs(sim, node);
 }
 
--- a/tests/test-input.c
+++ b/tests/test-input.c
@@ -33,6 +33,7 @@
   { "/input/setting-of-wrong-kind-is-named", test_setting_of_wrong_kind_is_named },
   { "/input/damaged-store-reply-is-refused-whole", test_damaged_store_reply_is_refused_whole },
   { "/input/damaged-entry-costs-only-that-entry", test_damaged_entry_costs_only_that_entry },
+  { "/input/damaged-catalog-is-refused-whole", test_damaged_catalog_is_refused_whole },
   { "/input/damaged-record-is-refused-whole", test_damaged_record_is_refused_whole },
 };
 
--- a/tests/test-kv.c
+++ b/tests/test-kv.c
@@ -33,11 +33,11 @@
 }
 
 static void
-test_page_is_parsed_without_malformed_items(void)
+test_page_is_parsed(void)
 {
   g_autoptr(json_t) message = parse_json(
       "{\"zmena\":9,\"more\":true,\"pairs\":[{\"k\":\"a\",\"verze\":3,\"value\":{\"x\":1}},"
-      "{\"k\":\"b\",\"verze\":-1},{\"verze\":4},7,{\"k\":\"c\",\"verze\":5}]}");
+      "{\"k\":\"c\",\"verze\":5,\"value\":null}]}");
   g_autoptr(WsKvPage) page = ws_kv_page_parse(message);
   g_assert_nonnull(page);
   g_assert_cmpuint(page->revision, ==, 9);
@@ -48,7 +48,27 @@
   g_assert_cmpuint(items[0].version, ==, 3);
   assert_text(items[0].value, "{\"x\":1}");
   g_assert_cmpstr(items[1].key, ==, "c");
-  g_assert_null(items[1].value);
+  assert_text(items[1].value, "null");
+}
+
+/* A page without one of its items would say that the item's key doesn't exist. */
+static void
+test_page_with_malformed_item_is_rejected(void)
+{
+  static const char *const ITEMS[] = {
+    "{\"k\":\"b\",\"verze\":-1,\"value\":{}}",
+    "{\"verze\":4,\"value\":{}}",
+    "7",
+    "{}",
+    "{\"k\":\"c\",\"verze\":5}",
+  };
+  for (gsize i = 0; i < G_N_ELEMENTS(ITEMS); i++) {
+    g_autofree char *text = g_strdup_printf("{\"zmena\":9,\"more\":true,\"pairs\":["
+                                            "{\"k\":\"a\",\"verze\":3,\"value\":{\"x\":1}},%s]}",
+                                            ITEMS[i]);
+    g_autoptr(json_t) message = parse_json(text);
+    g_assert_null(ws_kv_page_parse(message));
+  }
 }
 
 /* A page without items is the last one even if it announces more: the request for the next page
@@ -61,8 +81,8 @@
     gboolean is_last;
   } CASES[] = {
     { "{\"zmena\":9,\"more\":true,\"pairs\":[]}", TRUE },
-    { "{\"zmena\":9,\"more\":false,\"pairs\":[{\"k\":\"a\",\"verze\":3}]}", TRUE },
-    { "{\"zmena\":9,\"more\":true,\"pairs\":[{}]}", FALSE },
+    { "{\"zmena\":9,\"more\":false,\"pairs\":[{\"k\":\"a\",\"verze\":3,\"value\":1}]}", TRUE },
+    { "{\"zmena\":9,\"more\":true,\"pairs\":[{\"k\":\"a\",\"verze\":3,\"value\":1}]}", FALSE },
   };
   for (gsize i = 0; i < G_N_ELEMENTS(CASES); i++) {
     g_autoptr(json_t) message = parse_json(CASES[i].text);
@@ -98,7 +118,7 @@
 {
   g_autoptr(json_t) message
       = parse_json("{\"zmena\":12,\"log\":[{\"verze\":10,\"set\":\"a\",\"value\":1},"
-                   "{\"verze\":11,\"remove\":\"b\",\"value\":2},{\"set\":\"c\",\"value\":3},"
+                   "{\"verze\":11,\"remove\":\"b\",\"value\":2},"
                    "{\"verze\":12,\"touch\":\"d\"}]}");
   g_autoptr(WsKvPage) page = ws_kv_watch_parse(message);
   g_assert_nonnull(page);
@@ -111,8 +131,25 @@
   g_assert_null(items[1].value);
   g_assert_cmpuint(items[1].version, ==, 11);
   g_assert_null(items[2].key);
-  g_autoptr(json_t) malformed = parse_json("{\"log\":[]}");
-  g_assert_null(ws_kv_watch_parse(malformed));
+}
+
+/* Without one of its events, a response would say that the event's key didn't change. */
+static void
+test_malformed_watch_response_is_rejected(void)
+{
+  static const char *const CASES[] = {
+    "{\"log\":[]}",
+    "{\"zmena\":12}",
+    "{\"zmena\":12,\"log\":[{\"verze\":10,\"set\":\"a\",\"value\":1},{\"set\":\"c\",\"value\":3}]}",
+    "{\"zmena\":12,\"log\":[{\"verze\":10,\"set\":\"a\"}]}",
+    "{\"zmena\":12,\"log\":[{\"verze\":10,\"set\":3,\"value\":1}]}",
+    "{\"zmena\":12,\"log\":[{\"verze\":10,\"remove\":null}]}",
+    "{\"zmena\":12,\"log\":[7]}",
+  };
+  for (gsize i = 0; i < G_N_ELEMENTS(CASES); i++) {
+    g_autoptr(json_t) message = parse_json(CASES[i]);
+    g_assert_null(ws_kv_watch_parse(message));
+  }
   g_assert_null(ws_kv_watch_parse(NULL));
 }
 
@@ -172,10 +209,12 @@
 {
   g_test_init(&argc, &argv, NULL);
   g_test_add_func("/kv/paths", test_paths_are_encoded);
-  g_test_add_func("/kv/page", test_page_is_parsed_without_malformed_items);
+  g_test_add_func("/kv/page", test_page_is_parsed);
+  g_test_add_func("/kv/malformed-items", test_page_with_malformed_item_is_rejected);
   g_test_add_func("/kv/last-page", test_page_without_items_is_last);
   g_test_add_func("/kv/malformed-pages", test_malformed_page_is_rejected);
   g_test_add_func("/kv/watch", test_watch_events_are_parsed);
+  g_test_add_func("/kv/malformed-watch", test_malformed_watch_response_is_rejected);
   g_test_add_func("/kv/lease", test_lease_request_is_encoded_and_grant_parsed);
   g_test_add_func("/kv/txn", test_txn_is_encoded);
   g_test_add_func("/kv/errors", test_error_reason_is_parsed);
--- a/tests/test-peer-messages.c
+++ b/tests/test-peer-messages.c
@@ -272,8 +272,7 @@
   g_assert_cmpuint(request->release.evidence.incarnation, ==, 4);
   request = g_ptr_array_index(batch->requests[WS_PEER_REQUEST_RELEASE], 1);
   g_assert_false(request->has_evidence || request->release.is_completed);
-  request = g_ptr_array_index(batch->requests[WS_PEER_REQUEST_STOP], 0);
-  g_assert_null(request->job);
+  g_assert_null(batch->requests[WS_PEER_REQUEST_STOP]); /* the malformed one is left out */
   g_assert_null(batch->requests[WS_PEER_REQUEST_MARK]);
   json_object_del(body, "epoch");
   g_assert_null(ws_peer_request_batch_parse(replica, body));
