--- a/src/protocol/ws-limits.h
+++ b/src/protocol/ws-limits.h
@@ -4,4 +4,4 @@
 #pragma once
 
 /** The longest body of a request of a user or a worker, in bytes. */
-#define WS_MAX_REQUEST_BYTES (64u * 1024)
+#define WS_MAX_REQUEST_BYTES 65536u
--- a/src/runtime/ws-runtime.c
+++ b/src/runtime/ws-runtime.c
@@ -16,10 +16,12 @@
 #define API_SERVER_SOCKET_SHARE 0.65
 #define HTTP_CLIENT_SOCKET_SHARE 0.25
 #define PEER_SERVER_SOCKET_SHARE 0.05
-#define MAX_PEER_BODY_BYTES (4u << 20)
+#define MAX_PEER_BODY_BYTES 4194304u
 /* A connection may be idle for so many leases of the workers, which report several times in each.
  */
 #define IDLE_TIMEOUT_LEASES 3.0
+/* Longer than the client of another controller keeps an idle connection. */
+#define MIN_IDLE_TIMEOUT_S 60.0
 
 struct _WsRuntime {
   WsCore *core;
@@ -136,7 +138,8 @@
     .address = settings->api_addr,
     .max_connections = (guint)(sockets * API_SERVER_SOCKET_SHARE),
     .max_body_bytes = WS_MAX_REQUEST_BYTES,
-    .idle_timeout_ms = (gint64)(settings->lease_s * IDLE_TIMEOUT_LEASES * 1000.0),
+    .idle_timeout_ms
+    = (gint64)(MAX(settings->lease_s * IDLE_TIMEOUT_LEASES, MIN_IDLE_TIMEOUT_S) * 1000.0),
   };
   runtime->api_server = ws_http_server_new(&api, on_api_request, runtime, error);
   WsHttpServerOptions peers = api;
--- a/src/storage/ws-chunk-record.c
+++ b/src/storage/ws-chunk-record.c
@@ -150,12 +150,14 @@
 {
   g_autoptr(WsChunk) chunk = ws_chunk_copy(NULL);
   const char *hex = "";
-  if (!ws_json_uint64(value, FIELD_LAST_ATTEMPT, &chunk->last_attempt)
+  const json_t *assignments = json_object_get(value, FIELD_ASSIGNMENTS);
+  if (!json_is_array(assignments)
+      || !ws_json_uint64(value, FIELD_LAST_ATTEMPT, &chunk->last_attempt)
       || !ws_json_string(value, FIELD_COMPLETED, &hex) || !parse_completed(chunk, hex))
     return NULL;
   size_t i;
   const json_t *item;
-  json_array_foreach(json_object_get(value, FIELD_ASSIGNMENTS), i, item)
+  json_array_foreach(assignments, i, item)
   {
     WsAssignment assignment;
     if (!parse_assignment(replica, item, &assignment))
--- a/tests/input/fields.c
+++ b/tests/input/fields.c
@@ -377,16 +377,27 @@
 void
 test_damaged_record_is_refused_whole(void)
 {
-  static const char *const ASSIGNMENTS[]
-      = { "[1e400,\"m-1\",2]", "[\"0\",\"m-1\",2]",     "[0,\"m-1\"]",    "[0,\"m-1\",1e400]",
-          "[0,7,2]",           "[0,\"m-1\",2,\"now\"]", "[-1,\"m-1\",2]", "[100000,\"m-1\",2]" };
+  static const char *const LISTS[] = {
+    "[[0,\"m-1\",2],[1e400,\"m-1\",2]]",
+    "[[\"0\",\"m-1\",2]]",
+    "[[0,\"m-1\"]]",
+    "[[0,\"m-1\",1e400]]",
+    "[[0,7,2]]",
+    "[[0,\"m-1\",2,\"now\"]]",
+    "[[-1,\"m-1\",2]]",
+    "[[100000,\"m-1\",2]]",
+    "7",
+    "null",
+    "[],\"on\":[]",
+  };
   g_autoptr(WsSettings) settings = ws_test_settings(0);
   WsReplica *replica = ws_replica_new(settings);
   g_autofree char *none_completed = g_strnfill(WS_CHUNK_TASKS / 4, '0');
-  for (gsize i = 0; i < G_N_ELEMENTS(ASSIGNMENTS); i++) {
-    g_autofree char *text = g_strdup_printf("{\"a\":3,\"on\":[[0,\"m-1\",2],%s],\"d\":\"%s\"}",
-                                            ASSIGNMENTS[i], none_completed);
+  for (gsize i = 0; i < G_N_ELEMENTS(LISTS); i++) {
+    g_autofree char *text
+        = g_strdup_printf("{\"a\":3,\"on\":%s,\"d\":\"%s\"}", LISTS[i], none_completed);
     g_autoptr(json_t) value = ws_json_parse(text, strlen(text));
+    g_assert_nonnull(value);
     g_autoptr(WsChunk) chunk = ws_chunk_parse(replica, value);
     if (chunk != NULL)
       g_test_message("not refused: %s", text);
