Tests: launches, rentals and returns that are carried out minutes late

The simulated world held a request up for 60 s at the most, its cancel_s is 30 s, and a late request to the cloud always had its answer. Now launches can be held until a test lets them go, or at random for 31 to 180 s; rentals and returns can get no answer and be carried out 5 to 150 s late; and a check fails if a task runs for longer than cancel_s though no record assigns it to its machine.

--- a/tests/benchmark-json.c
+++ b/tests/benchmark-json.c
@@ -6,7 +6,7 @@
 
 #include <string.h>
 
-#define RUN_MS 1000
+#define RUN_US G_GINT64_CONSTANT(1000000)
 #define PAGE_KEYS 1000
 #define TASKS_OF_FULL_MACHINE 200
 
@@ -54,14 +54,14 @@
   gsize length = strlen(text);
   guint parsed = 0, written = 0;
   gint64 begin_us = g_get_monotonic_time(), now_us = begin_us;
-  for (; now_us - begin_us < RUN_MS * 1000; now_us = g_get_monotonic_time(), parsed++) {
+  for (; now_us - begin_us < RUN_US; now_us = g_get_monotonic_time(), parsed++) {
     g_autoptr(json_t) value = ws_json_parse(text, length);
     g_assert(value != NULL);
   }
   double parse_us = (double)(now_us - begin_us) / parsed;
   g_autoptr(json_t) value = ws_json_parse(text, length);
   begin_us = now_us = g_get_monotonic_time();
-  for (; now_us - begin_us < RUN_MS * 1000; now_us = g_get_monotonic_time(), written++) {
+  for (; now_us - begin_us < RUN_US; now_us = g_get_monotonic_time(), written++) {
     g_autofree char *copy = ws_json_serialize(value);
     g_assert(copy != NULL);
   }
--- a/tests/sim/sim-checker.c
+++ b/tests/sim/sim-checker.c
@@ -79,6 +79,38 @@
             task->task);
 }
 
+/* Whether a task record assigns the attempt to the machine. Jobs are smaller than a record. */
+static gboolean
+is_recorded(const Sim *sim, const Machine *machine, const SimTask *task)
+{
+  g_autofree char *key = g_strdup_printf("w/task/%s/0", task->job);
+  size_t i;
+  const json_t *item;
+  json_array_foreach(json_object_get(sim_store_get(sim->store, key), "on"), i, item)
+  {
+    if (json_integer_value(json_array_get(item, 0)) == (json_int_t)task->task
+        && g_strcmp0(json_string_value(json_array_get(item, 1)), machine->worker->name) == 0
+        && json_integer_value(json_array_get(item, 2)) == (json_int_t)task->attempt)
+      return TRUE;
+  }
+  return FALSE;
+}
+
+void
+sim_check_recorded_tasks(const Sim *sim, const Machine *machine)
+{
+  for (guint i = 0; i < machine->worker->tasks->len; i++) {
+    SimTask *task = &g_array_index(machine->worker->tasks, SimTask, i);
+    if (!sim_task_occupies_slot(task) || is_recorded(sim, machine, task))
+      task->unrecorded_since_ms = 0;
+    else if (task->unrecorded_since_ms == 0)
+      task->unrecorded_since_ms = sim->now_ms;
+    else if (sim->now_ms - task->unrecorded_since_ms > CANCEL_LIMIT_MS)
+      g_error("seed %u, %.1f s: no record assigns %s/%u to %s", sim->seed, sim_now_s(sim),
+              task->job, task->task, machine->worker->name);
+  }
+}
+
 /* The longest time that a task runs before it fails. */
 #define MAX_FAILURE_DELAY_MS 1500
 
--- a/tests/sim/sim-faults.c
+++ b/tests/sim/sim-faults.c
@@ -169,20 +169,38 @@
   machine->next_heartbeat_ms = sim->now_ms + 300;
 }
 
+static void
+reset_machine(const Sim *sim, Machine *machine)
+{
+  sim_worker_begin_anew(machine->worker, sim->now_ms);
+  machine->next_heartbeat_ms = sim->now_ms + 300;
+}
+
 void
 sim_reset_random_machine(Sim *sim)
 {
   Machine *machine = draw_running_machine(sim);
-  if (machine == NULL)
-    return;
-  sim_worker_begin_anew(machine->worker, sim->now_ms);
-  machine->next_heartbeat_ms = sim->now_ms + 300;
+  if (machine != NULL)
+    reset_machine(sim, machine);
+}
+
+void
+sim_reset_machine(Sim *sim, guint machine)
+{
+  reset_machine(sim, g_ptr_array_index(sim->machines, machine));
+}
+
+void
+sim_expect_recorded_tasks(Sim *sim)
+{
+  sim->expects_recorded_tasks = TRUE;
 }
 
 void
 sim_end_faults(Sim *sim)
 {
   sim->faults = (SimFaults){ 0 };
+  sim->cloud_delay_ms = 0;
   sim->cancel_at_completion = 0.0;
   sim->faults_ended_ms = sim->now_ms;
 }
--- a/tests/sim/sim-network.c
+++ b/tests/sim/sim-network.c
@@ -130,7 +130,7 @@
 sim_reply_to_call(gpointer data, guint status, json_t *body)
 {
   Call *call = data;
-  if (call->is_finished || call->answer != NULL
+  if (call->is_finished || call->was_held || call->answer != NULL
       || sim_draw_chance(call->sim, call->sim->faults.net.lose)) {
     json_decref(body);
     sim_call_unref(call);
@@ -217,10 +217,90 @@
     schedule_copy(sim, call);
 }
 
+#define MIN_HELD_LAUNCH_MS 31000
+#define MAX_HELD_LAUNCH_MS 180000
+#define MIN_CLOUD_DELAY_MS 5000
+#define MAX_CLOUD_DELAY_MS 150000
+
+static gboolean
+has_launch(const Call *call)
+{
+  size_t i;
+  const json_t *command;
+  json_array_foreach(json_object_get(call->body, "prikazy"), i, command)
+  {
+    if (g_strcmp0(json_string_value(json_object_get(command, "ukon")), "launch") == 0)
+      return TRUE;
+  }
+  return FALSE;
+}
+
+/* Whether the call launches a task and is held up. Its caller gets no answer. */
+static gboolean
+hold_launch(Sim *sim, Call *call)
+{
+  if (call->was_held || !is_from_node(call) || !has_launch(call))
+    return FALSE;
+  if (sim->held_launches != NULL)
+    g_ptr_array_add(sim->held_launches, call);
+  else if (sim_draw_chance(sim, sim->faults.held_launches))
+    sim_schedule(sim, g_rand_int_range(sim->rand, MIN_HELD_LAUNCH_MS, MAX_HELD_LAUNCH_MS),
+                 route_call, call);
+  else
+    return FALSE;
+  call->was_held = TRUE;
+  return TRUE;
+}
+
+void
+sim_hold_launches(Sim *sim)
+{
+  sim->held_launches = g_ptr_array_new();
+}
+
+guint
+sim_count_held_launches(const Sim *sim)
+{
+  return sim->held_launches != NULL ? sim->held_launches->len : 0;
+}
+
+void
+sim_deliver_held_launches(Sim *sim)
+{
+  g_autoptr(GPtrArray) held = g_steal_pointer(&sim->held_launches);
+  for (guint i = 0; i < held->len; i++)
+    route_call(sim, g_ptr_array_index(held, i));
+}
+
+/* Whether the call to the cloud changes something and is carried out late. Its caller gets no
+   answer. */
+static gboolean
+delay_cloud_call(Sim *sim, Call *call)
+{
+  if (call->was_held || strcmp(call->method, "POST") != 0)
+    return FALSE;
+  gint64 delay_ms = sim->cloud_delay_ms;
+  if (delay_ms == 0 && sim_draw_chance(sim, sim->faults.delayed_cloud_calls))
+    delay_ms = g_rand_int_range(sim->rand, MIN_CLOUD_DELAY_MS, MAX_CLOUD_DELAY_MS);
+  if (delay_ms == 0)
+    return FALSE;
+  call->was_held = TRUE;
+  sim_schedule(sim, delay_ms, route_call, call);
+  return TRUE;
+}
+
+void
+sim_delay_cloud_calls(Sim *sim, double delay_s)
+{
+  sim->cloud_delay_ms = (gint64)(delay_s * 1000.0);
+}
+
 static void
 deliver_to_worker(Sim *sim, Call *call, Machine *machine)
 {
   json_t *report = NULL;
+  if (hold_launch(sim, call))
+    return;
   if (strcmp(call->path, "/status") == 0) {
     sim_reply_to_call(call, 200, sim_worker_heartbeat(machine->worker, sim->now_ms));
     return;
@@ -414,6 +494,8 @@
   if (strcmp(call->address, "state:1") == 0) {
     deliver_to_store(sim, call);
   } else if (strcmp(call->address, "cloud:1") == 0) {
+    if (delay_cloud_call(sim, call))
+      return;
     schedule_copy_of_post(sim, call);
     sim_send_to_cloud(sim, call);
   } else if (g_str_has_prefix(call->address, "w-")) {
--- a/tests/sim/sim-private.h
+++ b/tests/sim/sim-private.h
@@ -107,7 +107,10 @@
   GPtrArray *machines;
   GPtrArray *jobs;
   gboolean has_scattered_job_ids;
-  GPtrArray *kept_copies; /* of Call: see sim_keep_copies(); NULL: none are kept */
+  GPtrArray *kept_copies;   /* of Call: see sim_keep_copies(); NULL: none are kept */
+  GPtrArray *held_launches; /* of Call: see sim_hold_launches(); NULL: none are held */
+  gint64 cloud_delay_ms;    /* see sim_delay_cloud_calls(); 0: none */
+  gboolean expects_recorded_tasks;
   gboolean uses_single_tokens;
   GHashTable *rentals; /* rental request id -> JSON array of machine names */
 };
@@ -123,6 +126,7 @@
   Sim *sim;
   guint refs;
   gboolean has_copy;    /* a copy of it arrives, or has arrived, once more */
+  gboolean was_held;    /* it was held up; nobody gets its answer */
   gboolean is_finished; /* the caller has got an answer or timed out */
   /* the caller: a run of a node's controller, a machine, or a user */
   guint node;
@@ -170,6 +174,8 @@
 void sim_step_gang(Sim *sim, Job *job);
 /** Fails if an accepted job's user has got no answer for too long since the faults ended. */
 void sim_check_answered(const Sim *sim, const Job *job);
+/** Fails if a task occupies a slot of the machine without a record; sim_expect_recorded_tasks(). */
+void sim_check_recorded_tasks(const Sim *sim, const Machine *machine);
 /** Fails if the job has waited for too long, since the faults ended, while capacity was free. */
 void sim_check_idle_capacity(const Sim *sim, Job *job);
 /** The SimDescribeTask of the simulated cluster, whose @user_data is the Sim. */
--- a/tests/sim/sim.c
+++ b/tests/sim/sim.c
@@ -49,6 +49,14 @@
   return sim->nodes[node].core != NULL;
 }
 
+static void
+step_machine(Sim *sim, Machine *machine)
+{
+  sim_step_machine(sim, machine);
+  if (sim->expects_recorded_tasks && sim_is_up(sim, machine))
+    sim_check_recorded_tasks(sim, machine);
+}
+
 static void
 tick(Sim *sim, gpointer data)
 {
@@ -57,7 +65,7 @@
   for (guint n = 0; n < SIM_NODES; n++)
     step_node(sim, n);
   for (guint i = 0; i < sim->machines->len; i++)
-    sim_step_machine(sim, g_ptr_array_index(sim->machines, i));
+    step_machine(sim, g_ptr_array_index(sim->machines, i));
   for (guint i = 0; i < sim->jobs->len; i++) {
     sim_step_user(sim, g_ptr_array_index(sim->jobs, i));
     sim_step_gang(sim, g_ptr_array_index(sim->jobs, i));
@@ -132,6 +140,9 @@
   for (guint i = 0; sim->kept_copies != NULL && i < sim->kept_copies->len; i++)
     sim_call_unref(g_ptr_array_index(sim->kept_copies, i));
   g_clear_pointer(&sim->kept_copies, g_ptr_array_unref);
+  for (guint i = 0; i < sim_count_held_launches(sim); i++)
+    sim_call_unref(g_ptr_array_index(sim->held_launches, i));
+  g_clear_pointer(&sim->held_launches, g_ptr_array_unref);
   while (g_sequence_get_length(sim->events) > 0) {
     GSequenceIter *first = g_sequence_get_begin_iter(sim->events);
     Event event = *(Event *)g_sequence_get(first);
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -48,6 +48,11 @@
   /* probability that a call to a worker, the store or the cloud that was carried out and answered
    * arrives there again, 1 s to 40 s later */
   double repeated_calls;
+  /* probability that a call that launches a task gets no answer and is carried out 31 s to 180 s
+   * late, after the time in which a cancelled job's tasks must be gone */
+  double held_launches;
+  /* probability that a rental or a return gets no answer and is carried out 5 s to 150 s late */
+  double delayed_cloud_calls;
   double failing_tasks; /* probability that a task that starts ends with an error */
   guint max_machines;   /* that the cloud rents out in total, returned ones excluded; 0: no limit */
   gboolean cloud_unavailable; /* the cloud answers every request with 503 */
@@ -127,6 +132,19 @@
 void sim_keep_copies(Sim *sim);
 /** Delivers all copies that the network has kept, in the order of the calls. */
 void sim_deliver_copies(Sim *sim);
+/** Has the network hold each call that launches a task from now on, without an answer. */
+void sim_hold_launches(Sim *sim);
+/** Delivers the calls that the network holds, in their order, and holds no further ones. */
+void sim_deliver_held_launches(Sim *sim);
+/** The number of calls that the network holds. */
+guint sim_count_held_launches(const Sim *sim);
+/** Has the cloud carry out each rental and return of machines @delay_s late, without an answer. */
+void sim_delay_cloud_calls(Sim *sim, double delay_s);
+/**
+ * Fails from now on if a task occupies a slot that no record assigns to it for longer than the
+ * tasks of a cancelled job may.
+ */
+void sim_expect_recorded_tasks(Sim *sim);
 /** Has the member records lack what versions without ranges of fencing tokens don't write. */
 void sim_use_single_tokens(Sim *sim);
 /** Draws the index of a random machine that is up; G_MAXUINT if there is none. */
@@ -169,6 +187,8 @@
  * token too, and reports anew after 0.3 s.
  */
 void sim_reset_random_machine(Sim *sim);
+/** Does the same to the machine. */
+void sim_reset_machine(Sim *sim, guint machine);
 /** Restarts a random machine that is up: it drops its tasks and reports anew after 0.3 s. */
 void sim_restart_random_machine(Sim *sim);
 /**
--- a/tests/sim/worker.h
+++ b/tests/sim/worker.h
@@ -14,8 +14,9 @@
   char *job;
   guint task;
   guint64 attempt;
-  const char *state;   /* fetching, gathering, running, flushing, exited */
-  const char *why;     /* the reason for its exit, or NULL */
+  const char *state;          /* fetching, gathering, running, flushing, exited */
+  const char *why;            /* the reason for its exit, or NULL */
+  gint64 unrecorded_since_ms; /* since when no record assigns it; 0: one does */
   gint64 next_step_ms; /* when its image is fetched, its run is over, or its progress is saved */
   gint64 save_ms;      /* of a running task of a gang: time to save when it is stopped; else 0 */
   gint64 gathered_ms;  /* of a task of a gang: since when it waits for the others */
