--- a/tests/late-calls/drawn.c
+++ b/tests/late-calls/drawn.c
@@ -32,8 +32,7 @@
 static void
 restart_random_controller(Sim *sim)
 {
-  guint node = (guint)g_rand_int_range(sim_rand(sim), 0, SIM_NODES);
-  sim_crash_node(sim, node, g_rand_double_range(sim_rand(sim), 0.3, 20.0));
+  sim_restart_random_node(sim, 0.3, 20.0);
 }
 
 static void
@@ -46,7 +45,7 @@
 static void
 stall_random_machine(Sim *sim)
 {
-  sim_stall_random_machine(sim, g_rand_double_range(sim_rand(sim), 1.0, 18.0));
+  sim_stall_random_machine_for(sim, 1.0, 18.0);
 }
 
 static void (*const FAULTS[])(Sim *sim)
--- a/tests/late-copies/drawn.c
+++ b/tests/late-copies/drawn.c
@@ -87,15 +87,14 @@
 static void
 restart_random_controller(Sim *sim)
 {
-  guint node = (guint)g_rand_int_range(sim_rand(sim), 0, SIM_NODES);
-  sim_crash_node(sim, node, g_rand_double_range(sim_rand(sim), 0.1, 0.9));
+  sim_restart_random_node(sim, 0.1, 0.9);
 }
 
 /* Longer than a lease at times, so that the worker begins a new incarnation. */
 static void
 stall_random_machine(Sim *sim)
 {
-  sim_stall_random_machine(sim, g_rand_double_range(sim_rand(sim), 1.0, 18.0));
+  sim_stall_random_machine_for(sim, 1.0, 18.0);
 }
 
 static void
--- a/tests/sim/fault-injection.c
+++ b/tests/sim/fault-injection.c
@@ -27,6 +27,19 @@
     sim_cancel_random_job(sim);
 }
 
+void
+sim_restart_random_node(Sim *sim, double min_back_s, double max_back_s)
+{
+  guint node = (guint)g_rand_int_range(sim_rand(sim), 0, SIM_NODES);
+  sim_crash_node(sim, node, g_rand_double_range(sim_rand(sim), min_back_s, max_back_s));
+}
+
+void
+sim_stall_random_machine_for(Sim *sim, double min_s, double max_s)
+{
+  sim_stall_random_machine(sim, g_rand_double_range(sim_rand(sim), min_s, max_s));
+}
+
 guint
 sim_next_node(guint node)
 {
--- a/tests/sim/fault-injection.h
+++ b/tests/sim/fault-injection.h
@@ -17,6 +17,12 @@
 /** Cancels @count random jobs, as sim_cancel_random_job() does. */
 void sim_cancel_random_jobs(Sim *sim, guint count);
 
+/** Crashes a random node, which is back after a random time; the node is drawn first. */
+void sim_restart_random_node(Sim *sim, double min_back_s, double max_back_s);
+
+/** Stalls a random machine that is up for a random time; the time is drawn first. */
+void sim_stall_random_machine_for(Sim *sim, double min_s, double max_s);
+
 /** The leader according to its record in the store, or node 0 if there is none. */
 guint sim_leader_or_first(const Sim *sim);
 
