--- a/src/transport/ws-connections.c
+++ b/src/transport/ws-connections.c
@@ -199,13 +199,14 @@
   return count > CHECK_IDLE_SHARE * connections->max_connections;
 }
 
-guint
-ws_connections_close_overdue(WsConnections *connections, gint64 now_ms)
+void
+ws_connections_close_overdue(WsConnections *connections, gint64 now_ms, WsClosedConnections *closed)
 {
   if (has_few_free_connections(connections))
     find_half_sent_requests(connections, now_ms);
-  return shut_down_oldest(connections, &connections->transfers, TRANSFER_TIMEOUT_MS, 0, now_ms)
-         + shut_down_oldest(connections, &connections->idle, connections->idle_timeout_ms, 0,
-                            now_ms)
-         + shut_down_excess_transfers(connections, now_ms);
+  closed->slow
+      += shut_down_oldest(connections, &connections->transfers, TRANSFER_TIMEOUT_MS, 0, now_ms);
+  closed->slow += shut_down_excess_transfers(connections, now_ms);
+  closed->idle
+      += shut_down_oldest(connections, &connections->idle, connections->idle_timeout_ms, 0, now_ms);
 }
--- a/src/transport/ws-connections.h
+++ b/src/transport/ws-connections.h
@@ -61,11 +61,17 @@
 void ws_connections_end_request(WsConnections *connections, WsConnection *connection,
                                 gsize request_bytes, gint64 now_ms);
 
+/** The numbers of connections that were shut down, by reason. */
+typedef struct {
+  guint slow; /**< too slow or half-sent: a request or an answer was on its way */
+  guint idle; /**< idle for too long */
+} WsClosedConnections;
+
 /**
  * Shuts down the sockets of the connections whose time is over or that exceed the share. The server
- * then reads their end. Returns the number of connections that were shut down. Must be called
- * several times a second.
+ * then reads their end. Adds their numbers to @closed. Must be called several times a second.
  */
-guint ws_connections_close_overdue(WsConnections *connections, gint64 now_ms);
+void ws_connections_close_overdue(WsConnections *connections, gint64 now_ms,
+                                  WsClosedConnections *closed);
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(WsConnections, ws_connections_free)
--- a/src/transport/ws-http-server.c
+++ b/src/transport/ws-http-server.c
@@ -29,7 +29,7 @@
   gsize max_body_bytes;
   WsConnections *connections;
   guint overdue_source;
-  guint closed_count; /* connections closed since the last log line about them */
+  WsClosedConnections closed; /* since the last log line about them */
   gint64 closed_logged_ms;
   guint epoll_source;
   guint scheduled_run_source; /* the scheduled call of MHD_run(); 0: none */
@@ -254,11 +254,12 @@
 static void
 log_closed_connections(WsHttpServer *server)
 {
-  if (server->closed_count == 0 || now_ms() - server->closed_logged_ms < CLOSED_LOG_INTERVAL_MS)
+  if (server->closed.slow + server->closed.idle == 0
+      || now_ms() - server->closed_logged_ms < CLOSED_LOG_INTERVAL_MS)
     return;
-  g_info("connections closed by the HTTP server because they were slow, half-sent or idle: %u",
-         server->closed_count);
-  server->closed_count = 0;
+  g_info("HTTP server closed connections: %u slow or half-sent, %u idle", server->closed.slow,
+         server->closed.idle);
+  server->closed = (WsClosedConnections){ 0 };
   server->closed_logged_ms = now_ms();
 }
 
@@ -266,7 +267,7 @@
 on_overdue_check(gpointer data)
 {
   WsHttpServer *server = data;
-  server->closed_count += ws_connections_close_overdue(server->connections, now_ms());
+  ws_connections_close_overdue(server->connections, now_ms(), &server->closed);
   log_closed_connections(server);
   run_daemon(server); /* accepts connections again if the limit was reached */
   return G_SOURCE_CONTINUE;
--- a/tests/http/connections.c
+++ b/tests/http/connections.c
@@ -28,6 +28,15 @@
   return (Pair){ ws_connections_add(connections, sockets[0], now_ms), sockets[0], sockets[1] };
 }
 
+/* Returns the number of connections that are shut down at the time. */
+static guint
+close_overdue(WsConnections *connections, gint64 now_ms)
+{
+  WsClosedConnections closed = { 0 };
+  ws_connections_close_overdue(connections, now_ms, &closed);
+  return closed.slow + closed.idle;
+}
+
 static gboolean
 is_closed(const Pair *pair)
 {
@@ -51,11 +60,11 @@
   Pair pair = pair_new(connections, 1000);
   gint64 begin_ms = 5000;
   ws_connections_set_phase(connections, pair.entry, phase, begin_ms);
-  g_assert_cmpuint(ws_connections_close_overdue(connections, begin_ms + limit_ms - 1), ==, 0);
+  g_assert_cmpuint(close_overdue(connections, begin_ms + limit_ms - 1), ==, 0);
   g_assert_false(is_closed(&pair));
-  g_assert_cmpuint(ws_connections_close_overdue(connections, begin_ms + limit_ms), ==, 1);
+  g_assert_cmpuint(close_overdue(connections, begin_ms + limit_ms), ==, 1);
   g_assert_true(is_closed(&pair));
-  g_assert_cmpuint(ws_connections_close_overdue(connections, begin_ms + 2 * limit_ms), ==, 0);
+  g_assert_cmpuint(close_overdue(connections, begin_ms + 2 * limit_ms), ==, 0);
   pair_end(connections, &pair);
 }
 
@@ -70,8 +79,7 @@
   Pair pairs[MAX_CONNECTIONS];
   for (guint i = 0; i < MAX_CONNECTIONS; i++)
     pairs[i] = pair_new(connections, 1000 + i);
-  g_assert_cmpuint(ws_connections_close_overdue(connections, 2000), ==,
-                   MAX_CONNECTIONS - MAX_TRANSFERS);
+  g_assert_cmpuint(close_overdue(connections, 2000), ==, MAX_CONNECTIONS - MAX_TRANSFERS);
   for (guint i = 0; i < MAX_CONNECTIONS; i++) {
     g_assert_true(is_closed(&pairs[i]) == (i < MAX_CONNECTIONS - MAX_TRANSFERS)); /* the oldest */
     pair_end(connections, &pairs[i]);
@@ -88,13 +96,12 @@
   Pair slow[MAX_CONNECTIONS];
   for (guint i = 0; i < MAX_CONNECTIONS; i++)
     slow[i] = pair_new(connections, 1000);
-  g_assert_cmpuint(ws_connections_close_overdue(connections, 1000 + TRANSFER_MS), ==,
-                   MAX_CONNECTIONS);
+  g_assert_cmpuint(close_overdue(connections, 1000 + TRANSFER_MS), ==, MAX_CONNECTIONS);
   g_assert_false(is_closed(&idle));
   g_assert_false(is_closed(&handled));
   for (guint i = 0; i < MAX_CONNECTIONS; i++)
     pair_end(connections, &slow[i]);
-  g_assert_cmpuint(ws_connections_close_overdue(connections, 1000 + 10 * IDLE_MS), ==, 1);
+  g_assert_cmpuint(close_overdue(connections, 1000 + 10 * IDLE_MS), ==, 1);
   g_assert_true(is_closed(&idle));
   g_assert_false(is_closed(&handled));
   pair_end(connections, &idle);
