Tests: a rental that is carried out late after the cloud had refused it

Now the cloud also refuses the repeated request for lack of capacity, which ends the intent, and carries the first one out after that; the drawn test has rounds in which the cloud refuses rentals.

--- a/tests/late-calls/cases.c
+++ b/tests/late-calls/cases.c
@@ -18,6 +18,9 @@
 #define LATE_CALLS_END_S 200.0
 /* Longer than the controllers wait for an answer of the cloud. */
 #define GIVEN_UP_S 15.0
+/* After the first rental is sent, and before it is sent again. */
+#define FIRST_REQUEST_S 2.0
+#define UNEXPECTED_RENTAL_S 40.0
 
 static const SimJob SERVICE
     = { .tasks = 1, .service = TRUE, .team = "red", .priority = "critical" };
@@ -202,6 +205,27 @@
   check_late_rental(restart_all);
 }
 
+/* A rental gets no answer, and the same request is then refused for lack of capacity, which ends
+   the intent. The first request is carried out after that: nobody expects its machines. */
+void
+test_late_rental_after_refusal(void)
+{
+  Sim *sim = sim_new(SEED);
+  sim_expect_recorded_tasks(sim);
+  sim_run(sim, 3.0);
+  sim_delay_cloud_calls(sim, UNEXPECTED_RENTAL_S);
+  sim_submit(sim, &SHORT_JOB);
+  sim_run(sim, FIRST_REQUEST_S);
+  sim_delay_cloud_calls(sim, 0.0);
+  sim_faults(sim)->cloud_is_full = TRUE;
+  sim_run(sim, UNEXPECTED_RENTAL_S - 2.0 * FIRST_REQUEST_S);
+  g_assert_cmpuint(sim_count_machines(sim), ==, 0);
+  sim_faults(sim)->cloud_is_full = FALSE;
+  sim_run(sim, 2.0 * FIRST_REQUEST_S + 1.0);
+  g_assert_cmpuint(sim_count_machines(sim), >, 0);
+  expect_no_leak(sim);
+}
+
 /* The returns of empty machines get no answer and are carried out late, while other jobs come that
    the machines would fit. */
 static void
--- a/tests/late-calls/drawn.c
+++ b/tests/late-calls/drawn.c
@@ -9,6 +9,8 @@
 #define SEEDS 12
 #define HELD_LAUNCHES 0.3
 #define DELAYED_CLOUD_CALLS 0.4
+/* The share of the rounds in which the cloud refuses rentals, also those that were sent before. */
+#define CLOUD_IS_FULL 0.4
 #define ROUNDS 25
 #define ROUND_S 6.0
 /* The last late call is carried out, its machine boots and is returned as empty. */
@@ -65,9 +67,10 @@
 }
 
 static void
-play(Sim *sim)
+play(Sim *sim, double cloud_is_full)
 {
   for (guint i = 0; i < ROUNDS; i++) {
+    sim_faults(sim)->cloud_is_full = g_rand_double(sim_rand(sim)) < cloud_is_full;
     submit_jobs(sim);
     if (g_rand_boolean(sim_rand(sim)))
       sim_cancel_random_job(sim);
@@ -75,6 +78,7 @@
       FAULTS[g_rand_int_range(sim_rand(sim), 0, G_N_ELEMENTS(FAULTS))](sim);
     sim_run(sim, ROUND_S);
   }
+  sim_faults(sim)->cloud_is_full = FALSE;
   sim_faults(sim)->held_launches = 0.0;
   sim_faults(sim)->delayed_cloud_calls = 0.0;
   sim_run(sim, LATE_CALLS_END_S);
@@ -86,7 +90,7 @@
 {
   Sim *sim = new_cluster(seed);
   sim_faults(sim)->held_launches = HELD_LAUNCHES;
-  play(sim);
+  play(sim, 0.0);
 }
 
 void
@@ -101,7 +105,7 @@
   Sim *sim = new_cluster(seed);
   sim_faults(sim)->delayed_cloud_calls = DELAYED_CLOUD_CALLS;
   sim_faults(sim)->held_launches = HELD_LAUNCHES / 2.0;
-  play(sim);
+  play(sim, CLOUD_IS_FULL);
 }
 
 void
--- a/tests/late-calls/late-calls.h
+++ b/tests/late-calls/late-calls.h
@@ -11,6 +11,7 @@
 void test_late_rental_after_timeout(void);
 void test_late_rental_after_leader_change(void);
 void test_late_rental_after_all_controllers_ended(void);
+void test_late_rental_after_refusal(void);
 void test_late_return_after_timeout(void);
 void test_late_return_after_leader_change(void);
 void test_late_return_after_all_controllers_ended(void);
--- a/tests/test-late-calls.c
+++ b/tests/test-late-calls.c
@@ -15,6 +15,7 @@
   { "/late-calls/late-rental-after-leader-change", test_late_rental_after_leader_change },
   { "/late-calls/late-rental-after-all-controllers-ended",
     test_late_rental_after_all_controllers_ended },
+  { "/late-calls/late-rental-after-refusal", test_late_rental_after_refusal },
   { "/late-calls/late-return-after-timeout", test_late_return_after_timeout },
   { "/late-calls/late-return-after-leader-change", test_late_return_after_leader_change },
   { "/late-calls/late-return-after-all-controllers-ended",
