Tests: held launches are those of the cancelled job, on machines with its image

Now the first job has ended, exactly one launch is held, and machines have the images. Resets and stalls reach all machines, also where some were returned.

--- a/tests/late-calls/cases.c
+++ b/tests/late-calls/cases.c
@@ -9,6 +9,7 @@
 
 #define SEED 9000
 #define BOOT_S 16.0
+#define MAX_JOB_S 60
 #define SETTLE_S 3.0
 /* cancel_s of the settings is 30 s. */
 #define AFTER_CANCELLATION_S 31.0
@@ -33,10 +34,13 @@
 {
   Sim *sim = sim_new(SEED);
   sim_properties(sim)->idle_timeout_s = 600.0;
+  sim_cache_images(sim);
   sim_expect_recorded_tasks(sim);
   sim_run(sim, 3.0);
   sim_submit(sim, &SHORT_JOB);
-  sim_run(sim, BOOT_S);
+  sim_run_until_jobs_end(sim, MAX_JOB_S);
+  g_assert_cmpuint(sim_count_open_jobs(sim), ==, 0);
+  sim_run(sim, SETTLE_S);
   return sim;
 }
 
@@ -49,7 +53,7 @@
   sim_submit(sim, &SERVICE);
   for (guint i = 0; i < 200 && sim_count_held_launches(sim) == 0; i++)
     sim_run(sim, 0.05);
-  g_assert_cmpuint(sim_count_held_launches(sim), >, 0);
+  g_assert_cmpuint(sim_count_held_launches(sim), ==, 1);
   sim_cancel(sim, job);
   for (guint i = 0; i < 200 && !sim_is_reported_cancelled(sim, job); i++)
     sim_run(sim, 0.05);
@@ -87,8 +91,7 @@
   Sim *sim = new_cluster();
   guint job = cancel_service_with_held_launch(sim);
   sim_run(sim, AFTER_CANCELLATION_S);
-  for (guint m = 0; m < sim_count_machines(sim); m++)
-    sim_stall_machine(sim, m, 6.0);
+  sim_stall_all_machines(sim, 6.0);
   sim_run(sim, 1.0);
   sim_deliver_held_launches(sim);
   sim_run(sim, 6.0 + START_S);
@@ -119,8 +122,7 @@
   Sim *sim = new_cluster();
   guint job = cancel_service_with_held_launch(sim);
   sim_run(sim, AFTER_CANCELLATION_S);
-  for (guint m = 0; m < sim_count_machines(sim); m++)
-    sim_reset_machine(sim, m);
+  sim_reset_all_machines(sim);
   sim_run(sim, SETTLE_S);
   expect_no_start(sim, job);
 }
@@ -132,8 +134,7 @@
   Sim *sim = new_cluster();
   guint job = cancel_service_with_held_launch(sim);
   sim_run(sim, AFTER_CANCELLATION_S);
-  for (guint m = 0; m < sim_count_machines(sim); m++)
-    sim_reset_machine(sim, m);
+  sim_reset_all_machines(sim);
   expect_no_start(sim, job);
 }
 
@@ -277,8 +278,7 @@
   for (guint i = 0; i < 300 && sim_count_running(sim, 1) == 0; i++)
     sim_run(sim, 0.1);
   g_assert_cmpuint(sim_count_running(sim, 1), >, 0);
-  for (guint m = 0; m < sim_count_machines(sim); m++)
-    sim_reset_machine(sim, m);
+  sim_reset_all_machines(sim);
   sim_run(sim, 1.0);
   sim_submit(sim, &LONG_JOB);
   sim_run(sim, 60.0);
--- a/tests/late-calls/drawn.c
+++ b/tests/late-calls/drawn.c
@@ -59,6 +59,7 @@
 {
   Sim *sim = sim_new(seed);
   sim_scatter_job_ids(sim);
+  sim_cache_images(sim);
   sim_expect_recorded_tasks(sim);
   sim_run(sim, 3.0);
   submit_jobs(sim);
--- a/tests/sim/sim-cloud.c
+++ b/tests/sim/sim-cloud.c
@@ -140,6 +140,15 @@
   sim_send_call(sim, call, 4000);
 }
 
+static void
+cache_images(const Sim *sim, SimWorker *worker)
+{
+  for (guint i = 0; i < sim->jobs->len; i++) {
+    const Job *job = g_ptr_array_index(sim->jobs, i);
+    sim_worker_add_image(worker, job->id);
+  }
+}
+
 void
 sim_step_machine(Sim *sim, Machine *machine)
 {
@@ -152,6 +161,8 @@
   sim->lost_tasks += tasks - machine->worker->tasks->len;
   if (sim_is_stalled(sim, machine))
     return;
+  if (sim->caches_images)
+    cache_images(sim, machine->worker);
   if (machine->worker->interruption_ms > 0 && sim->now_ms >= machine->worker->interruption_ms) {
     machine->returned = TRUE;
     g_array_set_size(machine->worker->tasks, 0);
--- a/tests/sim/sim-faults.c
+++ b/tests/sim/sim-faults.c
@@ -185,9 +185,26 @@
 }
 
 void
-sim_reset_machine(Sim *sim, guint machine)
+sim_reset_all_machines(Sim *sim)
 {
-  reset_machine(sim, g_ptr_array_index(sim->machines, machine));
+  for (guint i = 0; i < sim->machines->len; i++) {
+    Machine *machine = g_ptr_array_index(sim->machines, i);
+    if (sim_is_up(sim, machine))
+      reset_machine(sim, machine);
+  }
+}
+
+void
+sim_stall_all_machines(Sim *sim, double seconds)
+{
+  for (guint i = 0; i < sim->machines->len; i++)
+    sim_stall_machine(sim, i, seconds);
+}
+
+void
+sim_cache_images(Sim *sim)
+{
+  sim->caches_images = TRUE;
 }
 
 void
--- a/tests/sim/sim-private.h
+++ b/tests/sim/sim-private.h
@@ -111,6 +111,7 @@
   GPtrArray *held_launches; /* of Call: see sim_hold_launches(); NULL: none are held */
   gint64 cloud_delay_ms;    /* see sim_delay_cloud_calls(); 0: none */
   gboolean expects_recorded_tasks;
+  gboolean caches_images;
   gboolean uses_single_tokens;
   GHashTable *rentals; /* rental request id -> JSON array of machine names */
 };
--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -136,6 +136,9 @@
 void sim_hold_launches(Sim *sim);
 /** Delivers the calls that the network holds, in their order, and holds no further ones. */
 void sim_deliver_held_launches(Sim *sim);
+/** Has all machines have the images of all jobs, so that a task starts as soon as it is launched.
+ */
+void sim_cache_images(Sim *sim);
 /** The number of calls that the network holds. */
 guint sim_count_held_launches(const Sim *sim);
 /** Has the cloud carry out each rental and return of machines @delay_s late, without an answer. */
@@ -187,8 +190,10 @@
  * token too, and reports anew after 0.3 s.
  */
 void sim_reset_random_machine(Sim *sim);
-/** Does the same to the machine. */
-void sim_reset_machine(Sim *sim, guint machine);
+/** Does the same to all machines that are up. */
+void sim_reset_all_machines(Sim *sim);
+/** Stalls all machines that are up. */
+void sim_stall_all_machines(Sim *sim, double seconds);
 /** Restarts a random machine that is up: it drops its tasks and reports anew after 0.3 s. */
 void sim_restart_random_machine(Sim *sim);
 /**
