Log: each refused message is counted once, and under its reader

A peer's request or a reply that wasn't JSON was counted as an invalid field as well, and an unreadable answer to gossip as a peer's request. Replies with an unreadable lease, revision or list of rented machines, and an owner's unreadable answer to a relayed heartbeat left no line; now they do.

/refusals/counted-by-reader-and-reason, with the new check, failed on the parent (1 invalid field too many); /refusals/replies-are-counted-once is new.

--- a/src/fleet/ws-cloud-list.c
+++ b/src/fleet/ws-cloud-list.c
@@ -191,7 +191,7 @@
   list->call_in_flight = FALSE;
   list->next_call_ms = core->now_ms + (gint64)(core->settings->list_lag_s * 1000.0);
   g_clear_pointer(&list->last_id, g_free);
-  if (machines == NULL && status == WS_HTTP_OK)
+  if (machines == NULL && status == WS_HTTP_OK && body != NULL)
     ws_refusals_record_field(core, WS_READER_CLOUD_REPLY, "the machine list");
   if (machines == NULL || !ws_is_leader(core))
     return;
--- a/src/fleet/ws-fleet.c
+++ b/src/fleet/ws-fleet.c
@@ -75,7 +75,7 @@
   fleet->catalog_in_flight = FALSE;
   fleet->next_catalog_ms = core->now_ms + (catalog != NULL ? CATALOG_REFRESH_MS : CATALOG_RETRY_MS);
   if (catalog == NULL) {
-    if (status == WS_HTTP_OK)
+    if (status == WS_HTTP_OK && body != NULL)
       ws_refusals_record_field(core, WS_READER_CLOUD_REPLY, "a type of the catalog");
     g_info("no valid catalog from the cloud (status %u), retrying", status);
     return;
--- a/src/fleet/ws-rentals.c
+++ b/src/fleet/ws-rentals.c
@@ -4,6 +4,7 @@
  */
 #include "fleet/ws-fleet-private.h"
 
+#include "protocol/ws-status-codes.h"
 #include "store/ws-store.h"
 
 #include <string.h>
@@ -263,6 +264,8 @@
   const WsRentalIntent *intent = find_intent(core, request);
   g_autoptr(GPtrArray) names = NULL;
   WsRentalResult result = ws_rental_response_parse(status, body, &names);
+  if (status == WS_HTTP_OK && body != NULL && names == NULL)
+    ws_refusals_record_field(core, WS_READER_CLOUD_REPLY, "the rented machines");
   if (intent == NULL || result == WS_RENTAL_FAILED) {
     schedule_retry(core, request);
     g_hash_table_remove(core->fleet->rentals->requests_in_flight, request);
--- a/src/membership/ws-cancellations.c
+++ b/src/membership/ws-cancellations.c
@@ -202,7 +202,8 @@
   gboolean is_well_formed = ws_cancellation_message_parse(body, &message);
   WsNodeIndex node = ws_settings_find_node(core->settings, message.node);
   if (!is_well_formed || node == WS_NO_NODE || node == core->settings->self) {
-    ws_refusals_record_field(core, WS_READER_PEER_REQUEST, "a cancellation");
+    if (body != NULL)
+      ws_refusals_record_field(core, WS_READER_PEER_REQUEST, "a cancellation");
     ws_answer_error(core, request, WS_HTTP_BAD_REQUEST, "malformed");
     return;
   }
--- a/src/membership/ws-election.c
+++ b/src/membership/ws-election.c
@@ -103,8 +103,13 @@
   election->lease_call_is_in_flight = FALSE;
   election->call_predates_pause = FALSE;
   election->next_lease_call_ms = core->now_ms + ACQUIRE_RETRY_MS;
-  if (status != WS_KV_OK || !ws_kv_lease_parse(body, &election->lease))
+  if (status != WS_KV_OK)
     return;
+  if (!ws_kv_lease_parse(body, &election->lease)) {
+    if (body != NULL)
+      ws_refusals_record_field(core, WS_READER_STORE_REPLY, "the lease");
+    return;
+  }
   election->next_lease_call_ms = core->now_ms;
   election->renewal_due_ms = core->now_ms + RENEW_INTERVAL_MS;
 }
--- a/src/membership/ws-gossip.c
+++ b/src/membership/ws-gossip.c
@@ -224,12 +224,13 @@
 }
 
 static void
-handle_gossip(WsCore *core, const json_t *body)
+handle_gossip(WsCore *core, const json_t *body, WsReader reader)
 {
   g_auto(WsGossipMessage) message;
   ws_gossip_message_init(&message);
   if (!ws_gossip_message_parse(body, &message)) {
-    ws_refusals_record_field(core, WS_READER_PEER_REQUEST, "a field of the gossip");
+    if (body != NULL)
+      ws_refusals_record_field(core, reader, "a field of the gossip");
     return;
   }
   WsNodeIndex node = ws_settings_find_node(core->settings, message.node);
@@ -250,7 +251,7 @@
 {
   ws_peer(core, GPOINTER_TO_UINT(data))->gossip_is_in_flight = FALSE;
   if (status == WS_HTTP_OK)
-    handle_gossip(core, body);
+    handle_gossip(core, body, WS_READER_PEER_REPLY);
 }
 
 /* In each pair of nodes, the one with the smaller index calls, and receives the other's gossip in
@@ -287,11 +288,12 @@
 {
   WsNodeIndex node = ws_settings_find_node(core->settings, ws_gossip_message_sender(body));
   if (node == WS_NO_NODE || node == core->settings->self) {
-    ws_refusals_record_field(core, WS_READER_PEER_REQUEST, WIRE_NODE);
+    if (body != NULL)
+      ws_refusals_record_field(core, WS_READER_PEER_REQUEST, WIRE_NODE);
     ws_answer_error(core, request, WS_HTTP_BAD_REQUEST, "node is missing or unknown");
     return;
   }
-  handle_gossip(core, body);
+  handle_gossip(core, body, WS_READER_PEER_REQUEST);
   ws_answer(core, request, WS_HTTP_OK, encode_gossip(core, node), 0);
 }
 
--- a/src/membership/ws-peer-requests.c
+++ b/src/membership/ws-peer-requests.c
@@ -125,7 +125,7 @@
 ws_peer_requests_handle(WsCore *core, const json_t *message, gpointer request)
 {
   g_autoptr(WsPeerRequestBatch) batch = ws_peer_request_batch_parse(core->replica, message);
-  if (batch == NULL)
+  if (batch == NULL && message != NULL)
     ws_refusals_record_field(core, WS_READER_PEER_REQUEST, "a batch of peer requests");
   if (ws_peer_request_batch_handle(core, batch))
     ws_answer(core, request, WS_HTTP_OK, json_object(), 0);
--- a/src/store/ws-store-load.c
+++ b/src/store/ws-store-load.c
@@ -80,7 +80,7 @@
   WsStoreLoad *load = &core->store->load;
   g_autoptr(WsKvPage) page = status == WS_KV_OK ? ws_kv_page_parse(body) : NULL;
   if (page == NULL) {
-    if (status == WS_KV_OK)
+    if (status == WS_KV_OK && body != NULL)
       ws_refusals_record_field(core, WS_READER_STORE_REPLY, "an item of the page");
     load->phase = WS_LOAD_NEEDED;
     load->retry_ms = core->now_ms + LOAD_RETRY_DELAY_MS;
--- a/src/store/ws-store-private.h
+++ b/src/store/ws-store-private.h
@@ -115,3 +115,6 @@
 
 /** Counts a committed operation on the key. */
 void ws_write_stats_add(WsCore *core, const char *key);
+
+/** Reads the revision from a successful reply. Returns FALSE, and logs it, if it is unreadable. */
+gboolean ws_store_read_revision(WsCore *core, const json_t *body, guint64 *revision);
--- a/src/store/ws-store-reads.c
+++ b/src/store/ws-store-reads.c
@@ -89,6 +89,16 @@
   g_array_unref(timed_out);
 }
 
+gboolean
+ws_store_read_revision(WsCore *core, const json_t *body, guint64 *revision)
+{
+  if (ws_kv_revision_parse(body, revision))
+    return TRUE;
+  if (body != NULL)
+    ws_refusals_record_field(core, WS_READER_STORE_REPLY, "the revision");
+  return FALSE;
+}
+
 static void
 on_revision(WsCore *core, guint status, const json_t *body, gpointer data)
 {
@@ -96,7 +106,7 @@
   WsStoreReads *reads = &core->store->reads;
   guint64 revision;
   reads->is_revision_requested = FALSE;
-  if (status != WS_KV_OK || !ws_kv_revision_parse(body, &revision)) {
+  if (status != WS_KV_OK || !ws_store_read_revision(core, body, &revision)) {
     complete_all(core, &reads->sent, FALSE);
     return;
   }
--- a/src/store/ws-store-watch.c
+++ b/src/store/ws-store-watch.c
@@ -35,7 +35,7 @@
   }
   g_autoptr(WsKvPage) page = status == WS_KV_OK ? ws_kv_watch_parse(body) : NULL;
   if (page == NULL) {
-    if (status == WS_KV_OK)
+    if (status == WS_KV_OK && body != NULL)
       ws_refusals_record_field(core, WS_READER_STORE_REPLY, "an event of the watch");
     store->watch.retry_ms = core->now_ms + WATCH_RETRY_DELAY_MS;
     return;
--- a/src/store/ws-txn.c
+++ b/src/store/ws-txn.c
@@ -117,7 +117,7 @@
   g_autoptr(WsTxn) txn = data;
   guint64 revision;
   WsTxnResult result = WS_TXN_INDETERMINATE;
-  if (status == WS_KV_OK && ws_kv_revision_parse(body, &revision)) {
+  if (status == WS_KV_OK && ws_store_read_revision(core, body, &revision)) {
     apply_operations(core, txn, revision);
     result = WS_TXN_COMMITTED;
   } else if (status == WS_KV_CONFLICT) {
--- a/src/workers/ws-relay.c
+++ b/src/workers/ws-relay.c
@@ -93,6 +93,8 @@
   json_t *answer = ws_heartbeat_response_copy(body);
   g_autoptr(WsHeartbeat) heartbeat = parse_heartbeat(relay->heartbeat);
   if (answer == NULL) {
+    if (body != NULL)
+      ws_refusals_record_field(core, WS_READER_PEER_REPLY, "the answer to a relayed heartbeat");
     answer_without_owner(core, relay->heartbeat, relay->request);
     return;
   }
@@ -175,7 +177,8 @@
 {
   WsRelayMessage relayed;
   if (!ws_relay_message_parse(message, &relayed)) {
-    ws_refusals_record_field(core, WS_READER_PEER_REQUEST, "relayed heartbeat");
+    if (message != NULL)
+      ws_refusals_record_field(core, WS_READER_PEER_REQUEST, "a relayed heartbeat");
     ws_answer_error(core, request, WS_HTTP_BAD_REQUEST, "malformed");
     return;
   }
--- a/tests/sim/fixture.c
+++ b/tests/sim/fixture.c
@@ -57,9 +57,9 @@
   g_autoptr(json_t) answer = json_pack(
       "{s:s, s:O, s:b, s:i, s:b, s:b, s:i, s:i, s:O, s:i, s:b, s:i, s:[]}", "node",
       strstr(output->url, "mesh-1") != NULL ? "n1" : "n2", "epoch", json_object_get(body, "epoch"),
-      "store", !fixture->peers_lack_store, "reaches", 7, "wants_epoch", 0, "unheard", 0, "base", 0,
-      "rev", 0, "ack", json_object_get(body, "rev"), "incarnation", 1, "loaded", 1, "untold",
-      (int)fixture->unacknowledged_by_peers, "machines");
+      "store", !fixture->peers_lack_store, "reaches", 7, "wants_epoch", 0, "unheard",
+      fixture->peers_get_no_heartbeats, "base", 0, "rev", 0, "ack", json_object_get(body, "rev"),
+      "incarnation", 1, "loaded", 1, "untold", (int)fixture->unacknowledged_by_peers, "machines");
   g_assert_nonnull(output->body);
   fixture->gossip_bytes = strlen(output->body);
   fixture_reply(fixture, output->call, 200, answer);
@@ -117,11 +117,22 @@
                     fixture_on_store_reply, store_call);
 }
 
+static void
+reply_text(Fixture *fixture, guint64 call, const char *text)
+{
+  ws_core_handle_reply(fixture->core, fixture->now_ms, fixture->now_ms, call, 200, text,
+                       strlen(text));
+}
+
 /* Answers a call to the cloud, to a worker or to another node. */
 static void
 answer_service_call(Fixture *fixture, const WsOutput *output, const char *path, const json_t *body)
 {
-  if (strcmp(path, "/catalog") == 0) {
+  if (strcmp(path, "/catalog") == 0 && fixture->catalog_text != NULL) {
+    reply_text(fixture, output->call, fixture->catalog_text);
+  } else if (strcmp(path, "/gossip") == 0 && fixture->gossip_text != NULL) {
+    reply_text(fixture, output->call, fixture->gossip_text);
+  } else if (strcmp(path, "/catalog") == 0) {
     g_autoptr(json_t) message = make_catalog(fixture);
     fixture_reply(fixture, output->call, 200, message);
   } else if (strcmp(path, "/commands") == 0) {
@@ -138,6 +149,9 @@
   } else if (strcmp(path, "/cancelled") == 0) {
     fixture->cancellations_sent++;
     fixture_reply(fixture, output->call, fixture->peers_acknowledge ? 200 : 0, NULL);
+  } else if (strcmp(path, "/relay") == 0 && fixture->relay_answer != NULL) {
+    fixture->relayed++;
+    reply_text(fixture, output->call, fixture->relay_answer);
   } else if (strcmp(path, "/gossip") == 0 && !fixture->peers_unreachable) {
     answer_gossip(fixture, output, body);
   } else {
--- a/tests/sim/fixture.h
+++ b/tests/sim/fixture.h
@@ -34,23 +34,28 @@
   gboolean hold_watch;        /* watches get no answer until fixture_release_watch() */
   guint64 held_watch;         /* the last call that hold_watch held back */
   void (*on_page)(struct Fixture *fixture, const char *path); /* called before a page is read */
-  gboolean has_small_type;         /* the catalog also has a type with one accelerator */
-  const char *catalog_label;       /* an unknown member of the catalog, or NULL */
-  gboolean cloud_confirms_returns; /* the cloud acknowledges return requests */
-  gboolean peers_lack_store;       /* peers report in gossip that they don't reach the store */
-  guint unacknowledged_by_peers;   /* unacknowledged cancellations that each peer reports */
-  gboolean peers_acknowledge;      /* peers acknowledge forwarded cancellations */
-  guint cancellations_sent;        /* forwarded to peers, including retries */
-  guint returns_requested;         /* return requests that the cloud acknowledged */
-  guint direct_commands;           /* requests to workers with direct commands */
-  guint64 sequence;                /* of the last heartbeat of the machine m-1 */
-  guint status;                    /* of the controller's last answer to a request of the test */
-  json_t *answer;                  /* the body of this answer */
-  gboolean hold_assignment;        /* the next transaction with a task record gets no answer */
-  guint64 held_call;               /* this transaction; the test answers it with fixture_reply() */
-  json_t *last_transaction;        /* that was sent to the store */
-  json_t *assignment_transaction;  /* the last transaction that wrote a task record */
-  guint outputs;                   /* the number of answers and calls that the core has sent */
+  gboolean has_small_type;          /* the catalog also has a type with one accelerator */
+  const char *catalog_label;        /* an unknown member of the catalog, or NULL */
+  const char *catalog_text;         /* the cloud's answer in place of the catalog, or NULL */
+  const char *gossip_text;          /* peers' answers to gossip, or NULL */
+  const char *relay_answer;         /* the text of peers' answers to relayed heartbeats, or NULL */
+  guint relayed;                    /* heartbeats relayed to peers */
+  gboolean cloud_confirms_returns;  /* the cloud acknowledges return requests */
+  gboolean peers_get_no_heartbeats; /* peers report in gossip that no worker reaches them */
+  gboolean peers_lack_store;        /* peers report in gossip that they don't reach the store */
+  guint unacknowledged_by_peers;    /* unacknowledged cancellations that each peer reports */
+  gboolean peers_acknowledge;       /* peers acknowledge forwarded cancellations */
+  guint cancellations_sent;         /* forwarded to peers, including retries */
+  guint returns_requested;          /* return requests that the cloud acknowledged */
+  guint direct_commands;            /* requests to workers with direct commands */
+  guint64 sequence;                 /* of the last heartbeat of the machine m-1 */
+  guint status;                     /* of the controller's last answer to a request of the test */
+  json_t *answer;                   /* the body of this answer */
+  gboolean hold_assignment;         /* the next transaction with a task record gets no answer */
+  guint64 held_call;                /* this transaction; the test answers it with fixture_reply() */
+  json_t *last_transaction;         /* that was sent to the store */
+  json_t *assignment_transaction;   /* the last transaction that wrote a task record */
+  guint outputs;                    /* the number of answers and calls that the core has sent */
   gsize gossip_bytes;         /* the size of the last gossip message that a peer acknowledged */
   json_t *member_transaction; /* the last transaction that wrote the record of member n0 */
 } Fixture;
--- a/tests/test-refusals.c
+++ b/tests/test-refusals.c
@@ -78,6 +78,24 @@
                                "1 heartbeats (invalid field)",
                                "1 peer requests (not a JSON object)"),
                    ==, 1);
+  g_assert_cmpuint(COUNT_LINES("peer requests (invalid field)"), ==, 0); /* counted once */
+  fixture_free(fixture);
+}
+
+/* Sends a cloud reply that isn't JSON, and a gossip answer with an unreadable field. */
+static void
+test_refused_replies_are_counted_once(void)
+{
+  g_ptr_array_set_size(lines, 0);
+  Fixture *fixture = fixture_new(TRUE);
+  fixture->catalog_text = "no json";
+  fixture->gossip_text = "{\"node\":\"n1\",\"epoch\":1e400}";
+  fixture_restart(fixture);
+  fixture_run(fixture, COUNTS_LOG_INTERVAL_S + 1.0);
+  g_assert_cmpuint(COUNT_LINES("messages refused in", "cloud replies (not a JSON object)"), >, 0);
+  g_assert_cmpuint(COUNT_LINES("cloud replies (invalid field)"), ==, 0);
+  g_assert_cmpuint(COUNT_LINES("messages refused in", "peer replies (invalid field)"), >, 0);
+  g_assert_cmpuint(COUNT_LINES("peer requests"), ==, 0);
   fixture_free(fixture);
 }
 
@@ -85,6 +103,7 @@
   { "/refusals/each-sender-is-logged-once-in-an-interval",
     test_each_sender_is_logged_once_in_an_interval },
   { "/refusals/counted-by-reader-and-reason", test_refusals_are_counted_by_reader_and_reason },
+  { "/refusals/replies-are-counted-once", test_refused_replies_are_counted_once },
 };
 
 int
