Relays: the owner's answer keeps its unknown members

Since a relayed answer was written anew from its token and commands, so what a later version of the owner adds for the worker was lost.

Besides: the loop over the cloud's lists stands once again; a limit of sockets above what an integer holds is no longer converted beyond its range; the test of the refused submission is named for what it guards.

--- a/src/protocol/ws-cloud.c
+++ b/src/protocol/ws-cloud.c
@@ -33,9 +33,33 @@
   g_free(listed);
 }
 
+typedef gboolean (*ParseItemFunc)(const json_t *item, gpointer parsed);
+
+/* Parses the valid items of a JSON array into new structures of item_size bytes. Returns NULL if
+   the value is not an array. */
+static GPtrArray *
+parse_list(const json_t *list, gsize item_size, GDestroyNotify free_item, ParseItemFunc parse_item)
+{
+  if (!json_is_array(list))
+    return NULL;
+  GPtrArray *parsed = g_ptr_array_new_with_free_func(free_item);
+  size_t i;
+  const json_t *item;
+  json_array_foreach(list, i, item)
+  {
+    gpointer entry = g_malloc0(item_size);
+    if (parse_item(item, entry))
+      g_ptr_array_add(parsed, entry);
+    else
+      free_item(entry);
+  }
+  return parsed;
+}
+
 static gboolean
-parse_type(const json_t *item, WsType *type)
+parse_type(const json_t *item, gpointer parsed)
 {
+  WsType *type = parsed;
   const char *name;
   if (!ws_json_string(item, WS_FIELD_TYPE_NAME, &name)
       || !ws_amount_parse_capacity(item, WS_FIELD_CPUS, &type->capacity.cpus)
@@ -58,19 +82,8 @@
 ws_catalog_parse(const json_t *message)
 {
   const json_t *list = json_object_get(message, WS_FIELD_MACHINE_TYPES);
-  if (!json_is_array(list))
-    return NULL;
-  g_autoptr(GPtrArray) types = g_ptr_array_new_with_free_func(type_free);
-  size_t i;
-  const json_t *item;
-  json_array_foreach(list, i, item)
-  {
-    WsType *type = g_new0(WsType, 1);
-    g_ptr_array_add(types, type);
-    if (!parse_type(item, type))
-      return NULL;
-  }
-  return g_steal_pointer(&types);
+  g_autoptr(GPtrArray) types = parse_list(list, sizeof(WsType), type_free, parse_type);
+  return types != NULL && types->len == json_array_size(list) ? g_steal_pointer(&types) : NULL;
 }
 
 static json_t *
@@ -100,8 +113,9 @@
 }
 
 static gboolean
-parse_listed_machine(const json_t *item, WsListedMachine *listed)
+parse_listed_machine(const json_t *item, gpointer parsed)
 {
+  WsListedMachine *listed = parsed;
   const char *id, *endpoint = NULL, *type, *zone, *state;
   if (!ws_json_string(item, WS_FIELD_ID, &id)
       || !ws_json_string_or_null(item, WS_FIELD_ENDPOINT, &endpoint)
@@ -120,33 +134,17 @@
 }
 
 /* Malformed entries are left out, since nothing is concluded from a machine's absence from the
-   list. Returns NULL if there are only malformed ones. */
-static GPtrArray *
-parse_listed_machines(const json_t *list)
-{
-  g_autoptr(GPtrArray) machines = g_ptr_array_new_with_free_func(listed_machine_free);
-  size_t i;
-  const json_t *item;
-  json_array_foreach(list, i, item)
-  {
-    WsListedMachine *listed = g_new0(WsListedMachine, 1);
-    if (parse_listed_machine(item, listed))
-      g_ptr_array_add(machines, listed);
-    else
-      listed_machine_free(listed);
-  }
-  if (machines->len == 0 && json_array_size(list) > 0)
-    return NULL;
-  return g_steal_pointer(&machines);
-}
-
+   list. If there are only malformed ones, the list is malformed. */
 GPtrArray *
 ws_machine_list_parse(const json_t *message, gboolean *has_more)
 {
   const json_t *list = json_object_get(message, WS_FIELD_MACHINES);
-  if (!json_is_array(list) || !ws_json_bool(message, WS_FIELD_HAS_MORE, has_more))
+  if (!ws_json_bool(message, WS_FIELD_HAS_MORE, has_more))
     return NULL;
-  return parse_listed_machines(list);
+  g_autoptr(GPtrArray) machines
+      = parse_list(list, sizeof(WsListedMachine), listed_machine_free, parse_listed_machine);
+  gboolean is_readable = machines != NULL && (machines->len > 0 || json_array_size(list) == 0);
+  return is_readable ? g_steal_pointer(&machines) : NULL;
 }
 
 GPtrArray *
--- a/src/protocol/ws-heartbeat.c
+++ b/src/protocol/ws-heartbeat.c
@@ -262,7 +262,9 @@
   json_t *commands = json_object_get(response, WS_FIELD_COMMANDS);
   if (!ws_json_uint64(response, WS_FIELD_FENCING_TOKEN, &fencing_token) || !json_is_array(commands))
     return NULL;
-  return ws_heartbeat_response_encode(fencing_token, json_copy(commands));
+  json_t *copy = json_copy((json_t *)response);
+  json_object_set_new(copy, WS_FIELD_COMMANDS, json_copy(commands));
+  return copy;
 }
 
 json_t *
--- a/src/protocol/ws-heartbeat.h
+++ b/src/protocol/ws-heartbeat.h
@@ -106,8 +106,8 @@
 json_t *ws_heartbeat_response_encode(guint64 fencing_token, json_t *commands);
 
 /**
- * Copies a heartbeat response, so that commands can be added. The caller owns the copy. Returns
- * NULL if the response is malformed.
+ * Copies a heartbeat response with its unknown members, so that commands can be added. The caller
+ * owns the copy. Returns NULL if the response is malformed.
  */
 json_t *ws_heartbeat_response_copy(const json_t *response);
 
--- a/src/runtime/ws-runtime.c
+++ b/src/runtime/ws-runtime.c
@@ -127,16 +127,22 @@
   return ((guint64)g_get_real_time() << INCARNATION_RANDOM_BITS | random_bits) & G_MAXINT64;
 }
 
+/* Returns the number of connections that the share of the sockets allows. */
+static guint
+connection_limit(const WsSettings *settings, double share)
+{
+  return (guint)(MIN((double)settings->max_sockets, G_MAXINT) * share);
+}
+
 WsRuntime *
 ws_runtime_new(const WsSettings *settings, const WsProperties *properties, GError **error)
 {
   WsRuntime *runtime = g_new0(WsRuntime, 1);
   runtime->core = ws_core_new(settings, properties, new_incarnation());
-  double sockets = (double)settings->max_sockets;
-  runtime->client = ws_http_client_new((guint)(sockets * HTTP_CLIENT_SOCKET_SHARE));
+  runtime->client = ws_http_client_new(connection_limit(settings, HTTP_CLIENT_SOCKET_SHARE));
   WsHttpServerOptions api = {
     .address = settings->api_addr,
-    .max_connections = (guint)(sockets * API_SERVER_SOCKET_SHARE),
+    .max_connections = connection_limit(settings, API_SERVER_SOCKET_SHARE),
     .max_body_bytes = WS_MAX_REQUEST_BYTES,
     .idle_timeout_ms
     = (gint64)(MAX(settings->lease_s * IDLE_TIMEOUT_LEASES, MIN_IDLE_TIMEOUT_S) * 1000.0),
@@ -144,7 +150,7 @@
   runtime->api_server = ws_http_server_new(&api, on_api_request, runtime, error);
   WsHttpServerOptions peers = api;
   peers.address = settings->peer_addr;
-  peers.max_connections = (guint)(sockets * PEER_SERVER_SOCKET_SHARE);
+  peers.max_connections = connection_limit(settings, PEER_SERVER_SOCKET_SHARE);
   peers.max_body_bytes = MAX_PEER_BODY_BYTES;
   if (runtime->api_server != NULL)
     runtime->peer_server = ws_http_server_new(&peers, on_peer_request, runtime, error);
--- a/tests/input/input.h
+++ b/tests/input/input.h
@@ -31,8 +31,6 @@
 
 /** Returns the text of a reader with a member @name and its value at each mark; NULL: with none. */
 char *input_text_with_member(const InputReader *reader, const char *name, const char *value);
-/** Returns a random JSON value as text, with sound numbers, strings and names of any kind. */
-char *input_random_value(GRand *rand);
 
 void test_sound_unknown_values_change_nothing(void);
 void test_random_unknown_values_change_nothing(void);
@@ -53,8 +51,10 @@
 void test_damaged_catalog_is_refused_whole(void);
 void test_damaged_record_is_refused_whole(void);
 
-void test_incident_submission_is_accepted(void);
+void test_submission_with_large_unknown_integer_is_accepted(void);
 void test_heartbeat_with_large_unknown_number_is_answered(void);
 void test_heartbeat_with_largest_integers_is_answered(void);
+void test_unreadable_answer_of_owner_is_replaced(void);
+void test_answer_of_owner_is_passed_on_whole(void);
 void test_same_job_in_another_spelling_is_one_job(void);
 void test_catalog_with_large_unknown_field_is_stored_without_it(void);
--- a/tests/input/node.c
+++ b/tests/input/node.c
@@ -2,7 +2,10 @@
  * Sound messages with unknown members, as a controller answers them.
  */
 #include "input/input.h"
+#include "context/ws-context.h"
+#include "protocol/ws-json.h"
 #include "sim/fixture.h"
+#include "storage/ws-cluster-records.h"
 
 #include <string.h>
 
@@ -10,6 +13,8 @@
 #define API_OK 200
 /* Time in which a transaction is answered. */
 #define COMMIT_S 0.3
+/* Time in which a peer becomes a member. */
+#define PEER_JOINS_S 3.0
 
 /* The fields of a sound submission, without braces. */
 #define JOB_FIELDS                                                                                 \
@@ -27,7 +32,7 @@
 }
 
 void
-test_incident_submission_is_accepted(void)
+test_submission_with_large_unknown_integer_is_accepted(void)
 {
   Fixture *fixture = fixture_new_with_machine(TRUE);
   submit(fixture, "{" JOB_FIELDS ",\"x_labels\":{\"größe\":\"日本語 ✓\",\"n\":18446744073709551615,"
@@ -76,6 +81,85 @@
   fixture_free(fixture);
 }
 
+/* Sends a heartbeat of a machine of the peer n1, with an unknown member, which is relayed. */
+static void
+send_relayed_heartbeat(Fixture *fixture, guint64 token, guint sequence)
+{
+  for (guint i = 0;; i++) {
+    g_autofree char *name = g_strdup_printf("m-%u", i);
+    if (ws_epoch_owner(&fixture->core->replica->epoch, name, fixture->settings) != 1)
+      continue;
+    g_autofree char *text = g_strdup_printf(
+        "{\"x_labels\":[18446744073709551616,\"\\u0000\"],\"stroj\":\"%s\",\"endpoint\":\"w:1\","
+        "\"typ\":\"g4\",\"hala\":\"a\",\"vypujcky\":true,\"smena\":1,\"poradi\":%u,"
+        "\"pecet\":%" G_GUINT64_FORMAT ",\"vypoved_s\":null,\"kusy\":[]}",
+        name, sequence, token);
+    fixture->status = 0;
+    fixture_request_text(fixture, WS_LISTENER_API, "worker", "POST", "/v1/report", text,
+                         strlen(text));
+    return;
+  }
+}
+
+/* Returns a node that relays the heartbeats of the peer's machines: no worker reaches the peer, and
+   one has been redirected to it to find out. */
+static Fixture *
+new_fixture_that_relays(void)
+{
+  Fixture *fixture = fixture_new(TRUE);
+  fixture->peers_get_no_heartbeats = TRUE;
+  fixture_write_key(fixture, "w/member/n1", ws_member_encode(1));
+  fixture_run(fixture, PEER_JOINS_S);
+  send_relayed_heartbeat(fixture, FIRST_TOKEN(2), 1);
+  g_assert_cmpuint(fixture->status, ==, 421);
+  return fixture;
+}
+
+/* An owner's answer without a readable token and commands must not reach the worker, which would
+   drop it and stay while its lease runs out. */
+void
+test_unreadable_answer_of_owner_is_replaced(void)
+{
+  static const char *const UNREADABLE[] = { "no json",
+                                            "[]",
+                                            "{}",
+                                            "{\"pecet\":1e400,\"prikazy\":[]}",
+                                            "{\"pecet\":5}",
+                                            "{\"pecet\":5,\"pecet\":5,\"prikazy\":[]}",
+                                            "{\"pecet\":5,\"prikazy\":7}" };
+  Fixture *fixture = new_fixture_that_relays();
+  guint64 token = FIRST_TOKEN(2) + 7;
+  for (guint i = 0; i < G_N_ELEMENTS(UNREADABLE); i++) {
+    fixture->relay_answer = UNREADABLE[i];
+    send_relayed_heartbeat(fixture, token, i + 2);
+    g_assert_cmpuint(fixture->relayed, ==, i + 1);
+    g_assert_cmpuint(fixture->status, ==, API_OK);
+    g_assert_cmpuint(fixture_answered_token(fixture), ==, token);
+    g_assert_true(json_is_array(json_object_get(fixture->answer, "prikazy")));
+  }
+  fixture_free(fixture);
+}
+
+/* What a later version of the owner adds reaches the worker. */
+void
+test_answer_of_owner_is_passed_on_whole(void)
+{
+  Fixture *fixture = new_fixture_that_relays();
+  fixture->relay_answer = "{\"x_first\":18446744073709551616,\"pecet\":18446744073709551615,"
+                          "\"x_label\":\"ö\",\"prikazy\":[{\"ukon\":\"reap\",\"kus\":\"req-1/0\","
+                          "\"pokus\":9223372036854775808,\"x_more\":[1]}]}";
+  send_relayed_heartbeat(fixture, FIRST_TOKEN(2), 2);
+  g_assert_cmpuint(fixture->status, ==, API_OK);
+  g_assert_cmpuint(fixture_answered_token(fixture), ==, G_MAXUINT64);
+  g_assert_cmpstr(json_string_value(json_object_get(fixture->answer, "x_label")), ==, "ö");
+  const json_t *command = json_array_get(json_object_get(fixture->answer, "prikazy"), 0);
+  guint64 attempt;
+  g_assert_true(ws_json_uint64(command, "pokus", &attempt));
+  g_assert_cmpuint(attempt, ==, G_GUINT64_CONSTANT(9223372036854775808));
+  g_assert_true(json_is_array(json_object_get(command, "x_more")));
+  fixture_free(fixture);
+}
+
 void
 test_same_job_in_another_spelling_is_one_job(void)
 {
--- a/tests/input/texts.c
+++ b/tests/input/texts.c
@@ -13,7 +13,7 @@
 #define MAX_RANDOM_MEMBERS 5
 #define MAX_RANDOM_DIGITS 40
 
-static const char INCIDENT_VALUE[]
+static const char VALUE_OF_ALL_KINDS[]
     = "{\"größe\":\"日本語 ✓\",\"n\":18446744073709551615,\"m\":-7,\"f\":1.25,\"none\":null,"
       "\"l\":[[],{},true],\"deep\":[[[[[]]]]]}";
 
@@ -70,7 +70,7 @@
   "{\"\\u0000\":1,\"\\u0000\":2}",
   "{\"\\ud800\":1,\"\\udfff\":2}",
   "{\"id\":\"req-9\",\"pecet\":5,\"kusy\":7,\"zmena\":1,\"verze\":0,\"epoch\":9}",
-  INCIDENT_VALUE,
+  VALUE_OF_ALL_KINDS,
 };
 
 /* Names of unknown members. */
@@ -295,8 +295,8 @@
   append_random_space(text, rand);
 }
 
-char *
-input_random_value(GRand *rand)
+static char *
+random_value(GRand *rand)
 {
   GString *text = g_string_new(NULL);
   append_random_value(text, rand, 0);
@@ -306,7 +306,7 @@
 static void
 check_random_unknown_value(GRand *rand)
 {
-  g_autofree char *value = input_random_value(rand);
+  g_autofree char *value = random_value(rand);
   const InputReader *reader = &INPUT_READERS[g_rand_int_range(rand, 0, (gint)INPUT_READER_COUNT)];
   g_autofree char *text = input_text_with_member(reader, "x_labels", value);
   assert_reads_the_same(reader, text, strlen(text));
--- a/tests/test-input.c
+++ b/tests/test-input.c
@@ -6,11 +6,14 @@
 #include "ws-suite.h"
 
 static const WsTest TESTS[] = {
-  { "/input/incident-submission-is-accepted", test_incident_submission_is_accepted },
+  { "/input/submission-with-large-unknown-integer-is-accepted",
+    test_submission_with_large_unknown_integer_is_accepted },
   { "/input/heartbeat-with-large-unknown-number-is-answered",
     test_heartbeat_with_large_unknown_number_is_answered },
   { "/input/heartbeat-with-largest-integers-is-answered",
     test_heartbeat_with_largest_integers_is_answered },
+  { "/input/unreadable-answer-of-owner-is-replaced", test_unreadable_answer_of_owner_is_replaced },
+  { "/input/answer-of-owner-is-passed-on-whole", test_answer_of_owner_is_passed_on_whole },
   { "/input/same-job-in-another-spelling-is-one-job",
     test_same_job_in_another_spelling_is_one_job },
   { "/input/catalog-with-large-unknown-field-is-stored-without-it",
