Tests: a task that no record assigns, on a machine that is back, is halted

The new case has the machine begin anew and a held launch of a cancelled job arrive before its first report: the task starts, and is gone within the time for cancelling.

--- a/tests/late-calls/cases.c
+++ b/tests/late-calls/cases.c
@@ -267,6 +267,23 @@
   check_late_return(restart_all);
 }
 
+/* A machine is back within a second, without a token, and a held launch starts a task that no
+   record assigns. It is removed within the time for cancelling. */
+void
+test_unknown_task_of_machine_that_is_back_is_halted(void)
+{
+  Sim *sim = new_cluster();
+  guint job = cancel_service_with_held_launch(sim);
+  sim_run(sim, SETTLE_S);
+  sim_reset_all_machines(sim);
+  sim_deliver_held_launches(sim);
+  sim_run(sim, 0.2);
+  g_assert_cmpuint(sim_count_running(sim, job), ==, 1);
+  sim_run(sim, AFTER_CANCELLATION_S);
+  g_assert_cmpuint(sim_count_running(sim, job), ==, 0);
+  sim_free(sim);
+}
+
 /* Machines with running tasks are back within a second under the same name, without their tasks. */
 void
 test_machine_back_within_a_second(void)
--- a/tests/test-late-calls.c
+++ b/tests/test-late-calls.c
@@ -20,6 +20,8 @@
   { "/late-calls/late-return-after-leader-change", test_late_return_after_leader_change },
   { "/late-calls/late-return-after-all-controllers-ended",
     test_late_return_after_all_controllers_ended },
+  { "/late-calls/unknown-task-of-machine-that-is-back-is-halted",
+    test_unknown_task_of_machine_that_is_back_is_halted },
   { "/late-calls/machine-back-within-a-second", test_machine_back_within_a_second },
   { "/late-calls/drawn-held-launches", test_drawn_held_launches },
   { "/late-calls/drawn-late-cloud-calls", test_drawn_late_cloud_calls },
