Tests: what the tests of reading and connections did not find with a guard out

Guards were taken out one at a time in a scratch copy. Not found: a reader that keeps all levels of nesting (the texts were as long as a request of a user; now also as a page of the store, 512 KiB), and a server that cuts a body at 64 KiB (the bodies were refused either way; now they are a sound submission filled up with spaces: 64 KiB is accepted, one byte more refused).

--- a/tests/http/slow-senders.c
+++ b/tests/http/slow-senders.c
@@ -34,6 +34,13 @@
 #define HALF_BODY "POST /api/jobs HTTP/1.1\r\nHost: node\r\nContent-Length: 100\r\n\r\n{\"id\":"
 #define READY_REQUEST "GET /ready HTTP/1.1\r\nHost: node\r\n\r\n"
 #define POLL_REQUEST "GET /api/jobs/req-999999 HTTP/1.1\r\nHost: node\r\n\r\n"
+/* The longest body of a request. */
+#define MAX_BODY_BYTES 65536
+#define SUBMISSION                                                                                 \
+  "{\"id\":\"req-000077\",\"trida\":\"train\",\"dilna\":\"vision\",\"druh\":\"sweep\","            \
+  "\"prednost\":\"urgent\",\"kusy\":1,\"cpus\":1.0,\"accelerators\":1.0,\"mem_gb\":1.0,"           \
+  "\"obraz\":\"img-07\",\"pull_gb\":1.0,\"typy\":null,\"hala\":null,\"one_zone\":false,"           \
+  "\"scatter\":false,\"vypujcky\":true,\"odhad_s\":10.0,\"zaloha_s\":0.0,\"ulozeni_s\":0.0}"
 #define HEARTBEAT                                                                                  \
   "{\"stroj\":\"m-1\",\"endpoint\":\"127.0.0.1:9\",\"typ\":\"g4\",\"hala\":\"a\","                 \
   "\"vypujcky\":true,\"smena\":1,\"poradi\":%u,\"pecet\":0,\"kusy\":[]}"
@@ -362,13 +369,13 @@
   client_free(client);
 }
 
-/* Sends a submission of so many bytes, most of them spaces, and returns the status. */
+/* Sends a sound submission that is filled up to so many bytes with spaces, and returns the status.
+ */
 static guint
 submit_bytes(HttpFixture *fixture, gsize length)
 {
-  g_autofree char *body = g_strnfill(length, ' ');
-  body[0] = '{';
-  body[length - 1] = '}';
+  g_autofree char *spaces = g_strnfill(length - strlen(SUBMISSION), ' ');
+  g_autofree char *body = g_strconcat(SUBMISSION, spaces, NULL);
   g_autofree char *headers = g_strdup_printf(
       "POST /api/jobs HTTP/1.1\r\nHost: n\r\nContent-Length: %zu\r\n\r\n", length);
   Client *client = client_new(fixture->api_port);
@@ -384,13 +391,14 @@
 {
   HttpFixture *fixture = http_fixture_new(FEW_SOCKETS);
   http_wait_until_ready(fixture);
+  http_run_main_loop_for(500); /* until the node has loaded the catalog */
   for (gsize i = 0; i < G_N_ELEMENTS(ODD_REQUESTS); i++) {
     check_odd_request(fixture, i);
     g_assert_cmpuint(ask_as_user(fixture, READY_REQUEST, USER_TIMEOUT_MS), ==, 200);
   }
-  g_assert_cmpuint(submit_bytes(fixture, 65536), ==, 400);   /* read: a field is missing */
-  g_assert_cmpuint(submit_bytes(fixture, 65537), ==, 400);   /* too large */
+  g_assert_cmpuint(submit_bytes(fixture, MAX_BODY_BYTES + 1), ==, 400);
   g_assert_cmpuint(submit_bytes(fixture, 1000000), ==, 400); /* read to its end for the answer */
+  g_assert_cmpuint(submit_bytes(fixture, MAX_BODY_BYTES), ==, 201);
   g_autofree char *name = g_strnfill(100000, 'a');
   g_autofree char *large_headers
       = g_strdup_printf("GET /ready HTTP/1.1\r\nHost: n\r\nX-Label: %s\r\n\r\n", name);
--- a/tests/input/input.h
+++ b/tests/input/input.h
@@ -17,6 +17,7 @@
   /* Returns a description of all that was read from the text, which the caller frees. NULL: the
      text was refused. */
   char *(*read)(const char *text, gsize length);
+  gboolean is_limited; /* to the 64 KiB of a request of a user or a worker */
 } InputReader;
 
 /** All readers of messages. */
@@ -36,6 +37,7 @@
 void test_random_unknown_values_change_nothing(void);
 void test_unknown_names_change_nothing(void);
 void test_deep_unknown_values_change_nothing(void);
+void test_deepest_reply_changes_nothing(void);
 void test_white_space_and_escaped_names_change_nothing(void);
 void test_malformed_values_are_refused(void);
 void test_malformed_texts_are_refused(void);
--- a/tests/input/readers.c
+++ b/tests/input/readers.c
@@ -38,7 +38,7 @@
 static char *
 read_submission(const char *text, gsize length)
 {
-  g_autoptr(json_t) message = ws_json_parse(text, length);
+  g_autoptr(json_t) message = ws_json_parse_request(text, length, NULL);
   g_autoptr(WsJobSpec) spec = ws_job_spec_parse(message, NULL);
   g_autoptr(json_t) encoded = spec != NULL ? ws_job_spec_encode(spec) : NULL;
   return ws_json_serialize(encoded);
@@ -244,52 +244,52 @@
   "\"termin_s\":900.0@}"
 
 const InputReader INPUT_READERS[] = {
-  { "submission", SUBMISSION, read_submission },
+  { "submission", SUBMISSION, read_submission, TRUE },
   { "heartbeat",
     "{@\"stroj\":\"m-000231\",\"endpoint\":\"10.1.0.232:9000\",\"typ\":\"g8\",\"hala\":\"a\","
     "\"vypujcky\":true,\"smena\":1,\"poradi\":88,\"pecet\":41,\"vypoved_s\":null,"
     "\"kusy\":[{@\"kus\":\"req-000412/3\",\"pokus\":2,\"stav\":\"running\"@},"
     "{@\"kus\":\"req-000398/0\",\"pokus\":1,\"stav\":\"exited\",\"duvod\":\"stopped\","
     "\"stored\":true@}]@}",
-    read_heartbeat },
+    read_heartbeat, TRUE },
   { "page",
     "{@\"pairs\":[{@\"k\":\"w/a\",\"value\":{@\"s\":1@},\"verze\":3@},"
     "{\"k\":\"w/b\",\"value\":{},\"verze\":4@}],\"more\":true,\"zmena\":9@}",
-    read_page },
+    read_page, FALSE },
   { "watch",
     "{@\"zmena\":12,\"log\":[{@\"set\":\"w/a\",\"value\":{@\"s\":1@},\"verze\":10@},"
     "{@\"remove\":\"w/b\",\"verze\":11@}]@}",
-    read_watch },
-  { "transaction reply", "{@\"zmena\":432@}", read_transaction_reply },
-  { "lease", "{@\"najem\":7@}", read_lease },
+    read_watch, FALSE },
+  { "transaction reply", "{@\"zmena\":432@}", read_transaction_reply, FALSE },
+  { "lease", "{@\"najem\":7@}", read_lease, FALSE },
   { "catalog",
     "{@\"typy\":[{@\"sku\":\"g8\",\"cpus\":96,\"accelerators\":8,\"mem_gb\":768,"
     "\"local_gb\":200,\"pull_gb_per_s\":1.0,\"price\":12.0,\"low_price\":4.5,\"boot_s\":45,"
     "\"haly\":[\"a\",\"b\"]@}]@}",
-    read_catalog },
+    read_catalog, FALSE },
   { "machine list",
     "{@\"stroje\":[{@\"id\":\"m-000231\",\"endpoint\":\"10.1.0.232:9000\",\"typ\":\"g8\","
     "\"hala\":\"a\",\"vypujcky\":true,\"stav\":\"running\",\"age_s\":61.5@}],\"more\":false@}",
-    read_machine_list },
-  { "rental", "{@\"stroje\":[\"m-000231\",\"m-000232\"]@}", read_rental },
+    read_machine_list, FALSE },
+  { "rental", "{@\"stroje\":[\"m-000231\",\"m-000232\"]@}", read_rental, FALSE },
   { "gossip",
     "{@\"node\":\"n1\",\"version\":\"0.4\",\"epoch\":7,\"store\":true,\"reaches\":5,"
     "\"wants_epoch\":false,\"unheard\":true,\"base\":3,\"rev\":8,\"ack\":4,\"incarnation\":99,"
     "\"loaded\":true,\"untold\":2@,\"machines\":[{@\"name\":\"m1\",\"up\":true,"
     "\"endpoint\":\"w:1\",\"notice\":false,\"images\":[\"a\"]@}]@}",
-    read_gossip },
-  { "cancellations", "{@\"node\":\"n1\",\"jobs\":[[\"req-1\",120]]@}", read_cancellations },
+    read_gossip, FALSE },
+  { "cancellations", "{@\"node\":\"n1\",\"jobs\":[[\"req-1\",120]]@}", read_cancellations, FALSE },
   { "peer requests",
     "{@\"stops\":[[\"req-1\",3,2]],\"picks\":[[\"req-2\",0,\"m-1\"]],"
     "\"marks\":[[\"m-1\",\"idle\",false]],\"epoch\":7@}",
-    read_peer_requests },
-  { "relay", "{@\"epoch\":7,\"owner\":\"n1\",\"report\":\"{}\"@}", read_relay },
+    read_peer_requests, FALSE },
+  { "relay", "{@\"epoch\":7,\"owner\":\"n1\",\"report\":\"{}\"@}", read_relay, FALSE },
   { "job record", "{@\"s\":\"active\",\"at\":1234,\"home\":\"n1\",\"spec\":" SUBMISSION "@}",
-    read_job_record },
+    read_job_record, FALSE },
   { "epoch record",
     "{@\"number\":2000000,\"leader\":\"n1\",\"members\":[{@\"node\":\"n1\",\"incarnation\":5@}],"
     "\"first_token\":1000001@}",
-    read_epoch_record },
+    read_epoch_record, FALSE },
   { "settings",
     "{@\"node_name\":\"n0\",\"zone\":\"a\",\"api_addr\":\"h:1\",\"mesh_addr\":\"h:2\","
     "\"peers\":[{@\"node_name\":\"n1\",\"zone\":\"b\",\"endpoint\":\"h:3\"@}],"
@@ -299,7 +299,7 @@
     "\"state\":{@\"rps\":200.0,\"write_rps\":80.0,\"value_kb\":16.0,\"txn_ops\":16,"
     "\"next\":{@\"write_rps\":40.0@}@},\"cloud\":{@\"rps\":4.0,\"list_lag_s\":4.0@},"
     "\"limits\":{@\"max_sockets\":1000@}@}@}",
-    read_settings },
+    read_settings, FALSE },
 };
 const gsize INPUT_READER_COUNT = G_N_ELEMENTS(INPUT_READERS);
 
--- a/tests/input/texts.c
+++ b/tests/input/texts.c
@@ -9,6 +9,8 @@
 
 /* The longest request body that the protocol allows. */
 #define MAX_BODY_BYTES (64 * 1024)
+/* The longest page of the store. */
+#define MAX_REPLY_BYTES (512 * 1024)
 #define MAX_RANDOM_DEPTH 6
 #define MAX_RANDOM_MEMBERS 5
 #define MAX_RANDOM_DIGITS 40
@@ -356,6 +358,21 @@
   }
 }
 
+/* Replies, and requests of peers, may be longer than the requests of users and workers. */
+void
+test_deepest_reply_changes_nothing(void)
+{
+  g_autofree char *lists = nested_value("[", "", ']', MAX_REPLY_BYTES / 2);
+  for (gsize r = 0; r < INPUT_READER_COUNT; r++) {
+    const InputReader *reader = &INPUT_READERS[r];
+    g_autofree char *text = text_with_last_member(reader, lists);
+    if (reader->is_limited)
+      assert_refused(reader, text, strlen(text));
+    else
+      assert_reads_the_same(reader, text, strlen(text));
+  }
+}
+
 /* Returns the text with white space around each structural character outside of strings. */
 static char *
 with_white_space(const char *text)
--- a/tests/late-calls/cases.c
+++ b/tests/late-calls/cases.c
@@ -270,7 +270,7 @@
 /* A machine is back within a second, without a token, and a held launch starts a task that no
    record assigns. It is removed within the time for cancelling. */
 void
-test_unknown_task_of_machine_that_is_back_is_halted(void)
+test_unknown_task_of_machine_that_is_back_is_removed(void)
 {
   Sim *sim = new_cluster();
   guint job = cancel_service_with_held_launch(sim);
--- a/tests/late-calls/late-calls.h
+++ b/tests/late-calls/late-calls.h
@@ -15,7 +15,7 @@
 void test_late_return_after_timeout(void);
 void test_late_return_after_leader_change(void);
 void test_late_return_after_all_controllers_ended(void);
-void test_unknown_task_of_machine_that_is_back_is_halted(void);
+void test_unknown_task_of_machine_that_is_back_is_removed(void);
 void test_machine_back_within_a_second(void);
 
 void test_drawn_held_launches(void);
--- a/tests/test-input.c
+++ b/tests/test-input.c
@@ -22,6 +22,7 @@
   { "/input/unknown-names-change-nothing", test_unknown_names_change_nothing },
   { "/input/random-unknown-values-change-nothing", test_random_unknown_values_change_nothing },
   { "/input/deep-unknown-values-change-nothing", test_deep_unknown_values_change_nothing },
+  { "/input/deepest-reply-changes-nothing", test_deepest_reply_changes_nothing },
   { "/input/white-space-and-escaped-names-change-nothing",
     test_white_space_and_escaped_names_change_nothing },
   { "/input/malformed-values-are-refused", test_malformed_values_are_refused },
